--- /dev/null
+++ b/irisstack/__init__.py
@@ -0,0 +1,1 @@
+"""irisstack: delivers outbound messages to other firms' systems."""
--- /dev/null
+++ b/irisstack/benchlink/host.py
@@ -0,0 +1,76 @@
+"""Hosts instances of the decision module on a pair of byte streams. Translation only."""
+
+from typing import BinaryIO, TextIO
+
+from irisstack.benchlink import codec
+from irisstack.choice import Sender
+from irisstack.interface import Event
+
+MAX_FRAME = 1 << 30
+"""A length above this is taken for a broken frame, not for a batch."""
+
+
+def _read(stream: BinaryIO, size: int) -> bytes:
+    data = stream.read(size)
+    while data and len(data) < size:
+        more = stream.read(size - len(data))
+        if not more:
+            break
+        data += more
+    return data
+
+
+class Host:
+    """The instances of one process. They share nothing but this loop."""
+
+    def __init__(self) -> None:
+        self._decoder = codec.Decoder()
+        self._senders: dict[int, Sender | None] = {}
+
+    def answer(self, payload: bytes) -> bytes:
+        """The reply to one batch (without its length field)."""
+        batch = self._decoder.batch(payload)
+        events: dict[int, list[Event]] = {}
+        records: list[bytes] = []
+        for instance, event in batch.records:
+            match event:
+                case codec.Launch(seed, settings):
+                    self._senders[instance] = Sender(settings, seed)
+                    events[instance] = []
+                case codec.PowerOff():
+                    self._senders[instance] = None
+                    events.pop(instance, None)
+                case _:
+                    if instance not in self._senders:
+                        raise codec.WireError(f"an event for instance {instance}, which was never started")
+                    if self._senders[instance] is not None:
+                        events.setdefault(instance, []).append(event)
+        for instance, own in events.items():
+            sender = self._senders[instance]
+            assert sender is not None
+            try:
+                records.extend(codec.action(instance, act) for act in sender.turn(batch.clock, own))
+            except Exception as error:  # the day must end with the cause, whatever it is
+                records.append(codec.fault(instance, f"{type(error).__name__}: {error}"))
+        return codec.reply(batch.number, records)
+
+
+def main(source: BinaryIO, sink: BinaryIO, complaints: TextIO) -> int:
+    """Answer batches until the input ends; a malformed one ends the run with one plain line."""
+    host = Host()
+    try:
+        while head := _read(source, 4):
+            if len(head) < 4:
+                raise codec.WireError("the input ends inside a frame's length")
+            length = int.from_bytes(head, "big")
+            if length > MAX_FRAME:
+                raise codec.WireError(f"a frame claims {length} bytes")
+            payload = _read(source, length)
+            if len(payload) < length:
+                raise codec.WireError("the input ends inside a frame")
+            sink.write(host.answer(payload))
+            sink.flush()
+    except codec.WireError as error:
+        print(f"benchlink: {error}", file=complaints)
+        return 2
+    return 0
--- /dev/null
+++ b/irisstack/choice.py
@@ -0,0 +1,663 @@
+"""All decisions of irisstack. The interface (settings, events, actions) is in `irisstack/interface.py`.
+
+After "A per-domain circuit breaker and rate limiter for feed fetching": one row for each destination holds a
+fixed-window count of refusals and errors and one open-until time, which lapses by itself. While it is open
+nothing is sent: messages wait for the close or are refused with it. The same row's spacing, the post's
+request budget, answers refusals as full and carries the return from an outage. `docs/design.md` tells what
+was kept, changed and added.
+"""
+
+from collections import deque
+from collections.abc import Iterable
+from heapq import heapify, heappop, heappush
+from random import Random
+
+from irisstack.interface import (
+    Action,
+    Address,
+    AttemptEnded,
+    DedupScope,
+    Effect,
+    Endpoint,
+    EndpointState,
+    EndpointsUpdated,
+    Event,
+    Fail,
+    Log,
+    MessageClass,
+    MessageReceived,
+    MessageWithdrawn,
+    Outcome,
+    Refuse,
+    Send,
+    SetTimer,
+    Settings,
+    StreamStarted,
+    Subscribe,
+    TimerFired,
+    UpdateScope,
+)
+
+# The breaker's own figures.
+WINDOW = 10.0  # seconds in which failures are counted together
+THRESHOLD = 3  # the failure that opens
+OPEN_FOR = 5.0  # seconds an opened row stays open
+# Spacing.
+SLOWER = 1.5  # each further refusal stretches the gap between calls by this
+RECOVER = 0.25  # of a refusal's step is taken back by each call that succeeds
+COLD_MARGIN = 0.7  # part of the fail-back budget that is used: the capacity behind it is an estimate
+ROUGH = 1.5  # a rough listed rate may be this many times too high
+UNKNOWN_RATE = 2.0  # calls a second taken for a destination that tells no rate
+ITEM_WEIGHT = 0.25  # what each further message of a shared call weighs against the fail-back budget
+# Silence.
+OVERDUE = 4.0  # a call is overdue after this many usual times
+OVERDUE_REST = 0.5  # and these seconds, so that jitter on quick calls does not count
+PATIENCE = 3.0  # a repeatable call is given up after this many times the overdue time
+LEARN = 0.1  # weight of a new call in the usual time
+FIRST_USUAL = 0.2  # share of a class's aim taken for its usual time before any call was seen
+# Room.
+SLOT_PART = 3  # a destination holds at most one part in so many of the slots, two at least
+SPARE_ROOM = 1  # messages short of the holding limit at which the module starts to choose what to refuse
+SHARE_BURST = 2.0  # seconds of a tenant's share that may come at once and still count in full
+RESUBSCRIBE = 0.2  # seconds before the first renewed subscription after a failure; doubles
+LOG_EVERY = 5.0  # seconds between two log lines of one destination
+MOMENT = 1e-4  # later than a told wait by this, so that no rounding sends early
+
+NEVER = float("inf")
+NOT_RUN = frozenset((Outcome.FULL, Outcome.CONNECT_FAILED, Outcome.NOT_SENT))
+FAILURES = frozenset((Outcome.ERROR, Outcome.FULL, Outcome.TIMEOUT, Outcome.CONNECT_FAILED, Outcome.RESET))
+
+
+class _Row:
+    """The breaker's row of one destination (or route): the design's whole memory of its trouble."""
+
+    __slots__ = ("back", "cold", "count", "next_at", "open_until", "strikes", "window_end")
+
+    def __init__(self) -> None:
+        self.count = 0
+        self.window_end = 0.0
+        self.open_until = 0.0
+        self.strikes = 0.0  # refusals as full not yet made good by successes: how far calls are slowed
+        self.next_at = 0.0  # while spaced: the earliest time of the next call
+        self.cold = False  # opened by failures: it may be coming back from an outage
+        self.back = NEVER  # when the first call after that succeeded
+
+
+class _Route:
+    """One endpoint of a destination, and what this sender has there."""
+
+    __slots__ = ("address", "calls", "connections", "failed", "used", "zone")
+
+    def __init__(self, endpoint: Endpoint) -> None:
+        self.address = endpoint.address
+        self.zone = endpoint.zone
+        self.calls = 0
+        self.connections = 0  # believed open
+        self.used = 0.0
+        self.failed = False  # its last outcome was a failure
+
+
+class _Destination:
+    """A destination's routes, waiting messages and what its calls have shown."""
+
+    __slots__ = ("calls", "fresh", "kind", "late", "limit", "listed", "logged", "number", "ok_sent", "routes",
+                 "usual")
+
+    def __init__(self, number: int) -> None:
+        self.number = number
+        self.kind = 0
+        self.listed = 0.0
+        self.limit = 0.0  # calls a second, as it reports them
+        self.routes: dict[Address, _Route] = {}
+        self.fresh: list[tuple[bool, float, int, _Message]] = []  # by end of the aim
+        self.late: list[tuple[bool, float, float, int, _Message]] = []  # by worth, newest first
+        self.usual: dict[int, float] = {}
+        self.calls = 0
+        self.ok_sent = -NEVER  # when the newest call that succeeded was sent
+        self.logged = -NEVER
+
+
+class _Message:
+    """A message that is owed its final answer, or that still has an attempt out."""
+
+    __slots__ = ("aim_at", "attempts", "call", "destination", "due", "id", "index", "key", "kind", "maybe_ran",
+                 "over", "over_share", "ran_zone")
+
+    def __init__(self, event: MessageReceived, kind: MessageClass) -> None:
+        self.id = event.message
+        self.index = event.message_class
+        self.kind = kind
+        self.destination = event.destination
+        self.due = event.due
+        self.aim_at = min(event.due, event.due - kind.deadline + kind.aim
+                          + kind.aim_stretch * (event.work_hint or 0.0))
+        self.key = event.key if kind.ordered else None
+        self.over_share = False
+        self.attempts = 0
+        self.maybe_ran: float | None = None  # when the first attempt that may have run was sent
+        self.ran_zone = 0
+        self.call: _Call | None = None
+        self.over = False
+
+
+class _Call:
+    """One call: the messages that went to one endpoint in one turn, with one fate."""
+
+    __slots__ = ("destination", "judged", "left", "route", "row_key", "sent", "started")
+
+    def __init__(self, destination: _Destination, route: _Route, row_key: object, sent: float) -> None:
+        self.destination = destination
+        self.route = route
+        self.row_key = row_key
+        self.sent = sent
+        self.left = 0
+        self.judged = False  # its failure is counted already
+        self.started = False
+
+
+class Sender:
+    """One sender's decisions. Give it everything that came together; carry out what it returns, in order."""
+
+    def __init__(self, settings: Settings, seed: int) -> None:
+        self._set = settings
+        self._random = Random(seed)
+        self._now = 0.0
+        self._out: list[Action] = []
+        self._rows: dict[object, _Row] = {}
+        self._destinations: dict[int, _Destination] = {}
+        self._where: dict[Address, int] = {}
+        self._messages: dict[int, _Message] = {}
+        self._held = 0
+        self._calls = 0
+        self._waiting: dict[int, None] = {}  # destinations with messages waiting, in order of arrival
+        self._expiry: list[tuple[float, int]] = []
+        self._overdue: list[tuple[float, int, _Call]] = []
+        self._sequence = 0
+        self._keys: dict[int, deque[_Message]] = {}
+        self._resting: list[tuple[float, int]] = []
+        self._shares = [(0.0, 0.0)] * len(settings.tenants)
+        self._subscribe_at = 0.0 if settings.discovery_on_request else NEVER
+        self._failed_asks = 0
+        self._wake = NEVER
+        self._timers = 0
+
+    def turn(self, now: float, events: Iterable[Event]) -> list[Action]:
+        """Take all that came at one time and answer with what to do about it."""
+        self._now, self._out = now, []
+        for event in events:
+            match event:
+                case AttemptEnded():
+                    self._ended(event)
+                case MessageReceived():
+                    self._received(event)
+                case EndpointsUpdated():
+                    self._updated(event)
+                case StreamStarted():
+                    message = self._messages.get(event.message)
+                    if message is not None and message.call is not None:
+                        message.call.started = True
+                case MessageWithdrawn():
+                    message = self._messages.get(event.message)
+                    if message is not None and not message.over:
+                        self._finish(message)
+                case TimerFired() if event.token == self._timers:
+                    self._wake = NEVER
+        self._look_for_silence()
+        self._release_keys()
+        self._expire()
+        wake = min(self._subscribe(), self._dispatch())
+        self._set_timer(wake)
+        return self._out
+
+    # ---- the row ----
+
+    def _failure(self, key: object, destination: _Destination, reason: str) -> None:
+        """Count a refusal or an error; the third within the window opens the row."""
+        now = self._now
+        row = self._rows.setdefault(key, _Row())
+        if now < row.open_until:
+            return  # landing while open: neither counts nor extends
+        if now >= row.window_end:
+            row.count, row.window_end = 0, now + WINDOW
+        row.count += 1
+        if row.count >= THRESHOLD:
+            row.count = 0
+            row.cold, row.back = True, NEVER
+            self._open(row, destination, now + OPEN_FOR)
+            if now >= destination.logged + LOG_EVERY:
+                destination.logged = now
+                self._out.append(Log(f"destination {destination.number}: open for {OPEN_FOR:g} s, "
+                                     f"last failure: {reason}"))
+
+    def _open(self, row: _Row, destination: _Destination, until: float) -> None:
+        """Move the open-until time; messages that cannot wait for it are given up at once."""
+        row.open_until = max(row.open_until, until)
+        for entry in [*destination.fresh, *destination.late]:
+            self._refuse_if_parked_too_long(entry[-1])
+
+    def _success(self, key: object, destination: _Destination) -> None:
+        """A call that ended well takes back part of the slowing; the spacing lapses once nothing waits."""
+        row = self._rows.get(key)
+        if row is None:
+            return
+        if row.cold and self._now >= row.open_until:
+            row.back = min(row.back, self._now)
+        if row.strikes:
+            floor = 1.0 if destination.number in self._waiting else 0.0
+            row.strikes = max(floor, row.strikes - RECOVER)
+
+    def _gate(self, key: object) -> float:
+        """The earliest time at which a call may go there. Closed, empty rows drop here."""
+        row = self._rows.get(key)
+        if row is None:
+            return 0.0
+        now = self._now
+        if row.cold and now >= row.back + self._set.cold_seconds:
+            row.cold = False
+        if not (now < row.open_until or row.cold or row.strikes or (row.count and now < row.window_end)):
+            del self._rows[key]
+            return 0.0
+        return max(row.open_until, row.next_at if row.cold or row.strikes else 0.0)
+
+    def _space(self, key: object, destination: _Destination, size: int) -> None:
+        """After a call, set the time of the next one: evenly after refusals, by the budget while cold."""
+        row = self._rows.get(key)
+        if row is None or not (row.cold or row.strikes):
+            return
+        rate = destination.limit or destination.listed or UNKNOWN_RATE
+        gap = 0.0
+        if row.strikes:
+            gap = SLOWER ** max(0.0, row.strikes - 1.0) / rate
+        if row.cold:
+            rules = self._set
+            if rules.rates_are_rough and not destination.limit:
+                rate /= ROUGH
+            warm = max(0.0, self._now - row.back) / rules.cold_seconds if rules.cold_seconds else 1.0
+            share = rules.cold_start_share + (1.0 - rules.cold_start_share) * min(1.0, warm)
+            budget = rate * share * rules.tip_multiple * COLD_MARGIN / rules.senders
+            gap = max(gap, (1.0 + ITEM_WEIGHT * (size - 1)) / budget)
+        row.next_at = self._now + gap * self._random.uniform(1.0, 1.1)
+
+    # ---- messages ----
+
+    def _received(self, event: MessageReceived) -> None:
+        message = _Message(event, self._set.classes[event.message_class])
+        self._messages[message.id] = message
+        self._held += 1
+        message.over_share = self._beyond_share(event.tenant)
+        if message.key is not None:
+            line = self._keys.setdefault(message.key, deque())
+            line.append(message)
+        heappush(self._expiry, (self._latest_start(message), message.id))
+        if message.key is None or self._keys[message.key][0] is message:
+            self._queue(message)
+        if not message.over and self._held > self._set.max_held - SPARE_ROOM:
+            self._make_room()
+
+    def _beyond_share(self, tenant: int) -> bool:
+        """Whether a tenant's message comes on top of this sender's part of its share."""
+        if tenant >= len(self._shares):
+            return False
+        rate = self._set.tenants[tenant].rate / self._set.senders
+        level, at = self._shares[tenant]
+        level = max(0.0, level - (self._now - at) * rate)
+        beyond = level + 1.0 > rate * SHARE_BURST + 1.0
+        self._shares[tenant] = (level if beyond else level + 1.0, self._now)
+        return beyond
+
+    def _usual(self, message: _Message) -> float:
+        """How long a call of this class takes at this destination."""
+        destination = self._destinations.get(message.destination)
+        first = message.kind.aim * FIRST_USUAL
+        return destination.usual.get(message.index, first) if destination else first
+
+    def _latest_start(self, message: _Message) -> float:
+        """The last time at which a further attempt is allowed and a usual call still fits."""
+        latest = message.due - self._usual(message)
+        if message.maybe_ran is not None and message.kind.effect is Effect.KEYED:
+            latest = min(latest, message.maybe_ran + message.kind.dedup_window - self._set.tick)
+        return latest
+
+    def _queue(self, message: _Message) -> None:
+        """Put a message in line at its destination, unless it cannot wait for the close."""
+        if message.attempts >= self._set.max_attempts or self._now > self._latest_start(message):
+            self._give_up(message)
+        elif not self._refuse_if_parked_too_long(message):
+            destination = self._destination(message.destination)
+            self._sequence += 1
+            heappush(destination.fresh, (message.over_share, message.aim_at, self._sequence, message))
+            self._waiting[destination.number] = None
+
+    def _refuse_if_parked_too_long(self, message: _Message) -> bool:
+        if message.over or message.call is not None:
+            return False
+        close = self._close(message)
+        if close > self._now and close > self._latest_start(message):
+            self._give_up(message)
+            return True
+        return False
+
+    def _close(self, message: _Message) -> float:
+        """When the first of the message's routes is no longer open."""
+        destination = self._destination(message.destination)
+        rows = [self._rows.get(self._row_key(destination, route)) for route in destination.routes.values()]
+        return min((row.open_until if row else 0.0 for row in rows), default=0.0)
+
+    def _give_up(self, message: _Message) -> None:
+        """The final answer for a message that will not be sent again: at once, and a refusal where allowed."""
+        kind, ran = message.kind, message.maybe_ran
+        harmless = ran is None or kind.effect is Effect.SAFE or (
+            kind.effect is Effect.KEYED and kind.dedup_scope is DedupScope.DESTINATION
+            and self._now < ran + kind.dedup_window)
+        if harmless:
+            wait = self._close(message) - self._now
+            advice = min(wait, self._set.max_retry_after) if self._set.advises_retry_after and wait > 0 else None
+            self._out.append(Refuse(message.id, advice))
+        else:
+            self._out.append(Fail(message.id))
+        self._finish(message)
+
+    def _finish(self, message: _Message) -> None:
+        message.over = True
+        self._held -= 1
+        if message.call is None:
+            self._forget(message)
+
+    def _forget(self, message: _Message, rest: float = 0.0) -> None:
+        """Drop a message that is over and has no attempt out; the next of its key takes its turn."""
+        del self._messages[message.id]
+        if message.key is None:
+            return
+        line = self._keys[message.key]
+        if line[0] is not message:
+            line.remove(message)
+        elif rest > 0.0:
+            heappush(self._resting, (self._now + rest, message.key))
+        else:
+            self._next_of_key(message.key)
+
+    def _next_of_key(self, key: int) -> None:
+        line = self._keys[key]
+        line.popleft()
+        if line:
+            self._queue(line[0])
+        else:
+            del self._keys[key]
+
+    def _release_keys(self) -> None:
+        """Order by key: the next message goes once the key has rested after an attempt that may still run."""
+        while self._resting and self._resting[0][0] <= self._now:
+            self._next_of_key(heappop(self._resting)[1])
+
+    def _make_room(self) -> None:
+        """At the holding limit, refuse the unsent message with least at stake before one is turned away."""
+        unsent = [m for m in self._messages.values() if not m.over and m.call is None]
+        if unsent:
+            self._give_up(min(unsent, key=lambda m: (not m.over_share, m.aim_at > self._now, m.kind.worth, -m.id)))
+
+    def _expire(self) -> None:
+        """Give up messages for which a usual call no longer fits."""
+        while self._expiry and self._expiry[0][0] < self._now:
+            message = self._messages.get(heappop(self._expiry)[1])
+            if message is None or message.over or message.call is not None:
+                continue
+            latest = self._latest_start(message)
+            if latest < self._now:
+                self._give_up(message)
+            else:
+                heappush(self._expiry, (latest, message.id))
+
+    # ---- outcomes ----
+
+    def _ended(self, event: AttemptEnded) -> None:
+        message = self._messages.get(event.message)
+        call = message.call if message is not None else None
+        if message is None or call is None or event.attempt != message.attempts - 1:
+            return
+        message.call = None
+        outcome, destination = event.outcome, call.destination
+        if outcome not in NOT_RUN and message.maybe_ran is None:
+            message.maybe_ran, message.ran_zone = call.sent, call.route.zone
+        call.left -= 1
+        if not call.left:
+            self._calls -= 1
+            destination.calls -= 1
+            call.route.calls -= 1
+        self._learn(message, call, event)
+        if event.final and not message.over:
+            self._finish_sent(message, outcome)
+        elif message.over:
+            self._forget(message, self._rest(outcome))
+        elif (message.kind.effect is Effect.UNSAFE and message.maybe_ran is not None) or self._now >= message.due:
+            message.over = True
+            self._held -= 1
+            self._out.append(Fail(message.id))
+            self._forget(message, self._rest(outcome))
+        else:
+            heappush(self._expiry, (self._latest_start(message), message.id))
+            self._queue(message)
+
+    def _finish_sent(self, message: _Message, outcome: Outcome) -> None:
+        message.over = True
+        self._held -= 1
+        self._forget(message, self._rest(outcome))
+
+    def _rest(self, outcome: Outcome) -> float:
+        running = outcome in (Outcome.TIMEOUT, Outcome.RESET, Outcome.CANCELLED)
+        return self._set.order_pause if running else 0.0
+
+    def _learn(self, message: _Message, call: _Call, event: AttemptEnded) -> None:
+        """What an outcome shows of its destination. A shared call has one fate and counts once."""
+        destination, outcome, now = call.destination, event.outcome, self._now
+        route = call.route
+        if "x1" in self._set.report_fields and event.report:
+            destination.limit = max(0.0, event.report[self._set.report_fields.index("x1")])
+        if outcome is Outcome.OK:
+            route.failed = False
+            route.used = now
+            destination.ok_sent = max(destination.ok_sent, call.sent)
+            usual = destination.usual.get(message.index, event.elapsed)
+            destination.usual[message.index] = usual + LEARN * (event.elapsed - usual)
+        if not call.judged:
+            call.judged = True
+            if outcome is Outcome.OK:
+                self._success(call.row_key, destination)
+            elif outcome in FAILURES:
+                route.failed = True
+                if outcome is Outcome.CONNECT_FAILED:
+                    route.connections = max(route.calls, route.connections - 1)
+                self._failure(call.row_key, destination, outcome.name)
+                if outcome is Outcome.FULL:
+                    self._rows[call.row_key].strikes += 1.0
+                    self._space(call.row_key, destination, 1)
+        if event.retry_after:
+            row = self._rows.setdefault(call.row_key, _Row())
+            self._open(row, destination, now + event.retry_after + MOMENT)
+
+    def _look_for_silence(self) -> None:
+        """A call long overdue counts as a failure before it ends, unless the destination answered since.
+
+        Guards against silence (hung, vanished), which would hold slots until time-outs. A few very slow
+        messages do not count while calls sent after them succeed.
+        """
+        while self._overdue and self._overdue[0][0] <= self._now:
+            call = heappop(self._overdue)[2]
+            if call.left and not call.judged and not call.started and call.destination.ok_sent < call.sent:
+                call.judged = True
+                call.route.failed = True
+                self._failure(call.row_key, call.destination, "silence")
+
+    # ---- the endpoint list ----
+
+    def _destination(self, number: int) -> _Destination:
+        destination = self._destinations.get(number)
+        if destination is None:
+            destination = self._destinations[number] = _Destination(number)
+        return destination
+
+    def _row_key(self, destination: _Destination, route: _Route) -> object:
+        apart = destination.kind < len(self._set.kinds) and self._set.kinds[destination.kind].separate_routes
+        return route.address if apart else destination.number
+
+    def _updated(self, event: EndpointsUpdated) -> None:
+        if event.scope is UpdateScope.FAILED:
+            wait = RESUBSCRIBE * 2.0 ** min(self._failed_asks, 4) * self._random.uniform(1.0, 1.5)
+            if self._set.ask_within:
+                wait = min(wait, self._set.ask_within / 2.0)
+            self._failed_asks += 1
+            self._subscribe_at = self._now + wait if self._set.discovery_on_request else NEVER
+            return
+        if event.scope is not UpdateScope.CACHED:
+            self._failed_asks = 0
+        if event.scope is not UpdateScope.DELTA:
+            named = {endpoint.address for endpoint in event.endpoints}
+            for address in [address for address in self._where if address not in named]:
+                self._remove(address)
+        for endpoint in event.endpoints:
+            if endpoint.state is not EndpointState.READY:
+                self._remove(endpoint.address)
+                continue
+            destination = self._destination(endpoint.destination)
+            destination.kind = endpoint.kind
+            if self._set.listed_rates:
+                destination.listed = endpoint.rate
+            if endpoint.address not in destination.routes:
+                destination.routes[endpoint.address] = _Route(endpoint)
+                self._where[endpoint.address] = endpoint.destination
+
+    def _remove(self, address: Address) -> None:
+        """Draining or gone: nothing new goes there from this turn on."""
+        number = self._where.pop(address, None)
+        if number is not None:
+            self._destinations[number].routes.pop(address, None)
+
+    def _subscribe(self) -> float:
+        if self._now >= self._subscribe_at:
+            self._subscribe_at = NEVER
+            self._out.append(Subscribe(True))
+        return self._subscribe_at
+
+    # ---- sending ----
+
+    def _dispatch(self) -> float:
+        """Send what may go, the most pressing first; returns when to look again."""
+        wake = NEVER
+        order: list[tuple[tuple[bool, bool, float], int]] = []
+        for number in list(self._waiting):
+            destination = self._destinations[number]
+            head = self._head(destination)
+            if head is None:
+                del self._waiting[number]
+                continue
+            gate = min((self._gate(self._row_key(destination, r)) for r in destination.routes.values()),
+                       default=NEVER)
+            if gate > self._now:
+                wake = min(wake, gate)
+            else:
+                order.append((head, number))
+        heapify(order)
+        most = max(2, self._set.max_calls // SLOT_PART)
+        while order and self._calls < self._set.max_calls:
+            number = heappop(order)[1]
+            destination = self._destinations[number]
+            if destination.calls >= most:
+                continue
+            gate = self._send(destination)
+            if gate > self._now:
+                wake = min(wake, gate)
+                continue
+            head = self._head(destination)
+            if head is not None:
+                heappush(order, (head, number))
+        return wake
+
+    def _head(self, destination: _Destination) -> tuple[bool, bool, float] | None:
+        """How pressing the destination's first waiting message is; those past their aim go to the late line."""
+        now, fresh, late = self._now, destination.fresh, destination.late
+        while fresh:
+            beyond, aim_at, sequence, message = fresh[0]
+            if message.over or message.call is not None:
+                heappop(fresh)
+            elif now + self._usual(message) > aim_at:
+                heappop(fresh)
+                heappush(late, (beyond, -message.kind.worth, -aim_at, sequence, message))
+            else:
+                return beyond, False, aim_at
+        while late:
+            message = late[0][-1]
+            if not message.over and message.call is None:
+                return late[0][0], True, late[0][2]
+            heappop(late)
+        return None
+
+    def _send(self, destination: _Destination) -> float:
+        """Make one call; returns when the next may go, or now if it may go at once."""
+        now = self._now
+        routes = [r for r in destination.routes.values() if self._gate(self._row_key(destination, r)) <= now]
+        if not routes:
+            return min((self._gate(self._row_key(destination, r)) for r in destination.routes.values()),
+                       default=NEVER)
+        route = min(routes, key=lambda r: (r.failed, r.calls + (0.0 if self._connected(r) else 0.75)))
+        key = self._row_key(destination, route)
+        row = self._rows.get(key)
+        kinds = self._set.kinds
+        size = kinds[destination.kind].max_batch if destination.kind < len(kinds) else 1
+        unproven = row is not None and row.cold and row.back == NEVER
+        if unproven:
+            size = 1
+        call = _Call(destination, route, key, now)
+        overdue = 0.0
+        while call.left < size:
+            message = self._take(destination, unproven)
+            if message is None:
+                break
+            message.call = call
+            message.attempts += 1
+            call.left += 1
+            silent = OVERDUE * self._usual(message) + OVERDUE_REST
+            overdue = max(overdue, silent)
+            patient = message.kind.effect is Effect.UNSAFE or message.kind.streamed
+            give_up = None if patient else min(message.due, now + silent * PATIENCE)
+            self._out.append(Send(message.id, route.address, give_up))
+        if not self._connected(route):
+            route.connections += 1
+        route.calls += 1
+        route.used = now
+        destination.calls += 1
+        self._calls += 1
+        self._sequence += 1
+        heappush(self._overdue, (now + overdue, self._sequence, call))
+        self._space(key, destination, call.left)
+        return self._gate(key)
+
+    def _connected(self, route: _Route) -> bool:
+        """Whether a connection is believed free there: a new one costs time and has a price."""
+        if self._now - route.used > self._set.keepalive:
+            route.connections = -(-route.calls // self._set.calls_per_connection)
+        return route.calls < route.connections * self._set.calls_per_connection
+
+    def _take(self, destination: _Destination, unproven: bool) -> _Message | None:
+        """The next message to send. On an unproven destination one that may be repeated goes first."""
+        if self._head(destination) is None:
+            return None
+        lines = (destination.fresh, destination.late)
+        if unproven:
+            for line in lines:
+                for entry in line:
+                    message = entry[-1]
+                    if message.kind.effect is not Effect.UNSAFE and not message.over and message.call is None:
+                        return message
+        message = heappop(lines[0] or lines[1])[-1]
+        return message
+
+    def _set_timer(self, wake: float) -> None:
+        if self._overdue:
+            wake = min(wake, self._overdue[0][0])
+        if self._expiry:
+            wake = min(wake, self._expiry[0][0] + self._set.tick)
+        if self._resting:
+            wake = min(wake, self._resting[0][0])
+        if wake < self._wake:
+            self._wake = wake
+            self._timers += 1
+            self._out.append(SetTimer(max(0.0, min(wake - self._now, 3600.0)), self._timers))
