--- a/irisstack/choice.py
+++ b/irisstack/choice.py
@@ -414,7 +414,6 @@
         call = message.call if message is not None else None
         if message is None or call is None or event.attempt != message.attempts - 1:
             return
-        message.call = None
         outcome, destination = event.outcome, call.destination
         if outcome not in NOT_RUN and message.maybe_ran is None:
             message.maybe_ran, message.ran_zone = call.sent, call.route.zone
@@ -424,6 +423,7 @@
             destination.calls -= 1
             call.route.calls -= 1
         self._learn(message, call, event)
+        message.call = None
         if event.final and not message.over:
             self._finish_sent(message, outcome)
         elif message.over:
