Choose holding-room victims by wait, counting shared calls

Cause: parked messages fill the holding room and new ones for healthy destinations were refused. Change: the victim comes from the destination with the longest expected wait; a shared call counts as one. Kept, as it stops one sick destination from taking the room of the others; it could harm where a long line is about to be cleared by room told late.

--- a/irisstack/benchlink/codec.py
+++ b/irisstack/benchlink/codec.py
@@ -4,7 +4,7 @@
 import struct
 from collections.abc import Iterable, Mapping
 from dataclasses import dataclass
-from typing import Any
+from typing import Any, assert_never
 
 from irisstack.interface import (
     Action,
@@ -175,11 +175,13 @@
                 instance, rid, host, port, attempt, elapsed = _take(ESTABLISHED, body)
                 return instance, StreamStarted(rid, (host, port), attempt, elapsed)
             case 5:
-                instance, rid, host, port, attempt, elapsed, final, note, result, n = _take(REPLY, body, False)
+                fields = _take(REPLY, body, exact=False)
+                instance, rid, host, port, attempt, elapsed, final, note, result, n = fields
                 outcome = _one_of(OUTCOMES, result, "outcome")
                 told = note / 1000.0 if outcome is Outcome.FULL and note else None
+                no_slot = outcome is Outcome.NOT_SENT and note == 1
                 return instance, AttemptEnded(rid, (host, port), attempt, elapsed, bool(final), outcome, told,
-                                              outcome is Outcome.NOT_SENT and note == 1, _floats(REPLY, body, n))
+                                              no_slot, _floats(REPLY, body, n))
             case 6:
                 instance, rid = _take(RID, body)
                 return instance, MessageWithdrawn(rid)
@@ -225,7 +227,7 @@
     names = raw.get("shapes", [])
     batches, apart = extra.get("batchByKind", []), extra.get("separateRoutes", [])
     kinds = tuple(
-        DestinationKind(name, int(batches[i]) if i < len(batches) else 1, bool(apart[i]) if i < len(apart) else False)
+        DestinationKind(name, int(batches[i]) if i < len(batches) else 1, i < len(apart) and bool(apart[i]))
         for i, name in enumerate(names))
     return Settings(
         classes=tuple(_message_class(lane) for lane in raw["lanes"]),
@@ -298,7 +300,8 @@
 def action(instance: int, act: Action) -> bytes:
     """One action as a record."""
     match act:
-        case Send(message, (host, port), give_up_at):
+        case Send(message, endpoint, give_up_at):
+            host, port = endpoint
             return _record(71, ISSUE.pack(instance, message, host, port, give_up_at or 0.0))
         case SetTimer(delay, token):
             return _record(76, TIMER.pack(instance, delay, token))
@@ -312,15 +315,16 @@
             return _record(66, TRACK.pack(instance, on))
         case FetchEndpoints():
             return _record(75, INSTANCE.pack(instance))
-        case Probe((host, port)):
-            return _record(70, TO_ENDPOINT.pack(instance, host, port))
-        case CloseIdle((host, port)):
-            return _record(65, TO_ENDPOINT.pack(instance, host, port))
+        case Probe(endpoint):
+            return _record(70, TO_ENDPOINT.pack(instance, *endpoint))
+        case CloseIdle(endpoint):
+            return _record(65, TO_ENDPOINT.pack(instance, *endpoint))
         case TellPeer(peer, data):
             to = EVERY_PEER if peer is None else peer
             return _record(74, BYTES.pack(instance, to, len(data)) + data)
         case Log(text):
             return _text(73, instance, text)
+    assert_never(act)
 
 
 def reply(number: int, records: list[bytes]) -> bytes:
--- a/irisstack/choice.py
+++ b/irisstack/choice.py
@@ -12,31 +12,8 @@
 from heapq import heapify, heappop, heappush
 from random import Random
 
-from irisstack.interface import (
-    Action,
-    Address,
-    AttemptEnded,
-    DedupScope,
-    Effect,
-    Endpoint,
-    EndpointState,
-    EndpointsUpdated,
-    Event,
-    Fail,
-    Log,
-    MessageClass,
-    MessageReceived,
-    MessageWithdrawn,
-    Outcome,
-    Refuse,
-    Send,
-    SetTimer,
-    Settings,
-    StreamStarted,
-    Subscribe,
-    TimerFired,
-    UpdateScope,
-)
+from irisstack import interface as api
+from irisstack.interface import Effect, Outcome
 
 # The breaker's own figures.
 WINDOW = 10.0  # seconds in which failures are counted together
@@ -64,8 +41,9 @@
 MOMENT = 1e-4  # later than a told wait by this, so that no rounding sends early
 
 NEVER = float("inf")
+MAY_RUN_ON = frozenset((Outcome.TIMEOUT, Outcome.RESET, Outcome.CANCELLED))
 NOT_RUN = frozenset((Outcome.FULL, Outcome.CONNECT_FAILED, Outcome.NOT_SENT))
-FAILURES = frozenset((Outcome.ERROR, Outcome.FULL, Outcome.TIMEOUT, Outcome.CONNECT_FAILED, Outcome.RESET))
+FAILURES = frozenset(Outcome) - {Outcome.OK, Outcome.CANCELLED, Outcome.NOT_SENT}
 
 
 class _Row:
@@ -88,7 +66,7 @@
 
     __slots__ = ("address", "calls", "connections", "failed", "used", "zone")
 
-    def __init__(self, endpoint: Endpoint) -> None:
+    def __init__(self, endpoint: api.Endpoint) -> None:
         self.address = endpoint.address
         self.zone = endpoint.zone
         self.calls = 0
@@ -105,10 +83,10 @@
 
     def __init__(self, number: int) -> None:
         self.number = number
-        self.kind = 0
+        self.kind: api.DestinationKind | None = None
         self.listed = 0.0
         self.limit = 0.0  # calls a second, as it reports them
-        self.routes: dict[Address, _Route] = {}
+        self.routes: dict[api.Address, _Route] = {}
         self.fresh: list[tuple[bool, float, int, _Message]] = []  # by end of the aim
         self.late: list[tuple[bool, float, float, int, _Message]] = []  # by worth, newest first
         self.usual: dict[int, float] = {}
@@ -116,14 +94,19 @@
         self.ok_sent = -NEVER  # when the newest call that succeeded was sent
         self.logged = -NEVER
 
+    def waiting(self) -> "list[_Message]":
+        """The messages in line, the most pressing ones first, if not quite in order."""
+        line = [entry[3] for entry in self.fresh] + [entry[4] for entry in self.late]
+        return [message for message in line if not message.over and message.call is None]
+
 
 class _Message:
     """A message that is owed its final answer, or that still has an attempt out."""
 
-    __slots__ = ("aim_at", "attempts", "call", "destination", "due", "id", "index", "key", "kind", "maybe_ran",
-                 "over", "over_share", "ran_zone")
+    __slots__ = ("aim_at", "attempts", "call", "destination", "due", "id", "index", "key", "kind",
+                 "maybe_ran", "over", "over_share", "ran_zone")
 
-    def __init__(self, event: MessageReceived, kind: MessageClass) -> None:
+    def __init__(self, event: api.MessageReceived, kind: api.MessageClass) -> None:
         self.id = event.message
         self.index = event.message_class
         self.kind = kind
@@ -158,14 +141,14 @@
 class Sender:
     """One sender's decisions. Give it everything that came together; carry out what it returns, in order."""
 
-    def __init__(self, settings: Settings, seed: int) -> None:
+    def __init__(self, settings: api.Settings, seed: int) -> None:
         self._set = settings
         self._random = Random(seed)
         self._now = 0.0
-        self._out: list[Action] = []
+        self._out: list[api.Action] = []
         self._rows: dict[object, _Row] = {}
         self._destinations: dict[int, _Destination] = {}
-        self._where: dict[Address, int] = {}
+        self._where: dict[api.Address, int] = {}
         self._messages: dict[int, _Message] = {}
         self._held = 0
         self._calls = 0
@@ -181,26 +164,26 @@
         self._wake = NEVER
         self._timers = 0
 
-    def turn(self, now: float, events: Iterable[Event]) -> list[Action]:
+    def turn(self, now: float, events: Iterable[api.Event]) -> list[api.Action]:
         """Take all that came at one time and answer with what to do about it."""
         self._now, self._out = now, []
         for event in events:
             match event:
-                case AttemptEnded():
+                case api.AttemptEnded():
                     self._ended(event)
-                case MessageReceived():
+                case api.MessageReceived():
                     self._received(event)
-                case EndpointsUpdated():
+                case api.EndpointsUpdated():
                     self._updated(event)
-                case StreamStarted():
+                case api.StreamStarted():
                     message = self._messages.get(event.message)
                     if message is not None and message.call is not None:
                         message.call.started = True
-                case MessageWithdrawn():
+                case api.MessageWithdrawn():
                     message = self._messages.get(event.message)
                     if message is not None and not message.over:
                         self._finish(message)
-                case TimerFired() if event.token == self._timers:
+                case api.TimerFired() if event.token == self._timers:
                     self._wake = NEVER
         self._look_for_silence()
         self._release_keys()
@@ -226,14 +209,14 @@
             self._open(row, destination, now + OPEN_FOR)
             if now >= destination.logged + LOG_EVERY:
                 destination.logged = now
-                self._out.append(Log(f"destination {destination.number}: open for {OPEN_FOR:g} s, "
+                self._out.append(api.Log(f"destination {destination.number}: open for {OPEN_FOR:g} s, "
                                      f"last failure: {reason}"))
 
     def _open(self, row: _Row, destination: _Destination, until: float) -> None:
         """Move the open-until time; messages that cannot wait for it are given up at once."""
         row.open_until = max(row.open_until, until)
-        for entry in [*destination.fresh, *destination.late]:
-            self._refuse_if_parked_too_long(entry[-1])
+        for message in destination.waiting():
+            self._refuse_if_parked_too_long(message)
 
     def _success(self, key: object, destination: _Destination) -> None:
         """A call that ended well takes back part of the slowing; the spacing lapses once nothing waits."""
@@ -259,12 +242,21 @@
             return 0.0
         return max(row.open_until, row.next_at if row.cold or row.strikes else 0.0)
 
+    def _first_gate(self, destination: _Destination) -> float:
+        """The earliest time at which a call may go to any route of a destination."""
+        routes = destination.routes.values()
+        return min((self._gate(self._row_key(destination, route)) for route in routes), default=NEVER)
+
+    def _rate(self, destination: _Destination) -> float:
+        """Calls a second that the destination takes from all senders: as it reports, else as listed."""
+        return destination.limit or destination.listed or UNKNOWN_RATE
+
     def _space(self, key: object, destination: _Destination, size: int) -> None:
         """After a call, set the time of the next one: evenly after refusals, by the budget while cold."""
         row = self._rows.get(key)
         if row is None or not (row.cold or row.strikes):
             return
-        rate = destination.limit or destination.listed or UNKNOWN_RATE
+        rate = self._rate(destination)
         gap = 0.0
         if row.strikes:
             gap = SLOWER ** max(0.0, row.strikes - 1.0) / rate
@@ -280,7 +272,7 @@
 
     # ---- messages ----
 
-    def _received(self, event: MessageReceived) -> None:
+    def _received(self, event: api.MessageReceived) -> None:
         message = _Message(event, self._set.classes[event.message_class])
         self._messages[message.id] = message
         self._held += 1
@@ -344,24 +336,25 @@
         return min((row.open_until if row else 0.0 for row in rows), default=0.0)
 
     def _give_up(self, message: _Message) -> None:
-        """The final answer for a message that will not be sent again: at once, and a refusal where allowed."""
+        """The final answer, at once, for a message that will not be sent again: a refusal where allowed."""
         kind, ran = message.kind, message.maybe_ran
         harmless = ran is None or kind.effect is Effect.SAFE or (
-            kind.effect is Effect.KEYED and kind.dedup_scope is DedupScope.DESTINATION
+            kind.effect is Effect.KEYED and kind.dedup_scope is api.DedupScope.DESTINATION
             and self._now < ran + kind.dedup_window)
         if harmless:
             wait = self._close(message) - self._now
-            advice = min(wait, self._set.max_retry_after) if self._set.advises_retry_after and wait > 0 else None
-            self._out.append(Refuse(message.id, advice))
+            advised = self._set.advises_retry_after and wait > 0.0
+            advice = min(wait, self._set.max_retry_after) if advised else None
+            self._out.append(api.Refuse(message.id, advice))
         else:
-            self._out.append(Fail(message.id))
+            self._out.append(api.Fail(message.id))
         self._finish(message)
 
-    def _finish(self, message: _Message) -> None:
+    def _finish(self, message: _Message, rest: float = 0.0) -> None:
         message.over = True
         self._held -= 1
         if message.call is None:
-            self._forget(message)
+            self._forget(message, rest)
 
     def _forget(self, message: _Message, rest: float = 0.0) -> None:
         """Drop a message that is over and has no attempt out; the next of its key takes its turn."""
@@ -393,7 +386,15 @@
         """At the holding limit, refuse the unsent message with least at stake before one is turned away."""
         unsent = [m for m in self._messages.values() if not m.over and m.call is None]
         if unsent:
-            self._give_up(min(unsent, key=lambda m: (not m.over_share, m.aim_at > self._now, m.kind.worth, -m.id)))
+            waits = {number: self._wait(self._destinations[number]) for number in self._waiting}
+            self._give_up(max(unsent, key=lambda m: (
+                m.over_share, waits.get(m.destination, NEVER), -m.kind.worth, m.aim_at, m.id)))
+
+    def _wait(self, destination: _Destination) -> float:
+        """How long the last in line at a destination may have to wait."""
+        line = len(destination.fresh) + len(destination.late)
+        calls = line / self._batch(destination)
+        return max(0.0, self._first_gate(destination) - self._now) + calls / self._rate(destination)
 
     def _expire(self) -> None:
         """Give up messages for which a usual call no longer fits."""
@@ -409,7 +410,7 @@
 
     # ---- outcomes ----
 
-    def _ended(self, event: AttemptEnded) -> None:
+    def _ended(self, event: api.AttemptEnded) -> None:
         message = self._messages.get(event.message)
         call = message.call if message is not None else None
         if message is None or call is None or event.attempt != message.attempts - 1:
@@ -424,29 +425,20 @@
             call.route.calls -= 1
         self._learn(message, call, event)
         message.call = None
-        if event.final and not message.over:
-            self._finish_sent(message, outcome)
-        elif message.over:
-            self._forget(message, self._rest(outcome))
-        elif (message.kind.effect is Effect.UNSAFE and message.maybe_ran is not None) or self._now >= message.due:
-            message.over = True
-            self._held -= 1
-            self._out.append(Fail(message.id))
-            self._forget(message, self._rest(outcome))
+        rest = self._set.order_pause if outcome in MAY_RUN_ON else 0.0
+        effect_in_doubt = message.kind.effect is Effect.UNSAFE and message.maybe_ran is not None
+        if message.over:
+            self._forget(message, rest)
+        elif event.final:
+            self._finish(message, rest)
+        elif effect_in_doubt or self._now >= message.due:
+            self._out.append(api.Fail(message.id))
+            self._finish(message, rest)
         else:
             heappush(self._expiry, (self._latest_start(message), message.id))
             self._queue(message)
 
-    def _finish_sent(self, message: _Message, outcome: Outcome) -> None:
-        message.over = True
-        self._held -= 1
-        self._forget(message, self._rest(outcome))
-
-    def _rest(self, outcome: Outcome) -> float:
-        running = outcome in (Outcome.TIMEOUT, Outcome.RESET, Outcome.CANCELLED)
-        return self._set.order_pause if running else 0.0
-
-    def _learn(self, message: _Message, call: _Call, event: AttemptEnded) -> None:
+    def _learn(self, message: _Message, call: _Call, event: api.AttemptEnded) -> None:
         """What an outcome shows of its destination. A shared call has one fate and counts once."""
         destination, outcome, now = call.destination, event.outcome, self._now
         route = call.route
@@ -496,36 +488,40 @@
         return destination
 
     def _row_key(self, destination: _Destination, route: _Route) -> object:
-        apart = destination.kind < len(self._set.kinds) and self._set.kinds[destination.kind].separate_routes
+        apart = destination.kind is not None and destination.kind.separate_routes
         return route.address if apart else destination.number
 
-    def _updated(self, event: EndpointsUpdated) -> None:
-        if event.scope is UpdateScope.FAILED:
+    def _batch(self, destination: _Destination) -> int:
+        return destination.kind.max_batch if destination.kind else 1
+
+    def _updated(self, event: api.EndpointsUpdated) -> None:
+        if event.scope is api.UpdateScope.FAILED:
             wait = RESUBSCRIBE * 2.0 ** min(self._failed_asks, 4) * self._random.uniform(1.0, 1.5)
             if self._set.ask_within:
                 wait = min(wait, self._set.ask_within / 2.0)
             self._failed_asks += 1
             self._subscribe_at = self._now + wait if self._set.discovery_on_request else NEVER
             return
-        if event.scope is not UpdateScope.CACHED:
+        if event.scope is not api.UpdateScope.CACHED:
             self._failed_asks = 0
-        if event.scope is not UpdateScope.DELTA:
+        if event.scope is not api.UpdateScope.DELTA:
             named = {endpoint.address for endpoint in event.endpoints}
             for address in [address for address in self._where if address not in named]:
                 self._remove(address)
         for endpoint in event.endpoints:
-            if endpoint.state is not EndpointState.READY:
+            if endpoint.state is not api.EndpointState.READY:
                 self._remove(endpoint.address)
                 continue
             destination = self._destination(endpoint.destination)
-            destination.kind = endpoint.kind
+            kinds = self._set.kinds
+            destination.kind = kinds[endpoint.kind] if endpoint.kind < len(kinds) else None
             if self._set.listed_rates:
                 destination.listed = endpoint.rate
             if endpoint.address not in destination.routes:
                 destination.routes[endpoint.address] = _Route(endpoint)
                 self._where[endpoint.address] = endpoint.destination
 
-    def _remove(self, address: Address) -> None:
+    def _remove(self, address: api.Address) -> None:
         """Draining or gone: nothing new goes there from this turn on."""
         number = self._where.pop(address, None)
         if number is not None:
@@ -534,7 +530,7 @@
     def _subscribe(self) -> float:
         if self._now >= self._subscribe_at:
             self._subscribe_at = NEVER
-            self._out.append(Subscribe(True))
+            self._out.append(api.Subscribe(True))
         return self._subscribe_at
 
     # ---- sending ----
@@ -549,8 +545,7 @@
             if head is None:
                 del self._waiting[number]
                 continue
-            gate = min((self._gate(self._row_key(destination, r)) for r in destination.routes.values()),
-                       default=NEVER)
+            gate = self._first_gate(destination)
             if gate > self._now:
                 wake = min(wake, gate)
             else:
@@ -572,7 +567,7 @@
         return wake
 
     def _head(self, destination: _Destination) -> tuple[bool, bool, float] | None:
-        """How pressing the destination's first waiting message is; those past their aim go to the late line."""
+        """How pressing the destination's first waiting message is; one past its aim goes to the late line."""
         now, fresh, late = self._now, destination.fresh, destination.late
         while fresh:
             beyond, aim_at, sequence, message = fresh[0]
@@ -595,16 +590,12 @@
         now = self._now
         routes = [r for r in destination.routes.values() if self._gate(self._row_key(destination, r)) <= now]
         if not routes:
-            return min((self._gate(self._row_key(destination, r)) for r in destination.routes.values()),
-                       default=NEVER)
+            return self._first_gate(destination)
         route = min(routes, key=lambda r: (r.failed, r.calls + (0.0 if self._connected(r) else 0.75)))
         key = self._row_key(destination, route)
         row = self._rows.get(key)
-        kinds = self._set.kinds
-        size = kinds[destination.kind].max_batch if destination.kind < len(kinds) else 1
         unproven = row is not None and row.cold and row.back == NEVER
-        if unproven:
-            size = 1
+        size = 1 if unproven else self._batch(destination)
         call = _Call(destination, route, key, now)
         overdue = 0.0
         while call.left < size:
@@ -618,7 +609,7 @@
             overdue = max(overdue, silent)
             patient = message.kind.effect is Effect.UNSAFE or message.kind.streamed
             give_up = None if patient else min(message.due, now + silent * PATIENCE)
-            self._out.append(Send(message.id, route.address, give_up))
+            self._out.append(api.Send(message.id, route.address, give_up))
         if not self._connected(route):
             route.connections += 1
         route.calls += 1
@@ -640,15 +631,11 @@
         """The next message to send. On an unproven destination one that may be repeated goes first."""
         if self._head(destination) is None:
             return None
-        lines = (destination.fresh, destination.late)
         if unproven:
-            for line in lines:
-                for entry in line:
-                    message = entry[-1]
-                    if message.kind.effect is not Effect.UNSAFE and not message.over and message.call is None:
-                        return message
-        message = heappop(lines[0] or lines[1])[-1]
-        return message
+            for message in destination.waiting():
+                if message.kind.effect is not Effect.UNSAFE:
+                    return message
+        return heappop(destination.fresh)[3] if destination.fresh else heappop(destination.late)[4]
 
     def _set_timer(self, wake: float) -> None:
         if self._overdue:
@@ -660,4 +647,4 @@
         if wake < self._wake:
             self._wake = wake
             self._timers += 1
-            self._out.append(SetTimer(max(0.0, min(wake - self._now, 3600.0)), self._timers))
+            self._out.append(api.SetTimer(max(0.0, min(wake - self._now, 3600.0)), self._timers))
