--- a/irisstack/choice.py
+++ b/irisstack/choice.py
@@ -18,7 +18,7 @@
 # The breaker's own figures.
 WINDOW = 10.0  # seconds in which failures are counted together
 THRESHOLD = 3  # the failure that opens
-OPEN_FOR = 5.0  # seconds an opened row stays open
+OPEN_FOR = 1.5  # seconds an opened row stays open: long parks fill the holding room (1 to 2 measured alike)
 # Spacing.
 SLOWER = 1.5  # each further refusal stretches the gap between calls by this
 RECOVER = 0.25  # of a refusal's step is taken back by each call that succeeds
