Tell a busy limit from a shut destination by how long no call is taken

Cause: three refusals as full marked a destination as cold, so plain limits led to ten seconds of fail-back pacing. Now errors mark it at once, refusals only after 3 s with no call taken (told waits count to their end). Also guards against shut destinations that tell no wait. Could harm where a low-traffic destination is refused for 3 s by others' traffic: it then pays up to the warm-up time at the fail-back pace.

--- a/irisstack/choice.py
+++ b/irisstack/choice.py
@@ -19,6 +19,7 @@
 WINDOW = 10.0  # seconds in which failures are counted together
 THRESHOLD = 3  # the failure that opens
 OPEN_FOR = 1.5  # seconds an opened row stays open: long parks fill the holding room (1 to 2 measured alike)
+DARK = 3.0  # seconds of refusals with no call taken after which a destination counts as shut
 # Spacing.
 SLOWER = 1.5  # each further refusal stretches the gap between calls by this
 RECOVER = 0.25  # of a refusal's step is taken back by each call that succeeds
@@ -49,7 +50,7 @@
 class _Row:
     """The breaker's row of one destination (or route): the design's whole memory of its trouble."""
 
-    __slots__ = ("back", "cold", "count", "next_at", "open_until", "strikes", "window_end")
+    __slots__ = ("back", "cold", "count", "dark", "next_at", "open_until", "strikes", "window_end")
 
     def __init__(self) -> None:
         self.count = 0
@@ -57,6 +58,7 @@
         self.open_until = 0.0
         self.strikes = 0.0  # refusals as full not yet made good by successes: how far calls are slowed
         self.next_at = 0.0  # while spaced: the earliest time of the next call
+        self.dark = NEVER  # since when calls were refused as full with none taken
         self.cold = False  # opened by failures: it may be coming back from an outage
         self.back = NEVER  # when the first call after that succeeded
 
@@ -194,7 +196,7 @@
 
     # ---- the row ----
 
-    def _failure(self, key: object, destination: _Destination, reason: str) -> None:
+    def _failure(self, key: object, destination: _Destination, reason: Outcome | None) -> None:
         """Count a refusal or an error; the third within the window opens the row."""
         now = self._now
         row = self._rows.setdefault(key, _Row())
@@ -205,16 +207,21 @@
         row.count += 1
         if row.count >= THRESHOLD:
             row.count = 0
-            row.cold, row.back = True, NEVER
+            if reason is not Outcome.FULL:
+                row.cold, row.back = True, NEVER
             self._open(row, destination, now + OPEN_FOR)
             if now >= destination.logged + LOG_EVERY:
                 destination.logged = now
                 self._out.append(api.Log(f"destination {destination.number}: open for {OPEN_FOR:g} s, "
-                                     f"last failure: {reason}"))
+                                     f"last failure: {reason.name if reason else 'silence'}"))
 
     def _open(self, row: _Row, destination: _Destination, until: float) -> None:
         """Move the open-until time; messages that cannot wait for it are given up at once."""
         row.open_until = max(row.open_until, until)
+        if row.open_until > row.dark + DARK:
+            # A busy destination's limit refuses too, but not for long without taking a call. Refused or
+            # told to wait longer than that, it was shut: it will come back cold.
+            row.cold, row.back = True, NEVER
         for message in destination.waiting():
             self._refuse_if_parked_too_long(message)
 
@@ -223,6 +230,7 @@
         row = self._rows.get(key)
         if row is None:
             return
+        row.dark = NEVER
         if row.cold and self._now >= row.open_until:
             row.back = min(row.back, self._now)
         if row.strikes:
@@ -458,10 +466,12 @@
                 route.failed = True
                 if outcome is Outcome.CONNECT_FAILED:
                     route.connections = max(route.calls, route.connections - 1)
-                self._failure(call.row_key, destination, outcome.name)
                 if outcome is Outcome.FULL:
-                    self._rows[call.row_key].strikes += 1.0
-                    self._space(call.row_key, destination, 1)
+                    row = self._rows.setdefault(call.row_key, _Row())
+                    row.dark = min(row.dark, now)
+                    row.strikes += 1.0
+                self._failure(call.row_key, destination, outcome)
+                self._space(call.row_key, destination, 1)
         if event.retry_after:
             row = self._rows.setdefault(call.row_key, _Row())
             self._open(row, destination, now + event.retry_after + MOMENT)
@@ -477,7 +487,7 @@
             if call.left and not call.judged and not call.started and call.destination.ok_sent < call.sent:
                 call.judged = True
                 call.route.failed = True
-                self._failure(call.row_key, call.destination, "silence")
+                self._failure(call.row_key, call.destination, None)
 
     # ---- the endpoint list ----
 
