--- /dev/null
+++ b/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of irisstack; none of them needs the bench."""
--- /dev/null
+++ b/tests/__main__.py
@@ -0,0 +1,25 @@
+"""Runs every check of the project: `python -m tests`."""
+
+import subprocess
+import sys
+from pathlib import Path
+
+ROOT = Path(__file__).resolve().parent.parent
+CHECKS = (
+    ("ruff", "check", "."),
+    ("mypy",),
+    ("pytest",),
+)
+
+
+def main() -> int:
+    """Run the checks in turn; the first that fails ends the run with its exit code."""
+    for check in CHECKS:
+        code = subprocess.run([sys.executable, "-m", *check], cwd=ROOT, check=False).returncode
+        if code:
+            return code
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/tests/test_module_limits.py
@@ -0,0 +1,30 @@
+"""The decision module keeps the operators' limits on its size, its names and what it may touch."""
+
+import ast
+from pathlib import Path
+
+MODULE = Path(__file__).resolve().parent.parent / "irisstack" / "choice.py"
+LINES = 560
+COLUMNS = 110
+PURE = {"collections", "collections.abc", "heapq", "irisstack", "irisstack.interface", "math", "random"}
+
+
+def test_size() -> None:
+    lines = MODULE.read_text().splitlines()
+    assert sum(1 for line in lines if line.strip()) <= LINES
+    assert max(len(line) for line in lines) <= COLUMNS
+
+
+def test_names_its_interface_file_at_the_top() -> None:
+    head = MODULE.read_text().splitlines()[:3]
+    assert any("irisstack/interface.py" in line for line in head)
+
+
+def test_imports_nothing_that_could_reach_a_clock_a_file_or_a_socket() -> None:
+    imported = set()
+    for node in ast.walk(ast.parse(MODULE.read_text())):
+        if isinstance(node, ast.Import):
+            imported |= {alias.name for alias in node.names}
+        elif isinstance(node, ast.ImportFrom):
+            imported.add(node.module or "")
+    assert imported <= PURE
