--- a/irisstack/choice.py
+++ b/irisstack/choice.py
@@ -106,7 +106,7 @@
     """A message that is owed its final answer, or that still has an attempt out."""
 
     __slots__ = ("aim_at", "attempts", "call", "destination", "due", "id", "index", "key", "kind",
-                 "maybe_ran", "over", "over_share", "ran_zone")
+                 "maybe_ran", "over", "over_share", "rest_until")
 
     def __init__(self, event: api.MessageReceived, kind: api.MessageClass) -> None:
         self.id = event.message
@@ -120,7 +120,7 @@
         self.over_share = False
         self.attempts = 0
         self.maybe_ran: float | None = None  # when the first attempt that may have run was sent
-        self.ran_zone = 0
+        self.rest_until = 0.0  # order: when the last attempt that may run on has surely ended
         self.call: _Call | None = None
         self.over = False
 
@@ -358,13 +358,13 @@
             self._out.append(api.Fail(message.id))
         self._finish(message)
 
-    def _finish(self, message: _Message, rest: float = 0.0) -> None:
+    def _finish(self, message: _Message) -> None:
         message.over = True
         self._held -= 1
         if message.call is None:
-            self._forget(message, rest)
+            self._forget(message)
 
-    def _forget(self, message: _Message, rest: float = 0.0) -> None:
+    def _forget(self, message: _Message) -> None:
         """Drop a message that is over and has no attempt out; the next of its key takes its turn."""
         del self._messages[message.id]
         if message.key is None:
@@ -372,8 +372,8 @@
         line = self._keys[message.key]
         if line[0] is not message:
             line.remove(message)
-        elif rest > 0.0:
-            heappush(self._resting, (self._now + rest, message.key))
+        elif message.rest_until > self._now:
+            heappush(self._resting, (message.rest_until, message.key))
         else:
             self._next_of_key(message.key)
 
@@ -425,7 +425,7 @@
             return
         outcome, destination = event.outcome, call.destination
         if outcome not in NOT_RUN and message.maybe_ran is None:
-            message.maybe_ran, message.ran_zone = call.sent, call.route.zone
+            message.maybe_ran = call.sent
         call.left -= 1
         if not call.left:
             self._calls -= 1
@@ -433,15 +433,16 @@
             call.route.calls -= 1
         self._learn(message, call, event)
         message.call = None
-        rest = self._set.order_pause if outcome in MAY_RUN_ON else 0.0
+        if outcome in MAY_RUN_ON:
+            message.rest_until = self._now + self._set.order_pause
         effect_in_doubt = message.kind.effect is Effect.UNSAFE and message.maybe_ran is not None
         if message.over:
-            self._forget(message, rest)
+            self._forget(message)
         elif event.final:
-            self._finish(message, rest)
+            self._finish(message)
         elif effect_in_doubt or self._now >= message.due:
             self._out.append(api.Fail(message.id))
-            self._finish(message, rest)
+            self._finish(message)
         else:
             heappush(self._expiry, (self._latest_start(message), message.id))
             self._queue(message)
