Few errors among many successes no longer open a destination

Cause in the module: three errors within 10 s opened a busy destination that served the rest, then paced it as cold. Also guards against one failing class among served ones. It could harm where a destination fails just under a fifth of its calls: those calls are wasted while it stays closed.

--- a/irisstack/choice.py
+++ b/irisstack/choice.py
@@ -18,6 +18,7 @@
 # The breaker's own figures.
 WINDOW = 10.0  # seconds in which failures are counted together
 THRESHOLD = 3  # the failure that opens
+TOLERATED = 0.25  # failures for each success in the window that do not open yet
 OPEN_FOR = 1.5  # seconds an opened row stays open: long parks fill the holding room (1 to 2 measured alike)
 DARK = 3.0  # seconds of refusals with no call taken after which a destination counts as shut
 # Spacing.
@@ -50,10 +51,12 @@
 class _Row:
     """The breaker's row of one destination (or route): the design's whole memory of its trouble."""
 
-    __slots__ = ("back", "cold", "count", "dark", "next_at", "open_until", "strikes", "window_end")
+    __slots__ = ("back", "cold", "count", "dark", "next_at", "open_until", "served", "strikes",
+                 "window_end")
 
     def __init__(self) -> None:
         self.count = 0
+        self.served = 0  # calls that succeeded in the same window
         self.window_end = 0.0
         self.open_until = 0.0
         self.strikes = 0.0  # refusals as full not yet made good by successes: how far calls are slowed
@@ -203,9 +206,11 @@
         if now < row.open_until:
             return  # landing while open: neither counts nor extends
         if now >= row.window_end:
-            row.count, row.window_end = 0, now + WINDOW
+            row.count, row.served, row.window_end = 0, 0, now + WINDOW
         row.count += 1
-        if row.count >= THRESHOLD:
+        # Few errors among many successes (a lossy path, one failing class) must not shut the rest out.
+        few = reason is not Outcome.FULL and row.count < row.served * TOLERATED
+        if row.count >= THRESHOLD and not few:
             row.count = 0
             if reason is not Outcome.FULL:
                 row.cold, row.back = True, NEVER
@@ -230,6 +235,7 @@
         row = self._rows.get(key)
         if row is None:
             return
+        row.served += 1
         row.dark = NEVER
         if row.cold and self._now >= row.open_until:
             row.back = min(row.back, self._now)
