--- a/irisstack/choice.py
+++ b/irisstack/choice.py
@@ -9,6 +9,7 @@
 
 from collections import deque
 from collections.abc import Iterable
+from dataclasses import dataclass, field
 from heapq import heapify, heappop, heappush
 from random import Random
 
@@ -45,59 +46,51 @@
 NEVER = float("inf")
 MAY_RUN_ON = frozenset((Outcome.TIMEOUT, Outcome.RESET, Outcome.CANCELLED))
 NOT_RUN = frozenset((Outcome.FULL, Outcome.CONNECT_FAILED, Outcome.NOT_SENT))
+UNKNOWN_KIND = api.DestinationKind("unknown")
 FAILURES = frozenset(Outcome) - {Outcome.OK, Outcome.CANCELLED, Outcome.NOT_SENT}
 
 
+@dataclass(slots=True, eq=False)
 class _Row:
     """The breaker's row of one destination (or route): the design's whole memory of its trouble."""
 
-    __slots__ = ("back", "cold", "count", "dark", "next_at", "open_until", "served", "strikes",
-                 "window_end")
-
-    def __init__(self) -> None:
-        self.count = 0
-        self.served = 0  # calls that succeeded in the same window
-        self.window_end = 0.0
-        self.open_until = 0.0
-        self.strikes = 0.0  # refusals as full not yet made good by successes: how far calls are slowed
-        self.next_at = 0.0  # while spaced: the earliest time of the next call
-        self.dark = NEVER  # since when calls were refused as full with none taken
-        self.cold = False  # opened by failures: it may be coming back from an outage
-        self.back = NEVER  # when the first call after that succeeded
+    count: int = 0
+    served: int = 0  # calls that succeeded in the same window
+    window_end: float = 0.0
+    open_until: float = 0.0
+    strikes: float = 0.0  # refusals as full not yet made good by successes: how far calls are slowed
+    next_at: float = 0.0  # while spaced: the earliest time of the next call
+    dark: float = NEVER  # since when calls were refused as full with none taken
+    cold: bool = False  # it may be coming back from an outage
+    back: float = NEVER  # when the first call after that succeeded
 
 
+@dataclass(slots=True, eq=False)
 class _Route:
     """One endpoint of a destination, and what this sender has there."""
 
-    __slots__ = ("address", "calls", "connections", "failed", "used", "zone")
-
-    def __init__(self, endpoint: api.Endpoint) -> None:
-        self.address = endpoint.address
-        self.zone = endpoint.zone
-        self.calls = 0
-        self.connections = 0  # believed open
-        self.used = 0.0
-        self.failed = False  # its last outcome was a failure
+    address: api.Address
+    calls: int = 0
+    connections: int = 0  # believed open
+    used: float = 0.0
+    failed: bool = False  # its last outcome was a failure
 
 
+@dataclass(slots=True, eq=False)
 class _Destination:
     """A destination's routes, waiting messages and what its calls have shown."""
 
-    __slots__ = ("calls", "fresh", "kind", "late", "limit", "listed", "logged", "number", "ok_sent", "routes",
-                 "usual")
-
-    def __init__(self, number: int) -> None:
-        self.number = number
-        self.kind: api.DestinationKind | None = None
-        self.listed = 0.0
-        self.limit = 0.0  # calls a second, as it reports them
-        self.routes: dict[api.Address, _Route] = {}
-        self.fresh: list[tuple[bool, float, int, _Message]] = []  # by end of the aim
-        self.late: list[tuple[bool, float, float, int, _Message]] = []  # by worth, newest first
-        self.usual: dict[int, float] = {}
-        self.calls = 0
-        self.ok_sent = -NEVER  # when the newest call that succeeded was sent
-        self.logged = -NEVER
+    number: int
+    kind: api.DestinationKind = UNKNOWN_KIND
+    listed: float = 0.0
+    limit: float = 0.0  # calls a second, as it reports them
+    routes: dict[api.Address, _Route] = field(default_factory=dict)
+    fresh: "list[tuple[bool, float, int, _Message]]" = field(default_factory=list)  # by end of the aim
+    late: "list[tuple[bool, float, float, int, _Message]]" = field(default_factory=list)  # newest first
+    usual: dict[int, float] = field(default_factory=dict)
+    calls: int = 0
+    ok_sent: float = -NEVER  # when the newest call that succeeded was sent
+    logged: float = -NEVER
 
     def waiting(self) -> "list[_Message]":
         """The messages in line, the most pressing ones first, if not quite in order."""
@@ -105,6 +98,19 @@
         return [message for message in line if not message.over and message.call is None]
 
 
+@dataclass(slots=True, eq=False)
+class _Call:
+    """One call: the messages that went to one endpoint in one turn, with one fate."""
+
+    destination: _Destination
+    route: _Route
+    row_key: object
+    sent: float
+    left: int = 0
+    judged: bool = False  # its failure is counted already
+    started: bool = False
+
+
 class _Message:
     """A message that is owed its final answer, or that still has an attempt out."""
 
@@ -128,21 +134,6 @@
         self.over = False
 
 
-class _Call:
-    """One call: the messages that went to one endpoint in one turn, with one fate."""
-
-    __slots__ = ("destination", "judged", "left", "route", "row_key", "sent", "started")
-
-    def __init__(self, destination: _Destination, route: _Route, row_key: object, sent: float) -> None:
-        self.destination = destination
-        self.route = route
-        self.row_key = row_key
-        self.sent = sent
-        self.left = 0
-        self.judged = False  # its failure is counted already
-        self.started = False
-
-
 class Sender:
     """One sender's decisions. Give it everything that came together; carry out what it returns, in order."""
 
@@ -191,10 +182,13 @@
                 case api.TimerFired() if event.token == self._timers:
                     self._wake = NEVER
         self._look_for_silence()
-        self._release_keys()
+        while self._resting and self._resting[0][0] <= now:
+            self._next_of_key(heappop(self._resting)[1])
         self._expire()
-        wake = min(self._subscribe(), self._dispatch())
-        self._set_timer(wake)
+        if now >= self._subscribe_at:
+            self._subscribe_at = NEVER
+            self._out.append(api.Subscribe(True))
+        self._set_timer(min(self._subscribe_at, self._dispatch()))
         return self._out
 
     # ---- the row ----
@@ -319,10 +313,12 @@
 
     def _latest_start(self, message: _Message) -> float:
         """The last time at which a further attempt is allowed and a usual call still fits."""
-        latest = message.due - self._usual(message)
-        if message.maybe_ran is not None and message.kind.effect is Effect.KEYED:
-            latest = min(latest, message.maybe_ran + message.kind.dedup_window - self._set.tick)
-        return latest
+        kind, latest = message.kind, message.due - self._usual(message)
+        if message.maybe_ran is None or kind.effect is Effect.SAFE:
+            return latest
+        if kind.effect is Effect.UNSAFE or kind.dedup_scope is not api.DedupScope.DESTINATION:
+            return -NEVER
+        return min(latest, message.maybe_ran + kind.dedup_window - self._set.tick)
 
     def _queue(self, message: _Message) -> None:
         """Put a message in line at its destination, unless it cannot wait for the close."""
@@ -384,6 +380,7 @@
             self._next_of_key(message.key)
 
     def _next_of_key(self, key: int) -> None:
+        """Order by key: one message at a time, and a rest after an attempt that may run on."""
         line = self._keys[key]
         line.popleft()
         if line:
@@ -391,11 +388,6 @@
         else:
             del self._keys[key]
 
-    def _release_keys(self) -> None:
-        """Order by key: the next message goes once the key has rested after an attempt that may still run."""
-        while self._resting and self._resting[0][0] <= self._now:
-            self._next_of_key(heappop(self._resting)[1])
-
     def _make_room(self) -> None:
         """At the holding limit, refuse the unsent message with least at stake before one is turned away."""
         unsent = [m for m in self._messages.values() if not m.over and m.call is None]
@@ -407,7 +399,7 @@
     def _wait(self, destination: _Destination) -> float:
         """How long the last in line at a destination may have to wait."""
         line = len(destination.fresh) + len(destination.late)
-        calls = line / self._batch(destination)
+        calls = line / destination.kind.max_batch
         return max(0.0, self._first_gate(destination) - self._now) + calls / self._rate(destination)
 
     def _expire(self) -> None:
@@ -441,14 +433,10 @@
         message.call = None
         if outcome in MAY_RUN_ON:
             message.rest_until = self._now + self._set.order_pause
-        effect_in_doubt = message.kind.effect is Effect.UNSAFE and message.maybe_ran is not None
         if message.over:
             self._forget(message)
         elif event.final:
             self._finish(message)
-        elif effect_in_doubt or self._now >= message.due:
-            self._out.append(api.Fail(message.id))
-            self._finish(message)
         else:
             heappush(self._expiry, (self._latest_start(message), message.id))
             self._queue(message)
@@ -499,17 +487,10 @@
     # ---- the endpoint list ----
 
     def _destination(self, number: int) -> _Destination:
-        destination = self._destinations.get(number)
-        if destination is None:
-            destination = self._destinations[number] = _Destination(number)
-        return destination
+        return self._destinations.setdefault(number, _Destination(number))
 
     def _row_key(self, destination: _Destination, route: _Route) -> object:
-        apart = destination.kind is not None and destination.kind.separate_routes
-        return route.address if apart else destination.number
-
-    def _batch(self, destination: _Destination) -> int:
-        return destination.kind.max_batch if destination.kind else 1
+        return route.address if destination.kind.separate_routes else destination.number
 
     def _updated(self, event: api.EndpointsUpdated) -> None:
         if event.scope is api.UpdateScope.FAILED:
@@ -530,12 +511,12 @@
                 self._remove(endpoint.address)
                 continue
             destination = self._destination(endpoint.destination)
-            kinds = self._set.kinds
-            destination.kind = kinds[endpoint.kind] if endpoint.kind < len(kinds) else None
+            if endpoint.kind < len(self._set.kinds):
+                destination.kind = self._set.kinds[endpoint.kind]
             if self._set.listed_rates:
                 destination.listed = endpoint.rate
             if endpoint.address not in destination.routes:
-                destination.routes[endpoint.address] = _Route(endpoint)
+                destination.routes[endpoint.address] = _Route(endpoint.address)
                 self._where[endpoint.address] = endpoint.destination
 
     def _remove(self, address: api.Address) -> None:
@@ -544,12 +525,6 @@
         if number is not None:
             self._destinations[number].routes.pop(address, None)
 
-    def _subscribe(self) -> float:
-        if self._now >= self._subscribe_at:
-            self._subscribe_at = NEVER
-            self._out.append(api.Subscribe(True))
-        return self._subscribe_at
-
     # ---- sending ----
 
     def _dispatch(self) -> float:
@@ -612,7 +587,7 @@
         key = self._row_key(destination, route)
         row = self._rows.get(key)
         unproven = row is not None and row.cold and row.back == NEVER
-        size = 1 if unproven else self._batch(destination)
+        size = 1 if unproven else destination.kind.max_batch
         call = _Call(destination, route, key, now)
         overdue = 0.0
         while call.left < size:
@@ -655,12 +630,9 @@
         return heappop(destination.fresh)[3] if destination.fresh else heappop(destination.late)[4]
 
     def _set_timer(self, wake: float) -> None:
-        if self._overdue:
-            wake = min(wake, self._overdue[0][0])
-        if self._expiry:
-            wake = min(wake, self._expiry[0][0] + self._set.tick)
-        if self._resting:
-            wake = min(wake, self._resting[0][0])
+        for line, late in ((self._overdue, 0.0), (self._resting, 0.0), (self._expiry, self._set.tick)):
+            if line:
+                wake = min(wake, line[0][0] + late)
         if wake < self._wake:
             self._wake = wake
             self._timers += 1
--- a/tests/test_module_limits.py
+++ b/tests/test_module_limits.py
@@ -6,7 +6,7 @@
 MODULE = Path(__file__).resolve().parent.parent / "irisstack" / "choice.py"
 LINES = 560
 COLUMNS = 110
-PURE = {"collections", "collections.abc", "heapq", "irisstack", "irisstack.interface", "math", "random"}
+PURE = {"collections", "collections.abc", "dataclasses", "heapq", "irisstack", "irisstack.interface", "math", "random"}
 
 
 def test_size() -> None:
