Close idle connections that proved stale before the next call

Told from a lossy path by the idle time before the reset, and by the quick end of each. Cause: something drops idle connections far earlier than the keep-alive; a reset proves nothing, so unsafe messages were lost with it. Costs a handshake a call there. Could harm where a destination's outage resets calls on idle connections twice.

--- a/irisstack/choice.py
+++ b/irisstack/choice.py
@@ -35,6 +35,9 @@
 PATIENCE = 3.0  # a repeatable call is given up after this many times the overdue time
 LEARN = 0.1  # weight of a new call in the usual time
 FIRST_USUAL = 0.2  # share of a class's aim taken for its usual time before any call was seen
+# Stale connections.
+STALE = 2.0  # this many resets of calls on idle connections: those idle as long are closed before a call
+IDLE_PART = 0.1  # of the keep-alive time; a connection idle for less says nothing
 # Room.
 SLOT_PART = 3  # a destination holds at most one part in so many of the slots, two at least
 SPARE_ROOM = 1  # messages short of the holding limit at which the module starts to choose what to refuse
@@ -73,6 +76,7 @@
     calls: int = 0
     connections: int = 0  # believed open
     used: float = 0.0
+    all_used: float = 0.0  # when the last of its connections was in use
     failed: bool = False  # its last outcome was a failure
 
 
@@ -89,6 +93,8 @@
     late: "list[tuple[bool, float, float, int, _Message]]" = field(default_factory=list)  # newest first
     usual: dict[int, float] = field(default_factory=dict)
     calls: int = 0
+    stale: float = 0.0  # resets of calls on idle connections, less such calls that succeeded
+    idle_limit: float = NEVER  # the shortest idle time before such a reset
     ok_sent: float = -NEVER  # when the newest call that succeeded was sent
     logged: float = -NEVER
 
@@ -106,6 +112,7 @@
     route: _Route
     row_key: object
     sent: float
+    idle: float = 0.0  # how long the connection may have been idle
     left: int = 0
     judged: bool = False  # its failure is counted already
     started: bool = False
@@ -426,6 +433,8 @@
             message.maybe_ran = call.sent
         call.left -= 1
         if not call.left:
+            if call.route.calls > (call.route.connections - 1) * self._set.calls_per_connection:
+                call.route.all_used = self._now
             self._calls -= 1
             destination.calls -= 1
             call.route.calls -= 1
@@ -455,6 +464,10 @@
             destination.usual[message.index] = usual + LEARN * (event.elapsed - usual)
         if not call.judged:
             call.judged = True
+            if call.idle > self._set.keepalive * IDLE_PART and outcome in (Outcome.OK, Outcome.RESET):
+                destination.stale = max(0.0, destination.stale + (1.0 if outcome is Outcome.RESET else -0.5))
+                if outcome is Outcome.RESET:
+                    destination.idle_limit = min(destination.idle_limit, call.idle)
             if outcome is Outcome.OK:
                 self._success(call.row_key, destination)
             elif outcome in FAILURES:
@@ -588,7 +601,18 @@
         row = self._rows.get(key)
         unproven = row is not None and row.cold and row.back == NEVER
         size = 1 if unproven else destination.kind.max_batch
-        call = _Call(destination, route, key, now)
+        call, per = _Call(destination, route, key, now), self._set.calls_per_connection
+        if not self._connected(route):
+            route.connections += 1
+        elif destination.stale >= STALE and now - route.all_used >= destination.idle_limit:
+            # Something on the path drops idle connections early, and the next call there is lost.
+            self._out.append(api.CloseIdle(route.address))
+            route.connections = route.calls // per + 1
+        else:
+            call.idle = now - route.all_used
+        route.calls += 1
+        if route.calls > (route.connections - 1) * per:
+            route.all_used = now
         overdue = 0.0
         while call.left < size:
             message = self._take(destination, unproven)
@@ -602,9 +626,6 @@
             patient = message.kind.effect is Effect.UNSAFE or message.kind.streamed
             give_up = None if patient else min(message.due, now + silent * PATIENCE)
             self._out.append(api.Send(message.id, route.address, give_up))
-        if not self._connected(route):
-            route.connections += 1
-        route.calls += 1
         route.used = now
         destination.calls += 1
         self._calls += 1
