Cut calls stuck at silent destinations when others need their slots

Cause: every slot was held by a call to a destination that had gone silent; told from outages of many destinations by how few calls were made at all. Change: when messages could go but no slot is free, calls overdue at a destination that has answered nothing sent since are cancelled, the oldest first, one for each destination kept waiting. Guards against any silence that outlives the slots. It can lose an unsafe message whose answer was still to come.

--- a/irisstack/choice.py
+++ b/irisstack/choice.py
@@ -114,6 +114,7 @@
     sent: float
     idle: float = 0.0  # how long the connection may have been idle
     left: int = 0
+    messages: "list[_Message]" = field(default_factory=list)
     judged: bool = False  # its failure is counted already
     started: bool = False
 
@@ -158,6 +159,7 @@
         self._waiting: dict[int, None] = {}  # destinations with messages waiting, in order of arrival
         self._expiry: list[tuple[float, int]] = []
         self._overdue: list[tuple[float, int, _Call]] = []
+        self._stuck: list[_Call] = []  # overdue at a silent destination, oldest first
         self._sequence = 0
         self._keys: dict[int, deque[_Message]] = {}
         self._resting: list[tuple[float, int]] = []
@@ -495,6 +497,7 @@
             if call.left and not call.judged and not call.started and call.destination.ok_sent < call.sent:
                 call.judged = True
                 call.route.failed = True
+                self._stuck.append(call)
                 self._failure(call.row_key, call.destination, None)
 
     # ---- the endpoint list ----
@@ -569,8 +572,24 @@
             head = self._head(destination)
             if head is not None:
                 heappush(order, (head, number))
+        if order and self._calls >= self._set.max_calls:
+            self._free_slots(len(order))
         return wake
 
+    def _free_slots(self, wanted: int) -> None:
+        """Cut calls that are stuck at silent destinations when others need their slots.
+
+        Guards against slots filling up with calls that wait for their deadline, unsafe ones above all: such a
+        call is probably lost, and its slot serves many. Could lose a message whose answer was still to come.
+        """
+        while self._stuck and wanted and self._set.may_cancel:
+            call = self._stuck.pop(0)
+            if call.left and call.destination.ok_sent < call.sent:
+                wanted -= 1
+                for message in call.messages:
+                    if message.call is call:
+                        self._out.append(api.Cancel(message.id, message.attempts - 1))
+
     def _head(self, destination: _Destination) -> tuple[bool, bool, float] | None:
         """How pressing the destination's first waiting message is; one past its aim goes to the late line."""
         now, fresh, late = self._now, destination.fresh, destination.late
@@ -619,6 +638,7 @@
             if message is None:
                 break
             message.call = call
+            call.messages.append(message)
             message.attempts += 1
             call.left += 1
             silent = OVERDUE * self._usual(message) + OVERDUE_REST
