Judge idle connections by silence too, and for the whole sender

Same cause as the early resets, but a silent drop. Told from a hung destination by answers to calls sent later there. Change: one judgement for the sender, fed by resets and by overdue calls; a silent call weighs in full only where the destination has answered since. It can judge wrongly on a lossy path, at the price of handshakes.

--- a/irisstack/choice.py
+++ b/irisstack/choice.py
@@ -36,7 +36,8 @@
 LEARN = 0.1  # weight of a new call in the usual time
 FIRST_USUAL = 0.2  # share of a class's aim taken for its usual time before any call was seen
 # Stale connections.
-STALE = 2.0  # this many resets of calls on idle connections: those idle as long are closed before a call
+STALE = 2.0  # this many calls lost on idle connections: those idle as long are closed before a call
+STALE_BACK = 0.25  # of a lost call is made good by one that succeeded on an idle connection
 IDLE_PART = 0.1  # of the keep-alive time; a connection idle for less says nothing
 # Room.
 SLOT_PART = 3  # a destination holds at most one part in so many of the slots, two at least
@@ -93,8 +94,6 @@
     late: "list[tuple[bool, float, float, int, _Message]]" = field(default_factory=list)  # newest first
     usual: dict[int, float] = field(default_factory=dict)
     calls: int = 0
-    stale: float = 0.0  # resets of calls on idle connections, less such calls that succeeded
-    idle_limit: float = NEVER  # the shortest idle time before such a reset
     ok_sent: float = -NEVER  # when the newest call that succeeded was sent
     logged: float = -NEVER
 
@@ -156,6 +155,8 @@
         self._messages: dict[int, _Message] = {}
         self._held = 0
         self._calls = 0
+        self._stale = 0.0  # calls lost on idle connections, less a part of such calls that succeeded
+        self._idle_limit = NEVER  # the shortest idle time before such a loss
         self._waiting: dict[int, None] = {}  # destinations with messages waiting, in order of arrival
         self._expiry: list[tuple[float, int]] = []
         self._overdue: list[tuple[float, int, _Call]] = []
@@ -466,10 +467,8 @@
             destination.usual[message.index] = usual + LEARN * (event.elapsed - usual)
         if not call.judged:
             call.judged = True
-            if call.idle > self._set.keepalive * IDLE_PART and outcome in (Outcome.OK, Outcome.RESET):
-                destination.stale = max(0.0, destination.stale + (1.0 if outcome is Outcome.RESET else -0.5))
-                if outcome is Outcome.RESET:
-                    destination.idle_limit = min(destination.idle_limit, call.idle)
+            if outcome in (Outcome.OK, Outcome.RESET):
+                self._judge_idle(call, -STALE_BACK if outcome is Outcome.OK else 1.0)
             if outcome is Outcome.OK:
                 self._success(call.row_key, destination)
             elif outcome in FAILURES:
@@ -486,6 +485,17 @@
             row = self._rows.setdefault(call.row_key, _Row())
             self._open(row, destination, now + event.retry_after + MOMENT)
 
+    def _judge_idle(self, call: _Call, weight: float) -> None:
+        """Learn after how long something on the path drops idle connections: the next call there is lost.
+
+        Guards against early resets and, where the drop is silent, against calls that are never answered.
+        Closing such connections first costs a handshake; it could harm by that after a mistaken judgement.
+        """
+        if call.idle > self._set.keepalive * IDLE_PART and self._stale < STALE:
+            self._stale = max(0.0, self._stale + weight)
+            if weight > 0.0:
+                self._idle_limit = min(self._idle_limit, call.idle)
+
     def _look_for_silence(self) -> None:
         """A call long overdue counts as a failure before it ends, unless the destination answered since.
 
@@ -494,7 +504,11 @@
         """
         while self._overdue and self._overdue[0][0] <= self._now:
             call = heappop(self._overdue)[2]
-            if call.left and not call.judged and not call.started and call.destination.ok_sent < call.sent:
+            if not call.left or call.judged or call.started:
+                continue
+            answers = call.destination.ok_sent > call.sent
+            self._judge_idle(call, 1.0 if answers else STALE_BACK)
+            if not answers:
                 call.judged = True
                 call.route.failed = True
                 self._stuck.append(call)
@@ -623,7 +637,7 @@
         call, per = _Call(destination, route, key, now), self._set.calls_per_connection
         if not self._connected(route):
             route.connections += 1
-        elif destination.stale >= STALE and now - route.all_used >= destination.idle_limit:
+        elif self._stale >= STALE and now - route.all_used >= self._idle_limit:
             # Something on the path drops idle connections early, and the next call there is lost.
             self._out.append(api.CloseIdle(route.address))
             route.connections = route.calls // per + 1
