Treat connect failures like refusals when judging an outage

Cause: the senders' idle connections fill an untold connection cap; three failed connects opened the row and marked it cold, which with 12 senders means minutes of pacing. Told from an outage by calls taken in between. Change: as for refusals, cold only after 3 s with none taken. Could harm where a destination is down for under 3 s and comes back cold.

--- a/irisstack/choice.py
+++ b/irisstack/choice.py
@@ -36,8 +36,8 @@
 LEARN = 0.1  # weight of a new call in the usual time
 FIRST_USUAL = 0.2  # share of a class's aim taken for its usual time before any call was seen
 # Stale connections.
-STALE = 2.0  # this many calls lost on idle connections: those idle as long are closed before a call
-STALE_BACK = 0.25  # of a lost call is made good by one that succeeded on an idle connection
+STALE = 3.0  # this many calls lost on idle connections: those idle as long are closed before a call
+STALE_BACK = 0.4  # of a lost call is made good by one that succeeded on an idle connection
 IDLE_PART = 0.1  # of the keep-alive time; a connection idle for less says nothing
 # Room.
 SLOT_PART = 3  # a destination holds at most one part in so many of the slots, two at least
@@ -64,7 +64,7 @@
     open_until: float = 0.0
     strikes: float = 0.0  # refusals as full not yet made good by successes: how far calls are slowed
     next_at: float = 0.0  # while spaced: the earliest time of the next call
-    dark: float = NEVER  # since when calls were refused as full with none taken
+    dark: float = NEVER  # since when calls were turned away with none taken
     cold: bool = False  # it may be coming back from an outage
     back: float = NEVER  # when the first call after that succeeded
 
@@ -216,7 +216,7 @@
         few = reason is not Outcome.FULL and row.count < row.served * TOLERATED
         if row.count >= THRESHOLD and not few:
             row.count = 0
-            if reason is not Outcome.FULL:
+            if reason not in NOT_RUN:
                 row.cold, row.back = True, NEVER
             self._open(row, destination, now + OPEN_FOR)
             if now >= destination.logged + LOG_EVERY:
@@ -228,8 +228,8 @@
         """Move the open-until time; messages that cannot wait for it are given up at once."""
         row.open_until = max(row.open_until, until)
         if row.open_until > row.dark + DARK:
-            # A busy destination's limit refuses too, but not for long without taking a call. Refused or
-            # told to wait longer than that, it was shut: it will come back cold.
+            # A busy destination's limit or full connection table turns calls away too, but not for long
+            # without taking one. Turned away or told to wait longer than that, it will come back cold.
             row.cold, row.back = True, NEVER
         for message in destination.waiting():
             self._refuse_if_parked_too_long(message)
@@ -475,10 +475,10 @@
                 route.failed = True
                 if outcome is Outcome.CONNECT_FAILED:
                     route.connections = max(route.calls, route.connections - 1)
-                if outcome is Outcome.FULL:
+                if outcome in NOT_RUN:
                     row = self._rows.setdefault(call.row_key, _Row())
                     row.dark = min(row.dark, now)
-                    row.strikes += 1.0
+                    row.strikes += outcome is Outcome.FULL
                 self._failure(call.row_key, destination, outcome)
                 self._space(call.row_key, destination, 1)
         if event.retry_after:
