Release idle connections where connects failed

After a failed connect, the module closes its idle connections there after each call for one keep-alive time, while nothing waits. Costs a handshake a call at such places only.

--- a/irisstack/choice.py
+++ b/irisstack/choice.py
@@ -79,6 +79,7 @@
     used: float = 0.0
     all_used: float = 0.0  # when the last of its connections was in use
     failed: bool = False  # its last outcome was a failure
+    crowded: float = 0.0  # until when its connection table is taken for full
 
 
 @dataclass(slots=True, eq=False)
@@ -441,6 +442,10 @@
             self._calls -= 1
             destination.calls -= 1
             call.route.calls -= 1
+            if self._now < call.route.crowded and outcome is Outcome.OK and destination.number not in self._waiting:
+                # Guards against idle connections of all senders filling a destination's table.
+                self._out.append(api.CloseIdle(call.route.address))
+                call.route.connections = -(-call.route.calls // self._set.calls_per_connection)
         self._learn(message, call, event)
         message.call = None
         if outcome in MAY_RUN_ON:
@@ -475,6 +480,7 @@
                 route.failed = True
                 if outcome is Outcome.CONNECT_FAILED:
                     route.connections = max(route.calls, route.connections - 1)
+                    route.crowded = now + self._set.keepalive
                 if outcome in NOT_RUN:
                     row = self._rows.setdefault(call.row_key, _Row())
                     row.dark = min(row.dark, now)
