Keep the row while nothing was taken since calls were turned away

Cause: the row was dropped as closed and empty between two openings and with it the time since when calls were turned away, so the outage was never recognised. Change: a row with that time set is not empty.

--- a/irisstack/choice.py
+++ b/irisstack/choice.py
@@ -256,7 +256,8 @@
         now = self._now
         if row.cold and now >= row.back + self._set.cold_seconds:
             row.cold = False
-        if not (now < row.open_until or row.cold or row.strikes or (row.count and now < row.window_end)):
+        counting = now < row.window_end or row.dark < NEVER
+        if not (now < row.open_until or row.cold or row.strikes or counting):
             del self._rows[key]
             return 0.0
         return max(row.open_until, row.next_at if row.cold or row.strikes else 0.0)
