Cut calls out for a full time-out as well when slots run out

A shared call whose repeatable messages had timed out kept its slot for the unsafe ones until their deadline, and was not cut as the partner answered other calls. Now a call out for as long as a repeatable message's time-out is cut whatever else the destination answers, only when others wait for slots.

--- a/irisstack/choice.py
+++ b/irisstack/choice.py
@@ -112,6 +112,7 @@
     route: _Route
     row_key: object
     sent: float
+    lost_at: float = NEVER  # when a repeatable message's time-out comes
     idle: float = 0.0  # how long the connection may have been idle
     left: int = 0
     messages: "list[_Message]" = field(default_factory=list)
@@ -511,14 +512,14 @@
         """
         while self._overdue and self._overdue[0][0] <= self._now:
             call = heappop(self._overdue)[2]
-            if not call.left or call.judged or call.started:
+            if not call.left or call.started:
                 continue
+            self._stuck.append(call)
             answers = call.destination.ok_sent > call.sent
             self._judge_idle(call, 1.0 if answers else STALE_BACK)
-            if not answers:
+            if not answers and not call.judged:
                 call.judged = True
                 call.route.failed = True
-                self._stuck.append(call)
                 self._failure(call.row_key, call.destination, None)
 
     # ---- the endpoint list ----
@@ -603,9 +604,9 @@
         Guards against slots filling up with calls that wait for their deadline, unsafe ones above all: such a
         call is probably lost, and its slot serves many. Could lose a message whose answer was still to come.
         """
-        while self._stuck and wanted and self._set.may_cancel:
-            call = self._stuck.pop(0)
-            if call.left and call.destination.ok_sent < call.sent:
+        self._stuck = [call for call in self._stuck if call.left]
+        for call in self._stuck if self._set.may_cancel else ():
+            if wanted and (call.destination.ok_sent < call.sent or self._now > call.lost_at):
                 wanted -= 1
                 for message in call.messages:
                     if message.call is call:
@@ -671,6 +672,7 @@
         destination.calls += 1
         self._calls += 1
         self._sequence += 1
+        call.lost_at = now + overdue * PATIENCE
         heappush(self._overdue, (now + overdue, self._sequence, call))
         self._space(key, destination, call.left)
         return self._gate(key)
