Give slots first to calls with the least slot time for their worth

The order decides only when slots run out. Could harm a slow destination in a long scarcity: its messages come last.

--- a/irisstack/choice.py
+++ b/irisstack/choice.py
@@ -612,6 +612,11 @@
                     if message.call is call:
                         self._out.append(api.Cancel(message.id, message.attempts - 1))
 
+    def _cost(self, destination: _Destination, message: _Message) -> float:
+        """Slot time for each unit of worth."""
+        size = min(destination.kind.max_batch, len(destination.fresh) + len(destination.late))
+        return self._usual(message) / (size * message.kind.worth)
+
     def _head(self, destination: _Destination) -> tuple[bool, bool, float] | None:
         """How pressing the destination's first waiting message is; one past its aim goes to the late line."""
         now, fresh, late = self._now, destination.fresh, destination.late
@@ -623,11 +628,11 @@
                 heappop(fresh)
                 heappush(late, (beyond, -message.kind.worth, -aim_at, sequence, message))
             else:
-                return beyond, False, aim_at
+                return beyond, False, self._cost(destination, message)
         while late:
             message = late[0][-1]
             if not message.over and message.call is None:
-                return late[0][0], True, late[0][2]
+                return late[0][0], True, self._cost(destination, message)
             heappop(late)
         return None
 
