Do not avoid an endpoint only because it refused as full

Routes of one destination share its limit, so a refusal says nothing of the endpoint, and avoiding it sent everything to the other one.

--- a/irisstack/choice.py
+++ b/irisstack/choice.py
@@ -479,7 +479,7 @@
             if outcome is Outcome.OK:
                 self._success(call.row_key, destination)
             elif outcome in FAILURES:
-                route.failed = True
+                route.failed = outcome is not Outcome.FULL
                 if outcome is Outcome.CONNECT_FAILED:
                     route.connections = max(route.calls, route.connections - 1)
                     route.crowded = now + self._set.keepalive
--- /dev/null
+++ b/tests/support.py
@@ -0,0 +1,105 @@
+"""Settings and events with values of the tests' own, and a sender driven by hand."""
+
+from collections.abc import Iterable
+from dataclasses import replace
+from typing import Any
+
+from irisstack import interface as api
+from irisstack.choice import Sender
+
+SAFE = api.MessageClass("safe", api.Effect.SAFE, aim=2.0, deadline=20.0, worth=1.0, late_worth=0.3)
+KEYED = replace(SAFE, name="keyed", effect=api.Effect.KEYED, dedup_window=12.0)
+UNSAFE = replace(SAFE, name="unsafe", effect=api.Effect.UNSAFE)
+ORDERED = replace(SAFE, name="ordered", ordered=True)
+CLASSES = (SAFE, KEYED, UNSAFE, ORDERED)
+SAFE_INDEX, KEYED_INDEX, UNSAFE_INDEX, ORDERED_INDEX = range(4)
+
+SETTINGS = api.Settings(
+    classes=CLASSES, kinds=(api.DestinationKind("plain"), api.DestinationKind("shared", max_batch=5)),
+    tenants=(), zones=("z",), senders=2, ordinal=0, max_calls=12, max_held=200, max_attempts=6,
+    may_cancel=True, may_duplicate=False, may_probe=False, may_tell_peers=False, advises_retry_after=True,
+    max_retry_after=4.0, connect_timeout=1.0, keepalive=10.0, calls_per_connection=1,
+    discovery_on_request=False, ask_within=None, listed_rates=True, rates_are_rough=False,
+    report_fields=("x0", "x1"), decay=api.Decay.LINEAR, over_share_worth=0.5, answer_slack=0.02,
+    drain_grace=0.5, cold_start_share=0.2, cold_seconds=8.0, tip_multiple=2.0, tip_seconds=2.0,
+    order_pause=0.0, tick=0.005)
+
+
+def address(number: int) -> api.Address:
+    return bytes([10, 0, 0, number]), 8000 + number
+
+
+def endpoint(number: int, destination: int = 1, kind: int = 0, rate: float = 4.0,
+             state: api.EndpointState = api.EndpointState.READY) -> api.Endpoint:
+    return api.Endpoint(address(number), state, kind, destination, 0, rate, None)
+
+
+class Driver:
+    """Feeds a sender and keeps book of what it did; it models no server."""
+
+    def __init__(self, *endpoints: api.Endpoint, seed: int = 1, **changes: Any) -> None:
+        self.sender = Sender(replace(SETTINGS, **changes), seed)
+        self.now = 0.0
+        self.sends: list[tuple[float, api.Send]] = []
+        self.refused: dict[int, api.Refuse] = {}
+        self.failed: set[int] = set()
+        self.attempts: dict[int, int] = {}
+        self.where: dict[int, api.Address] = {}
+        self.sent_at: dict[int, float] = {}
+        self.timers: list[tuple[float, int]] = []
+        self.last: list[api.Action] = []
+        self.turn(0.0, api.EndpointsUpdated(api.UpdateScope.CACHED, 1, endpoints or (endpoint(1),)))
+
+    def turn(self, now: float, *events: api.Event) -> list[api.Action]:
+        """One turn at a time; timers that come due before it fire first, each in a turn of its own."""
+        while self.timers and min(self.timers)[0] < now:
+            due = min(self.timers)
+            self.timers.remove(due)
+            self._turn(due[0], (api.TimerFired(due[1]),))
+        return self._turn(now, events)
+
+    def _turn(self, now: float, events: Iterable[api.Event]) -> list[api.Action]:
+        self.now = now
+        self.last = self.sender.turn(now, events)
+        for act in self.last:
+            match act:
+                case api.Send(message, to):
+                    self.sends.append((now, act))
+                    self.attempts[message] = self.attempts.get(message, -1) + 1
+                    self.where[message], self.sent_at[message] = to, now
+                case api.Refuse(message):
+                    self.refused[message] = act
+                case api.Fail(message):
+                    self.failed.add(message)
+                case api.SetTimer(delay, token):
+                    self.timers.append((now + max(delay, 0.005), token))
+        return self.last
+
+    def message(self, number: int, at: float, index: int = SAFE_INDEX, destination: int = 1,
+                key: int | None = None, due: float | None = None) -> list[api.Action]:
+        return self.turn(at, self.received(number, at, index, destination, key, due))
+
+    def received(self, number: int, at: float, index: int = SAFE_INDEX, destination: int = 1,
+                 key: int | None = None, due: float | None = None) -> api.MessageReceived:
+        when = at + CLASSES[index].deadline if due is None else due
+        return api.MessageReceived(number, index, destination, when, key=key)
+
+    def outcome(self, number: int, outcome: api.Outcome, at: float, retry_after: float | None = None,
+                report: tuple[float, ...] = ()) -> api.AttemptEnded:
+        return api.AttemptEnded(number, self.where[number], self.attempts[number], at - self.sent_at[number],
+                                outcome is api.Outcome.OK, outcome, retry_after, False, report)
+
+    def end(self, number: int, outcome: api.Outcome, at: float, retry_after: float | None = None,
+            report: tuple[float, ...] = ()) -> list[api.Action]:
+        return self.turn(at, self.outcome(number, outcome, at, retry_after, report))
+
+    def sent(self, number: int) -> list[float]:
+        return [at for at, send in self.sends if send.message == number]
+
+    def serve(self, first: int, count: int, at: float, gap: float = 0.5, destination: int = 1) -> float:
+        """Hand in messages one after another and answer each with success; returns the time after."""
+        for number in range(first, first + count):
+            self.message(number, at, destination=destination)
+            self.end(number, api.Outcome.OK, at + 0.1)
+            at += gap
+        return at
