--- a/irisstack/choice.py
+++ b/irisstack/choice.py
@@ -1,57 +1,45 @@
 """All decisions of irisstack. The interface (settings, events, actions) is in `irisstack/interface.py`.
 
-After "A per-domain circuit breaker and rate limiter for feed fetching": one row for each destination holds a
-fixed-window count of refusals and errors and one open-until time, which lapses by itself. While it is open
-nothing is sent: messages wait for the close or are refused with it. The same row's spacing, the post's
-request budget, answers refusals as full and carries the return from an outage. `docs/design.md` tells what
-was kept, changed and added.
+One row for each destination holds a fixed-window count of refusals and errors and one open-until time, which
+lapses by itself; while open, messages wait for the close or are refused with it. The row's spacing answers
+refusals as full and carries the return from an outage. `docs/design.md` tells the source and each change.
 """
 
 from collections import deque
 from collections.abc import Iterable
 from dataclasses import dataclass, field
-from heapq import heapify, heappop, heappush
+from heapq import heappop, heappush
 from random import Random
 
 from irisstack import interface as api
 from irisstack.interface import Effect, Outcome
 
-# The breaker's own figures.
 WINDOW = 10.0  # seconds in which failures are counted together
 THRESHOLD = 3  # the failure that opens
 TOLERATED = 0.25  # failures for each success in the window that do not open yet
 OPEN_FOR = 1.5  # seconds an opened row stays open: long parks fill the holding room (1 to 2 measured alike)
 DARK = 3.0  # seconds of refusals with no call taken after which a destination counts as shut
-# Spacing.
 SLOWER = 1.5  # each further refusal stretches the gap between calls by this
 RECOVER = 0.25  # of a refusal's step is taken back by each call that succeeds
 COLD_MARGIN = 0.7  # part of the fail-back budget that is used: the capacity behind it is an estimate
 ROUGH = 1.5  # a rough listed rate may be this many times too high
 UNKNOWN_RATE = 2.0  # calls a second taken for a destination that tells no rate
 ITEM_WEIGHT = 0.25  # what each further message of a shared call weighs against the fail-back budget
-# Silence.
 OVERDUE = 4.0  # a call is overdue after this many usual times
 OVERDUE_REST = 0.5  # and these seconds, so that jitter on quick calls does not count
 PATIENCE = 3.0  # a repeatable call is given up after this many times the overdue time
 LEARN = 0.1  # weight of a new call in the usual time
 FIRST_USUAL = 0.2  # share of a class's aim taken for its usual time before any call was seen
-# Stale connections.
 STALE = 3.0  # this many calls lost on idle connections: those idle as long are closed before a call
 STALE_BACK = 0.4  # of a lost call is made good by one that succeeded on an idle connection
 IDLE_PART = 0.1  # of the keep-alive time; a connection idle for less says nothing
-# Room.
 SLOT_PART = 3  # a destination holds at most one part in so many of the slots, two at least
-SPARE_ROOM = 1  # messages short of the holding limit at which the module starts to choose what to refuse
-SHARE_BURST = 2.0  # seconds of a tenant's share that may come at once and still count in full
 RESUBSCRIBE = 0.2  # seconds before the first renewed subscription after a failure; doubles
-LOG_EVERY = 5.0  # seconds between two log lines of one destination
-MOMENT = 1e-4  # later than a told wait by this, so that no rounding sends early
 
 NEVER = float("inf")
 MAY_RUN_ON = frozenset((Outcome.TIMEOUT, Outcome.RESET, Outcome.CANCELLED))
 NOT_RUN = frozenset((Outcome.FULL, Outcome.CONNECT_FAILED, Outcome.NOT_SENT))
 UNKNOWN_KIND = api.DestinationKind("unknown")
-FAILURES = frozenset(Outcome) - {Outcome.OK, Outcome.CANCELLED, Outcome.NOT_SENT}
 
 
 @dataclass(slots=True, eq=False)
@@ -76,10 +64,8 @@
     address: api.Address
     calls: int = 0
     connections: int = 0  # believed open
-    used: float = 0.0
-    all_used: float = 0.0  # when the last of its connections was in use
+    all_used: float = 0.0  # when all of its connections were last in use
     failed: bool = False  # its last outcome was a failure
-    crowded: float = 0.0  # until when its connection table is taken for full
 
 
 @dataclass(slots=True, eq=False)
@@ -91,16 +77,15 @@
     listed: float = 0.0
     limit: float = 0.0  # calls a second, as it reports them
     routes: dict[api.Address, _Route] = field(default_factory=dict)
-    fresh: "list[tuple[bool, float, int, _Message]]" = field(default_factory=list)  # by end of the aim
-    late: "list[tuple[bool, float, float, int, _Message]]" = field(default_factory=list)  # newest first
+    fresh: "list[tuple[float, int, _Message]]" = field(default_factory=list)  # by end of the aim
+    late: "list[tuple[float, float, int, _Message]]" = field(default_factory=list)  # by worth, newest first
     usual: dict[int, float] = field(default_factory=dict)
     calls: int = 0
     ok_sent: float = -NEVER  # when the newest call that succeeded was sent
-    logged: float = -NEVER
 
     def waiting(self) -> "list[_Message]":
         """The messages in line, the most pressing ones first, if not quite in order."""
-        line = [entry[3] for entry in self.fresh] + [entry[4] for entry in self.late]
+        line = [entry[2] for entry in self.fresh] + [entry[3] for entry in self.late]
         return [message for message in line if not message.over and message.call is None]
 
 
@@ -110,37 +95,30 @@
 
     destination: _Destination
     route: _Route
-    row_key: object
     sent: float
     lost_at: float = NEVER  # when a repeatable message's time-out comes
     idle: float = 0.0  # how long the connection may have been idle
     left: int = 0
     messages: "list[_Message]" = field(default_factory=list)
-    judged: bool = False  # its failure is counted already
-    started: bool = False
+    judged: bool = False  # its outcome is counted already
 
 
+@dataclass(slots=True, eq=False)
 class _Message:
     """A message that is owed its final answer, or that still has an attempt out."""
 
-    __slots__ = ("aim_at", "attempts", "call", "destination", "due", "id", "index", "key", "kind",
-                 "maybe_ran", "over", "over_share", "rest_until")
-
-    def __init__(self, event: api.MessageReceived, kind: api.MessageClass) -> None:
-        self.id = event.message
-        self.index = event.message_class
-        self.kind = kind
-        self.destination = event.destination
-        self.due = event.due
-        self.aim_at = min(event.due, event.due - kind.deadline + kind.aim
-                          + kind.aim_stretch * (event.work_hint or 0.0))
-        self.key = event.key if kind.ordered else None
-        self.over_share = False
-        self.attempts = 0
-        self.maybe_ran: float | None = None  # when the first attempt that may have run was sent
-        self.rest_until = 0.0  # order: when the last attempt that may run on has surely ended
-        self.call: _Call | None = None
-        self.over = False
+    id: int
+    index: int  # of its class
+    kind: api.MessageClass
+    destination: int
+    due: float
+    aim_at: float
+    key: int | None
+    attempts: int = 0
+    maybe_ran: float | None = None  # when the first attempt that may have run was sent
+    rest_until: float = 0.0  # order: when the last attempt that may run on has surely ended
+    call: "_Call | None" = None
+    over: bool = False
 
 
 class Sender:
@@ -166,7 +144,6 @@
         self._sequence = 0
         self._keys: dict[int, deque[_Message]] = {}
         self._resting: list[tuple[float, int]] = []
-        self._shares = [(0.0, 0.0)] * len(settings.tenants)
         self._subscribe_at = 0.0 if settings.discovery_on_request else NEVER
         self._failed_asks = 0
         self._wake = NEVER
@@ -185,8 +162,8 @@
                     self._updated(event)
                 case api.StreamStarted():
                     message = self._messages.get(event.message)
-                    if message is not None and message.call is not None:
-                        message.call.started = True
+                    if message is not None and message.call is not None:  # answered: neither silent nor stuck
+                        message.call.judged, message.call.destination.ok_sent = True, now
                 case api.MessageWithdrawn():
                     message = self._messages.get(event.message)
                     if message is not None and not message.over:
@@ -207,8 +184,7 @@
 
     def _failure(self, key: object, destination: _Destination, reason: Outcome | None) -> None:
         """Count a refusal or an error; the third within the window opens the row."""
-        now = self._now
-        row = self._rows.setdefault(key, _Row())
+        now, row = self._now, self._rows.setdefault(key, _Row())
         if now < row.open_until:
             return  # landing while open: neither counts nor extends
         if now >= row.window_end:
@@ -221,10 +197,8 @@
             if reason not in NOT_RUN:
                 row.cold, row.back = True, NEVER
             self._open(row, destination, now + OPEN_FOR)
-            if now >= destination.logged + LOG_EVERY:
-                destination.logged = now
-                self._out.append(api.Log(f"destination {destination.number}: open for {OPEN_FOR:g} s, "
-                                     f"last failure: {reason.name if reason else 'silence'}"))
+            why = reason.name if reason else "SILENCE"
+            self._out.append(api.Log(f"destination {destination.number} open for {OPEN_FOR:g} s after {why}"))
 
     def _open(self, row: _Row, destination: _Destination, until: float) -> None:
         """Move the open-until time; messages that cannot wait for it are given up at once."""
@@ -241,8 +215,7 @@
         row = self._rows.get(key)
         if row is None:
             return
-        row.served += 1
-        row.dark = NEVER
+        row.served, row.dark = row.served + 1, NEVER
         if row.cold and self._now >= row.open_until:
             row.back = min(row.back, self._now)
         if row.strikes:
@@ -254,19 +227,17 @@
         row = self._rows.get(key)
         if row is None:
             return 0.0
-        now = self._now
-        if row.cold and now >= row.back + self._set.cold_seconds:
-            row.cold = False
-        counting = now < row.window_end or row.dark < NEVER
-        if not (now < row.open_until or row.cold or row.strikes or counting):
+        row.cold = row.cold and self._now < row.back + self._set.cold_seconds
+        lapsed = self._now >= max(row.open_until, row.window_end) and row.dark == NEVER
+        if lapsed and not row.cold and not row.strikes:
             del self._rows[key]
             return 0.0
         return max(row.open_until, row.next_at if row.cold or row.strikes else 0.0)
 
     def _first_gate(self, destination: _Destination) -> float:
         """The earliest time at which a call may go to any route of a destination."""
-        routes = destination.routes.values()
-        return min((self._gate(self._row_key(destination, route)) for route in routes), default=NEVER)
+        keys = [self._row_key(destination, route) for route in destination.routes.values()]
+        return min((self._gate(key) for key in keys), default=NEVER)
 
     def _rate(self, destination: _Destination) -> float:
         """Calls a second that the destination takes from all senders: as it reports, else as listed."""
@@ -277,14 +248,10 @@
         row = self._rows.get(key)
         if row is None or not (row.cold or row.strikes):
             return
-        rate = self._rate(destination)
-        gap = 0.0
-        if row.strikes:
-            gap = SLOWER ** max(0.0, row.strikes - 1.0) / rate
+        rate, rules = self._rate(destination), self._set
+        gap = SLOWER ** max(0.0, row.strikes - 1.0) / rate if row.strikes else 0.0
         if row.cold:
-            rules = self._set
-            if rules.rates_are_rough and not destination.limit:
-                rate /= ROUGH
+            rate /= ROUGH if rules.rates_are_rough and not destination.limit else 1.0
             warm = max(0.0, self._now - row.back) / rules.cold_seconds if rules.cold_seconds else 1.0
             share = rules.cold_start_share + (1.0 - rules.cold_start_share) * min(1.0, warm)
             budget = rate * share * rules.tip_multiple * COLD_MARGIN / rules.senders
@@ -294,35 +261,24 @@
     # ---- messages ----
 
     def _received(self, event: api.MessageReceived) -> None:
-        message = _Message(event, self._set.classes[event.message_class])
-        self._messages[message.id] = message
+        kind = self._set.classes[event.message_class]
+        aim = kind.aim + kind.aim_stretch * (event.work_hint or 0.0)
+        message = self._messages[event.message] = _Message(
+            event.message, event.message_class, kind, event.destination, event.due,
+            min(event.due, event.due - kind.deadline + aim), event.key if kind.ordered else None)
         self._held += 1
-        message.over_share = self._beyond_share(event.tenant)
-        if message.key is not None:
-            line = self._keys.setdefault(message.key, deque())
-            line.append(message)
+        line = deque() if message.key is None else self._keys.setdefault(message.key, deque())
+        line.append(message)
         heappush(self._expiry, (self._latest_start(message), message.id))
-        if message.key is None or self._keys[message.key][0] is message:
+        if line[0] is message:
             self._queue(message)
-        if not message.over and self._held > self._set.max_held - SPARE_ROOM:
+        if not message.over and self._held >= self._set.max_held:
             self._make_room()
 
-    def _beyond_share(self, tenant: int) -> bool:
-        """Whether a tenant's message comes on top of this sender's part of its share."""
-        if tenant >= len(self._shares):
-            return False
-        rate = self._set.tenants[tenant].rate / self._set.senders
-        level, at = self._shares[tenant]
-        level = max(0.0, level - (self._now - at) * rate)
-        beyond = level + 1.0 > rate * SHARE_BURST + 1.0
-        self._shares[tenant] = (level if beyond else level + 1.0, self._now)
-        return beyond
-
     def _usual(self, message: _Message) -> float:
         """How long a call of this class takes at this destination."""
-        destination = self._destinations.get(message.destination)
-        first = message.kind.aim * FIRST_USUAL
-        return destination.usual.get(message.index, first) if destination else first
+        usual = self._destination(message.destination).usual
+        return usual.get(message.index, message.kind.aim * FIRST_USUAL)
 
     def _latest_start(self, message: _Message) -> float:
         """The last time at which a further attempt is allowed and a usual call still fits."""
@@ -340,23 +296,21 @@
         elif not self._refuse_if_parked_too_long(message):
             destination = self._destination(message.destination)
             self._sequence += 1
-            heappush(destination.fresh, (message.over_share, message.aim_at, self._sequence, message))
+            heappush(destination.fresh, (message.aim_at, self._sequence, message))
             self._waiting[destination.number] = None
 
     def _refuse_if_parked_too_long(self, message: _Message) -> bool:
-        if message.over or message.call is not None:
-            return False
         close = self._close(message)
-        if close > self._now and close > self._latest_start(message):
+        too_long = close > self._now and close > self._latest_start(message)
+        if too_long and not message.over:
             self._give_up(message)
-            return True
-        return False
+        return too_long
 
     def _close(self, message: _Message) -> float:
-        """When the first of the message's routes is no longer open."""
+        """When the first of the message's routes closes again; no endpoint yet is no reason to refuse."""
         destination = self._destination(message.destination)
-        rows = [self._rows.get(self._row_key(destination, route)) for route in destination.routes.values()]
-        return min((row.open_until if row else 0.0 for row in rows), default=0.0)
+        keys = [self._row_key(destination, route) for route in destination.routes.values()]
+        return min((self._rows[key].open_until if key in self._rows else 0.0 for key in keys), default=0.0)
 
     def _give_up(self, message: _Message) -> None:
         """The final answer, at once, for a message that will not be sent again: a refusal where allowed."""
@@ -365,10 +319,9 @@
             kind.effect is Effect.KEYED and kind.dedup_scope is api.DedupScope.DESTINATION
             and self._now < ran + kind.dedup_window)
         if harmless:
-            wait = self._close(message) - self._now
+            wait = min(self._close(message) - self._now, self._set.max_retry_after)
             advised = self._set.advises_retry_after and wait > 0.0
-            advice = min(wait, self._set.max_retry_after) if advised else None
-            self._out.append(api.Refuse(message.id, advice))
+            self._out.append(api.Refuse(message.id, wait if advised else None))
         else:
             self._out.append(api.Fail(message.id))
         self._finish(message)
@@ -404,36 +357,32 @@
     def _make_room(self) -> None:
         """At the holding limit, refuse the unsent message with least at stake before one is turned away."""
         unsent = [m for m in self._messages.values() if not m.over and m.call is None]
+        waits = dict.fromkeys((m.destination for m in unsent), NEVER)
+        for destination in (self._destinations[number] for number in self._waiting):
+            calls = (len(destination.fresh) + len(destination.late)) / destination.kind.max_batch
+            wait = max(0.0, self._first_gate(destination) - self._now)
+            waits[destination.number] = wait + calls / self._rate(destination)
         if unsent:
-            waits = {number: self._wait(self._destinations[number]) for number in self._waiting}
-            self._give_up(max(unsent, key=lambda m: (
-                m.over_share, waits.get(m.destination, NEVER), -m.kind.worth, m.aim_at, m.id)))
-
-    def _wait(self, destination: _Destination) -> float:
-        """How long the last in line at a destination may have to wait."""
-        line = len(destination.fresh) + len(destination.late)
-        calls = line / destination.kind.max_batch
-        return max(0.0, self._first_gate(destination) - self._now) + calls / self._rate(destination)
+            self._give_up(max(unsent, key=lambda m: (waits[m.destination], -m.kind.worth, m.aim_at, m.id)))
 
     def _expire(self) -> None:
         """Give up messages for which a usual call no longer fits."""
         while self._expiry and self._expiry[0][0] < self._now:
             message = self._messages.get(heappop(self._expiry)[1])
-            if message is None or message.over or message.call is not None:
-                continue
-            latest = self._latest_start(message)
-            if latest < self._now:
-                self._give_up(message)
-            else:
-                heappush(self._expiry, (latest, message.id))
+            if message is not None and not message.over and message.call is None:
+                latest = self._latest_start(message)
+                if latest < self._now:
+                    self._give_up(message)
+                else:
+                    heappush(self._expiry, (latest, message.id))
 
     # ---- outcomes ----
 
     def _ended(self, event: api.AttemptEnded) -> None:
         message = self._messages.get(event.message)
-        call = message.call if message is not None else None
-        if message is None or call is None or event.attempt != message.attempts - 1:
+        if message is None or message.call is None or event.attempt != message.attempts - 1:
             return
+        call = message.call
         outcome, destination = event.outcome, call.destination
         if outcome not in NOT_RUN and message.maybe_ran is None:
             message.maybe_ran = call.sent
@@ -444,10 +393,6 @@
             self._calls -= 1
             destination.calls -= 1
             call.route.calls -= 1
-            if self._now < call.route.crowded and outcome is Outcome.OK and destination.number not in self._waiting:
-                # Guards against idle connections of all senders filling a destination's table.
-                self._out.append(api.CloseIdle(call.route.address))
-                call.route.connections = -(-call.route.calls // self._set.calls_per_connection)
         self._learn(message, call, event)
         message.call = None
         if outcome in MAY_RUN_ON:
@@ -462,13 +407,12 @@
 
     def _learn(self, message: _Message, call: _Call, event: api.AttemptEnded) -> None:
         """What an outcome shows of its destination. A shared call has one fate and counts once."""
-        destination, outcome, now = call.destination, event.outcome, self._now
-        route = call.route
-        if "x1" in self._set.report_fields and event.report:
+        destination, route, outcome, now = call.destination, call.route, event.outcome, self._now
+        key = self._row_key(destination, route)
+        if event.report and "x1" in self._set.report_fields:
             destination.limit = max(0.0, event.report[self._set.report_fields.index("x1")])
         if outcome is Outcome.OK:
             route.failed = False
-            route.used = now
             destination.ok_sent = max(destination.ok_sent, call.sent)
             usual = destination.usual.get(message.index, event.elapsed)
             destination.usual[message.index] = usual + LEARN * (event.elapsed - usual)
@@ -477,21 +421,18 @@
             if outcome in (Outcome.OK, Outcome.RESET):
                 self._judge_idle(call, -STALE_BACK if outcome is Outcome.OK else 1.0)
             if outcome is Outcome.OK:
-                self._success(call.row_key, destination)
-            elif outcome in FAILURES:
+                self._success(key, destination)
+            elif outcome not in (Outcome.CANCELLED, Outcome.NOT_SENT):
                 route.failed = outcome is not Outcome.FULL
-                if outcome is Outcome.CONNECT_FAILED:
-                    route.connections = max(route.calls, route.connections - 1)
-                    route.crowded = now + self._set.keepalive
                 if outcome in NOT_RUN:
-                    row = self._rows.setdefault(call.row_key, _Row())
+                    row = self._rows.setdefault(key, _Row())
                     row.dark = min(row.dark, now)
                     row.strikes += outcome is Outcome.FULL
-                self._failure(call.row_key, destination, outcome)
-                self._space(call.row_key, destination, 1)
+                self._failure(key, destination, outcome)
+                self._space(key, destination, 1)
         if event.retry_after:
-            row = self._rows.setdefault(call.row_key, _Row())
-            self._open(row, destination, now + event.retry_after + MOMENT)
+            row = self._rows.setdefault(key, _Row())
+            self._open(row, destination, now + event.retry_after + self._set.tick)
 
     def _judge_idle(self, call: _Call, weight: float) -> None:
         """Learn after how long something on the path drops idle connections: the next call there is lost.
@@ -507,20 +448,17 @@
     def _look_for_silence(self) -> None:
         """A call long overdue counts as a failure before it ends, unless the destination answered since.
 
-        Guards against silence (hung, vanished), which would hold slots until time-outs. A few very slow
-        messages do not count while calls sent after them succeed.
+        Guards against silence (hung, vanished); a few very slow messages do not count where others go well.
         """
         while self._overdue and self._overdue[0][0] <= self._now:
             call = heappop(self._overdue)[2]
-            if not call.left or call.started:
-                continue
-            self._stuck.append(call)
-            answers = call.destination.ok_sent > call.sent
-            self._judge_idle(call, 1.0 if answers else STALE_BACK)
-            if not answers and not call.judged:
-                call.judged = True
-                call.route.failed = True
-                self._failure(call.row_key, call.destination, None)
+            if call.left:
+                self._stuck.append(call)
+                answers = call.destination.ok_sent > call.sent
+                self._judge_idle(call, 1.0 if answers else STALE_BACK)
+                if not answers and not call.judged:
+                    call.judged = call.route.failed = True
+                    self._failure(self._row_key(call.destination, call.route), call.destination, None)
 
     # ---- the endpoint list ----
 
@@ -532,17 +470,14 @@
 
     def _updated(self, event: api.EndpointsUpdated) -> None:
         if event.scope is api.UpdateScope.FAILED:
-            wait = RESUBSCRIBE * 2.0 ** min(self._failed_asks, 4) * self._random.uniform(1.0, 1.5)
-            if self._set.ask_within:
-                wait = min(wait, self._set.ask_within / 2.0)
-            self._failed_asks += 1
-            self._subscribe_at = self._now + wait if self._set.discovery_on_request else NEVER
+            if self._set.discovery_on_request:
+                wait = RESUBSCRIBE * 2.0 ** min(self._failed_asks, 4) * self._random.uniform(1.0, 1.5)
+                self._subscribe_at = self._now + min(wait, (self._set.ask_within or NEVER) / 2.0)
+                self._failed_asks += 1
             return
-        if event.scope is not api.UpdateScope.CACHED:
-            self._failed_asks = 0
+        self._failed_asks = 0
         if event.scope is not api.UpdateScope.DELTA:
-            named = {endpoint.address for endpoint in event.endpoints}
-            for address in [address for address in self._where if address not in named]:
+            for address in set(self._where) - {endpoint.address for endpoint in event.endpoints}:
                 self._remove(address)
         for endpoint in event.endpoints:
             if endpoint.state is not api.EndpointState.READY:
@@ -551,49 +486,41 @@
             destination = self._destination(endpoint.destination)
             if endpoint.kind < len(self._set.kinds):
                 destination.kind = self._set.kinds[endpoint.kind]
-            if self._set.listed_rates:
-                destination.listed = endpoint.rate
+            destination.listed = endpoint.rate if self._set.listed_rates else 0.0
             if endpoint.address not in destination.routes:
                 destination.routes[endpoint.address] = _Route(endpoint.address)
                 self._where[endpoint.address] = endpoint.destination
 
     def _remove(self, address: api.Address) -> None:
         """Draining or gone: nothing new goes there from this turn on."""
-        number = self._where.pop(address, None)
-        if number is not None:
-            self._destinations[number].routes.pop(address, None)
+        if address in self._where:
+            del self._destinations[self._where.pop(address)].routes[address]
 
     # ---- sending ----
 
     def _dispatch(self) -> float:
         """Send what may go, the most pressing first; returns when to look again."""
         wake = NEVER
-        order: list[tuple[tuple[bool, bool, float], int]] = []
+        order: list[tuple[tuple[bool, float], int]] = []
         for number in list(self._waiting):
             destination = self._destinations[number]
-            head = self._head(destination)
+            head, gate = self._head(destination), self._first_gate(destination)
             if head is None:
                 del self._waiting[number]
-                continue
-            gate = self._first_gate(destination)
-            if gate > self._now:
+            elif gate > self._now:
                 wake = min(wake, gate)
             else:
-                order.append((head, number))
-        heapify(order)
+                heappush(order, (head, number))
         most = max(2, self._set.max_calls // SLOT_PART)
         while order and self._calls < self._set.max_calls:
-            number = heappop(order)[1]
-            destination = self._destinations[number]
+            destination = self._destinations[heappop(order)[1]]
             if destination.calls >= most:
                 continue
-            gate = self._send(destination)
+            gate, head = self._send(destination), self._head(destination)
             if gate > self._now:
                 wake = min(wake, gate)
-                continue
-            head = self._head(destination)
-            if head is not None:
-                heappush(order, (head, number))
+            elif head is not None:
+                heappush(order, (head, destination.number))
         if order and self._calls >= self._set.max_calls:
             self._free_slots(len(order))
         return wake
@@ -601,8 +528,8 @@
     def _free_slots(self, wanted: int) -> None:
         """Cut calls that are stuck at silent destinations when others need their slots.
 
-        Guards against slots filling up with calls that wait for their deadline, unsafe ones above all: such a
-        call is probably lost, and its slot serves many. Could lose a message whose answer was still to come.
+        Guards against slots full of calls that wait for their deadline, unsafe ones above all: such a call is
+        probably lost, and its slot serves many. Could lose a message whose answer was still to come.
         """
         self._stuck = [call for call in self._stuck if call.left]
         for call in self._stuck if self._set.may_cancel else ():
@@ -612,42 +539,35 @@
                     if message.call is call:
                         self._out.append(api.Cancel(message.id, message.attempts - 1))
 
-    def _cost(self, destination: _Destination, message: _Message) -> float:
-        """Slot time for each unit of worth."""
-        size = min(destination.kind.max_batch, len(destination.fresh) + len(destination.late))
-        return self._usual(message) / (size * message.kind.worth)
-
-    def _head(self, destination: _Destination) -> tuple[bool, bool, float] | None:
-        """How pressing the destination's first waiting message is; one past its aim goes to the late line."""
-        now, fresh, late = self._now, destination.fresh, destination.late
+    def _head(self, destination: _Destination) -> tuple[bool, float] | None:
+        """The rank of the next call: in time before late, then by slot time for each unit of worth."""
+        fresh, late = destination.fresh, destination.late
+        size = min(destination.kind.max_batch, len(fresh) + len(late))
         while fresh:
-            beyond, aim_at, sequence, message = fresh[0]
-            if message.over or message.call is not None:
-                heappop(fresh)
-            elif now + self._usual(message) > aim_at:
-                heappop(fresh)
-                heappush(late, (beyond, -message.kind.worth, -aim_at, sequence, message))
-            else:
-                return beyond, False, self._cost(destination, message)
+            aim_at, sequence, message = fresh[0]
+            in_line = not message.over and message.call is None
+            if in_line and self._now + self._usual(message) <= aim_at:
+                return False, self._usual(message) / (size * message.kind.worth)
+            heappop(fresh)
+            if in_line:
+                heappush(late, (-message.kind.worth, -aim_at, sequence, message))
         while late:
-            message = late[0][-1]
+            message = late[0][3]
             if not message.over and message.call is None:
-                return late[0][0], True, self._cost(destination, message)
+                return True, self._usual(message) / (size * message.kind.worth)
             heappop(late)
         return None
 
     def _send(self, destination: _Destination) -> float:
         """Make one call; returns when the next may go, or now if it may go at once."""
-        now = self._now
+        now, per = self._now, self._set.calls_per_connection
         routes = [r for r in destination.routes.values() if self._gate(self._row_key(destination, r)) <= now]
-        if not routes:
-            return self._first_gate(destination)
         route = min(routes, key=lambda r: (r.failed, r.calls + (0.0 if self._connected(r) else 0.75)))
         key = self._row_key(destination, route)
         row = self._rows.get(key)
         unproven = row is not None and row.cold and row.back == NEVER
         size = 1 if unproven else destination.kind.max_batch
-        call, per = _Call(destination, route, key, now), self._set.calls_per_connection
+        call = _Call(destination, route, now)
         if not self._connected(route):
             route.connections += 1
         elif self._stale >= STALE and now - route.all_used >= self._idle_limit:
@@ -673,18 +593,17 @@
             patient = message.kind.effect is Effect.UNSAFE or message.kind.streamed
             give_up = None if patient else min(message.due, now + silent * PATIENCE)
             self._out.append(api.Send(message.id, route.address, give_up))
-        route.used = now
         destination.calls += 1
         self._calls += 1
         self._sequence += 1
         call.lost_at = now + overdue * PATIENCE
         heappush(self._overdue, (now + overdue, self._sequence, call))
         self._space(key, destination, call.left)
-        return self._gate(key)
+        return self._first_gate(destination)
 
     def _connected(self, route: _Route) -> bool:
         """Whether a connection is believed free there: a new one costs time and has a price."""
-        if self._now - route.used > self._set.keepalive:
+        if self._now - route.all_used > self._set.keepalive:
             route.connections = -(-route.calls // self._set.calls_per_connection)
         return route.calls < route.connections * self._set.calls_per_connection
 
@@ -696,7 +615,7 @@
             for message in destination.waiting():
                 if message.kind.effect is not Effect.UNSAFE:
                     return message
-        return heappop(destination.fresh)[3] if destination.fresh else heappop(destination.late)[4]
+        return heappop(destination.fresh)[-1] if destination.fresh else heappop(destination.late)[-1]
 
     def _set_timer(self, wake: float) -> None:
         for line, late in ((self._overdue, 0.0), (self._resting, 0.0), (self._expiry, self._set.tick)):
