Lapse the spacing as soon as nothing waits; behaviour and host tests

Found by a test of the design's line: a destination counted as waiting until the next turn, so the spacing could outlast its reason.

--- a/irisstack/choice.py
+++ b/irisstack/choice.py
@@ -503,28 +503,28 @@
         wake = NEVER
         order: list[tuple[tuple[bool, float], int]] = []
         for number in list(self._waiting):
-            destination = self._destinations[number]
-            head, gate = self._head(destination), self._first_gate(destination)
-            if head is None:
-                del self._waiting[number]
-            elif gate > self._now:
-                wake = min(wake, gate)
-            else:
-                heappush(order, (head, number))
+            wake = min(wake, self._line_up(order, self._destinations[number]))
         most = max(2, self._set.max_calls // SLOT_PART)
         while order and self._calls < self._set.max_calls:
             destination = self._destinations[heappop(order)[1]]
-            if destination.calls >= most:
-                continue
-            gate, head = self._send(destination), self._head(destination)
-            if gate > self._now:
-                wake = min(wake, gate)
-            elif head is not None:
-                heappush(order, (head, destination.number))
+            if destination.calls < most:
+                self._send(destination)
+                wake = min(wake, self._line_up(order, destination))
         if order and self._calls >= self._set.max_calls:
             self._free_slots(len(order))
         return wake
 
+    def _line_up(self, order: list[tuple[tuple[bool, float], int]], destination: _Destination) -> float:
+        """Rank a destination's next call; returns when it may go, if that is later."""
+        head, gate = self._head(destination), self._first_gate(destination)
+        if head is None:
+            del self._waiting[destination.number]
+        elif gate > self._now:
+            return gate
+        else:
+            heappush(order, (head, destination.number))
+        return NEVER
+
     def _free_slots(self, wanted: int) -> None:
         """Cut calls that are stuck at silent destinations when others need their slots.
 
@@ -558,8 +558,8 @@
             heappop(late)
         return None
 
-    def _send(self, destination: _Destination) -> float:
-        """Make one call; returns when the next may go, or now if it may go at once."""
+    def _send(self, destination: _Destination) -> None:
+        """Make one call."""
         now, per = self._now, self._set.calls_per_connection
         routes = [r for r in destination.routes.values() if self._gate(self._row_key(destination, r)) <= now]
         route = min(routes, key=lambda r: (r.failed, r.calls + (0.0 if self._connected(r) else 0.75)))
@@ -599,7 +599,6 @@
         call.lost_at = now + overdue * PATIENCE
         heappush(self._overdue, (now + overdue, self._sequence, call))
         self._space(key, destination, call.left)
-        return self._first_gate(destination)
 
     def _connected(self, route: _Route) -> bool:
         """Whether a connection is believed free there: a new one costs time and has a price."""
--- a/tests/support.py
+++ b/tests/support.py
@@ -47,7 +47,9 @@
         self.where: dict[int, api.Address] = {}
         self.sent_at: dict[int, float] = {}
         self.timers: list[tuple[float, int]] = []
-        self.last: list[api.Action] = []
+        self.subscribed: list[float] = []
+        self.closed_idle: list[tuple[float, api.Address]] = []
+        self.cancelled: list[tuple[float, int]] = []
         self.turn(0.0, api.EndpointsUpdated(api.UpdateScope.CACHED, 1, endpoints or (endpoint(1),)))
 
     def turn(self, now: float, *events: api.Event) -> list[api.Action]:
@@ -60,8 +62,8 @@
 
     def _turn(self, now: float, events: Iterable[api.Event]) -> list[api.Action]:
         self.now = now
-        self.last = self.sender.turn(now, events)
-        for act in self.last:
+        actions = self.sender.turn(now, events)
+        for act in actions:
             match act:
                 case api.Send(message, to):
                     self.sends.append((now, act))
@@ -71,9 +73,15 @@
                     self.refused[message] = act
                 case api.Fail(message):
                     self.failed.add(message)
+                case api.Cancel(message):
+                    self.cancelled.append((now, message))
+                case api.CloseIdle(to):
+                    self.closed_idle.append((now, to))
+                case api.Subscribe(True):
+                    self.subscribed.append(now)
                 case api.SetTimer(delay, token):
                     self.timers.append((now + max(delay, 0.005), token))
-        return self.last
+        return actions
 
     def message(self, number: int, at: float, index: int = SAFE_INDEX, destination: int = 1,
                 key: int | None = None, due: float | None = None) -> list[api.Action]:
--- a/tests/test_codec.py
+++ b/tests/test_codec.py
@@ -44,7 +44,8 @@
 
 def test_the_wire_pages_own_batch() -> None:
     payload = wire("""4020d3126e978d50 00000003 0000000c
-        03 0000002a 00000003 5d3a91c4 00 00000000 91f03b7c55d20a64 40214df3b645a1cb 3f889374bc6a7efa 42640000 01
+        03 0000002a 00000003 5d3a91c4 00 00000000 91f03b7c55d20a64
+           40214df3b645a1cb 3f889374bc6a7efa 42640000 01
         07 0000000c 00000003 000000000000004d
         06 00000008 00000005 0e6f2b19""")
     decoded = codec.Decoder().batch(payload)
@@ -60,7 +61,8 @@
 
 
 def test_the_flags_of_a_message() -> None:
-    head = "03 0000002a 00000003 00000009 01 00000002 0000000000000000 4024000000000000 0000000000000000 3f800000"
+    head = ("03 0000002a 00000003 00000009 01 00000002 0000000000000000 4024000000000000"
+            "0000000000000000 3f800000")
     (_, message), = decode(wire(head + "16"))
     assert message == api.MessageReceived(9, 1, 1, 10.0, 2, None, None, is_retry=True, from_dead_sender=True,
                                           is_write=True)
@@ -88,7 +90,8 @@
 
 def test_a_reused_list_number_means_the_list_named_last() -> None:
     def one(host: int) -> bytes:
-        return wire(f"0b 0000001e 0000 00000001 0a0000{host:02x} 0001 00 00 0000000000000000 3f800000 0000 0001")
+        return wire(f"0b 0000001e 0000 00000001 0a0000{host:02x} 0001 00 00"
+                    "0000000000000000 3f800000 0000 0001")
     update = wire("02 0000000f 00000001 00 0000000000000001 0000")
     (_, first), (_, second) = decode(one(1), update, one(2), update)
     assert first.endpoints[0].address == (bytes([10, 0, 0, 1]), 1)
@@ -102,7 +105,8 @@
 
 def test_an_outcome_with_a_wait_and_a_report() -> None:
     (_, ended), = decode(wire(
-        f"05 00000027 00000003 00000007 {HERE_HEX} 02 3fe0000000000000 01 000005dc 0002 02 3f000000 40a00000"))
+        f"05 00000027 00000003 00000007 {HERE_HEX} 02 3fe0000000000000 01 000005dc 0002"
+        "02 3f000000 40a00000"))
     assert ended == api.AttemptEnded(7, HERE, 2, 0.5, True, api.Outcome.FULL, 1.5, False, (0.5, 5.0))
 
 
@@ -131,7 +135,8 @@
     assert (instance, started.seed) == (4, 255)
     assert stop == (4, codec.PowerOff())
     assert started.settings == api.Settings(
-        classes=(api.MessageClass("a", api.Effect.KEYED, 1.5, 9.0, 3.0, 0.25, api.DedupScope.ZONE, 4.0, True),),
+        classes=(api.MessageClass("a", api.Effect.KEYED, 1.5, 9.0, 3.0, 0.25, api.DedupScope.ZONE, 4.0,
+                                  ordered=True),),
         kinds=(api.DestinationKind("one", 7, True), api.DestinationKind("two", 1, False)),
         tenants=(api.Tenant("t", 5.0, 0.5),), zones=("z0",), senders=3, ordinal=2, max_calls=11, max_held=50,
         max_attempts=5, may_cancel=True, may_duplicate=True, may_probe=True, may_tell_peers=True,
@@ -202,8 +207,9 @@
     bare = {"allowed": {"attemptsCap": 3, "mostHeld": 9}, "extra": {"maxCalls": 2},
             "lanes": [{"name": "a", "repeat": "read_like", "slo": 1.0, "hardLimit": 2.0}]}
     read = codec.settings(json.dumps(bare).encode())
-    assert not (read.may_cancel or read.may_duplicate or read.may_probe or read.may_tell_peers)
-    assert not (read.advises_retry_after or read.discovery_on_request or read.listed_rates)
+    permissions = (read.may_cancel, read.may_duplicate, read.may_probe, read.may_tell_peers,
+                   read.advises_retry_after, read.discovery_on_request, read.listed_rates)
+    assert not any(permissions)
     assert (read.tenants, read.kinds, read.report_fields) == ((), (), ())
     assert (read.ask_within, read.order_pause, read.calls_per_connection) == (None, 0.0, 1)
     assert not read.classes[0].ordered
--- a/tests/test_module_limits.py
+++ b/tests/test_module_limits.py
@@ -6,7 +6,8 @@
 MODULE = Path(__file__).resolve().parent.parent / "irisstack" / "choice.py"
 LINES = 560
 COLUMNS = 110
-PURE = {"collections", "collections.abc", "dataclasses", "heapq", "irisstack", "irisstack.interface", "math", "random"}
+PURE = {"collections", "collections.abc", "dataclasses", "heapq", "irisstack",
+        "irisstack.interface", "random"}
 
 
 def test_size() -> None:
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -39,8 +39,9 @@
         self.rest: dict[int, float] = {}
         self.limits: dict[int, float] = {}
         self.timers: list[tuple[float, int]] = []
-        self.turn(api.EndpointsUpdated(api.UpdateScope.CACHED, 1, tuple(
-            endpoint(number, owner, kind=owner - 1) for owner, numbers in ENDPOINTS.items() for number in numbers)))
+        listed = tuple(endpoint(number, owner, kind=owner - 1)
+                       for owner, numbers in ENDPOINTS.items() for number in numbers)
+        self.turn(api.EndpointsUpdated(api.UpdateScope.CACHED, 1, listed))
 
     def turn(self, *events: api.Event) -> None:
         waits = dict(self.told)
@@ -109,7 +110,8 @@
             self.told[owner] = max(self.told.get(owner, 0.0), self.now + told)
         if outcome is api.Outcome.OK:
             self.over.add(number)
-        self.turn(api.AttemptEnded(number, where, attempt, self.now - sent, number in self.over, outcome, told))
+        over = number in self.over
+        self.turn(api.AttemptEnded(number, where, attempt, self.now - sent, over, outcome, told))
 
     def pass_time(self, seconds: float) -> None:
         """Let time pass: time-outs and timers come when they are due, in the order that the wire gives."""
