--- /dev/null
+++ b/tests/test_found.py
@@ -0,0 +1,233 @@
+"""One small test for each failure that a day or an incident showed."""
+
+from irisstack import interface as api
+from irisstack.choice import DARK, OPEN_FOR, STALE, TOLERATED
+from tests.support import KEYED_INDEX, SETTINGS, UNSAFE_INDEX, Driver, address, endpoint
+
+OK, FULL, ERROR, RESET = api.Outcome.OK, api.Outcome.FULL, api.Outcome.ERROR, api.Outcome.RESET
+
+
+def spread(driver: Driver, at: float, first: int, count: int = 3) -> list[float]:
+    """When a handful of messages handed in together are sent."""
+    numbers = range(first, first + count)
+    driver.turn(at, *(driver.received(n, at) for n in numbers))
+    driver.turn(at + 12.0)
+    return sorted(when - at for n in numbers for when in driver.sent(n)[:1])
+
+
+def test_an_outcome_that_opens_the_row_does_not_give_up_its_own_message_twice() -> None:
+    driver = Driver()
+    driver.turn(1.0, *(driver.received(n, 1.0, due=2.0) for n in (1, 2, 3)))
+    driver.turn(1.1, *(driver.outcome(n, FULL, 1.1) for n in (1, 2, 3)))
+    assert set(driver.refused) == {1, 2, 3}
+
+
+def test_a_busy_limit_is_no_outage() -> None:
+    driver = Driver()
+    driver.turn(1.0, *(driver.received(n, 1.0) for n in (1, 2, 3, 4)))
+    driver.end(4, OK, 1.05)
+    driver.turn(1.1, *(driver.outcome(n, FULL, 1.1) for n in (1, 2, 3)))
+    driver.turn(1.2, *(api.MessageWithdrawn(n) for n in (1, 2, 3)))
+    times = spread(driver, 1.1 + OPEN_FOR + 2.0, 50)
+    assert times[-1] < 2.0
+
+
+def test_refusals_for_long_with_no_call_taken_are_an_outage() -> None:
+    driver = Driver()
+    driver.message(1, 1.0)
+    driver.end(1, FULL, 1.1, retry_after=DARK + 1.0)
+    close = 1.1 + DARK + 1.0
+    numbers = range(50, 56)
+    driver.turn(2.0, *(driver.received(n, 2.0) for n in numbers))
+    driver.turn(close + 2.0)
+    budget = 2.0 * 4.0 * SETTINGS.cold_start_share * SETTINGS.tip_multiple / SETTINGS.senders
+    assert 1 <= len(driver.sends) - 1 <= 1 + budget
+
+
+def test_that_outage_is_remembered_between_two_openings() -> None:
+    driver = Driver()
+    failed = api.Outcome.CONNECT_FAILED
+    driver.turn(1.0, *(driver.received(n, 1.0) for n in (1, 2, 3)))
+    driver.turn(1.1, *(driver.outcome(n, failed, 1.1) for n in (1, 2, 3)))
+    driver.turn(1.2, *(api.MessageWithdrawn(n) for n in (1, 2, 3)))
+    at = 1.1 + OPEN_FOR + DARK + 7.0  # closed, its window lapsed, and nothing was taken since
+    driver.turn(at, *(driver.received(n, at) for n in (4, 5, 6)))
+    driver.turn(at + 0.1, *(driver.outcome(n, failed, at + 0.1) for n in (4, 5, 6)))
+    driver.turn(at + 0.2, *(api.MessageWithdrawn(n) for n in (4, 5, 6)))
+    times = spread(driver, at + 0.1 + OPEN_FOR + 0.1, 50)
+    assert times[-1] - times[0] > 3.0
+
+
+def test_few_errors_among_many_successes_do_not_open() -> None:
+    driver = Driver()
+    driver.message(1, 1.0, UNSAFE_INDEX)
+    driver.end(1, ERROR, 1.1)
+    at = driver.serve(10, int(3 / TOLERATED) + 1, 1.2, gap=0.2)
+    for number in (2, 3):
+        driver.message(number, at, UNSAFE_INDEX)
+        driver.end(number, ERROR, at + 0.1)
+        at += 0.2
+    driver.message(50, at)
+    assert driver.sent(50) == [at]
+
+
+def test_refusals_among_many_successes_do_open() -> None:
+    driver = Driver()
+    driver.message(1, 1.0)
+    driver.end(1, FULL, 1.1)
+    driver.turn(1.2, api.MessageWithdrawn(1))
+    at = driver.serve(10, int(3 / TOLERATED) + 1, 1.5, gap=0.4)
+    for number in (2, 3):
+        driver.message(number, at)
+        driver.end(number, FULL, at + 0.1)
+        driver.turn(at + 0.15, api.MessageWithdrawn(number))
+        at += 0.6
+    driver.message(50, at - 0.4, due=at + OPEN_FOR - 0.5)
+    assert 50 in driver.refused
+
+
+def lose_idle_calls(driver: Driver, outcome: api.Outcome, count: int, at: float = 1.0) -> float:
+    """Calls on a connection that was idle for two seconds, each lost with this outcome."""
+    for number in range(100, 100 + count):
+        driver.message(number, at)
+        driver.end(number, OK, at + 0.1)
+        driver.message(number + 100, at + 2.1, UNSAFE_INDEX)
+        driver.end(number + 100, outcome, at + 2.13)
+        at += 14.0
+    return at
+
+
+def test_connections_that_proved_stale_when_idle_are_closed_before_a_call() -> None:
+    driver = Driver()
+    at = lose_idle_calls(driver, RESET, int(STALE))
+    assert driver.closed_idle == []
+    driver.message(50, at)
+    driver.end(50, OK, at + 0.1)
+    driver.message(51, at + 0.3)
+    driver.end(51, OK, at + 0.4)
+    before = len(driver.closed_idle)
+    driver.message(52, at + 3.0)
+    assert driver.closed_idle[before:] == [(at + 3.0, address(1))]
+    assert driver.sent(52) == [at + 3.0]
+
+
+def test_resets_of_busy_connections_say_nothing_of_idle_ones() -> None:
+    driver = Driver()
+    at = 1.0
+    for number in range(100, 120):
+        driver.message(number, at, UNSAFE_INDEX)
+        driver.end(number, RESET if number % 10 == 5 else OK, at + 0.05)
+        at += 0.3
+    driver.message(50, at + 20.0)
+    driver.end(50, OK, at + 20.1)
+    driver.message(51, at + 24.0)
+    assert driver.closed_idle == []
+
+
+def test_silence_counts_before_the_time_out() -> None:
+    driver = Driver()
+    driver.serve(10, 5, 1.0)
+    driver.turn(5.0, *(driver.received(n, 5.0, UNSAFE_INDEX) for n in (1, 2, 3)))
+    driver.turn(7.5)
+    driver.message(50, 7.5, due=8.2)
+    assert 50 in driver.refused
+    assert not driver.failed
+
+
+def test_one_slow_message_does_not_count_while_others_are_served() -> None:
+    driver = Driver()
+    driver.turn(1.0, *(driver.received(n, 1.0, UNSAFE_INDEX) for n in (1, 2, 3)))
+    at = driver.serve(10, 10, 1.5)
+    driver.message(50, at)
+    assert driver.sent(50) == [at]
+
+
+def test_calls_stuck_at_a_silent_destination_give_up_their_slots_when_others_wait() -> None:
+    driver = Driver(endpoint(1), endpoint(2, destination=2), max_calls=2)
+    driver.turn(1.0, *(driver.received(n, 1.0, UNSAFE_INDEX) for n in (1, 2)))
+    driver.message(50, 6.0, destination=2)
+    assert [number for _, number in driver.cancelled] == [1]
+    driver.end(1, api.Outcome.CANCELLED, 6.01)
+    assert driver.failed == {1}
+    assert driver.sent(50) == [6.01]
+
+
+def test_they_keep_them_while_nobody_waits_or_where_cancelling_is_not_allowed() -> None:
+    driver = Driver(endpoint(1), endpoint(2, destination=2), max_calls=2)
+    driver.turn(1.0, *(driver.received(n, 1.0, UNSAFE_INDEX) for n in (1, 2)))
+    driver.turn(15.0)
+    assert driver.cancelled == []
+    bound = Driver(endpoint(1), endpoint(2, destination=2), max_calls=2, may_cancel=False)
+    bound.turn(1.0, *(bound.received(n, 1.0, UNSAFE_INDEX) for n in (1, 2)))
+    bound.message(50, 6.0, destination=2)
+    assert bound.cancelled == []
+
+
+def test_a_call_out_for_a_full_time_out_is_cut_though_others_are_answered() -> None:
+    driver = Driver(endpoint(1), endpoint(2, destination=2), max_calls=3)
+    driver.message(1, 1.0, UNSAFE_INDEX)
+    driver.serve(10, 15, 1.2)
+    driver.turn(9.5, *(driver.received(n, 9.5, destination=2) for n in (50, 51, 52)))
+    assert [number for _, number in driver.cancelled] == [1]
+
+
+def test_one_destination_cannot_take_every_slot() -> None:
+    driver = Driver(endpoint(1), endpoint(2, destination=2), max_calls=6)
+    driver.turn(1.0, *(driver.received(n, 1.0) for n in range(1, 20)))
+    driver.message(50, 1.1, destination=2)
+    assert driver.sent(50) == [1.1]
+
+
+def test_scarce_slots_go_to_the_calls_with_most_worth_for_their_time() -> None:
+    driver = Driver(endpoint(1), endpoint(2, destination=2), max_calls=2)
+    driver.message(1, 1.0)
+    driver.end(1, OK, 2.5)
+    driver.message(2, 3.0, destination=2)
+    driver.end(2, OK, 3.1)
+    busy = (driver.received(3, 4.0), driver.received(4, 4.0, destination=2))
+    driver.turn(4.0, *busy)
+    driver.turn(4.1, driver.received(5, 4.1), driver.received(6, 4.1, destination=2))
+    driver.end(3, OK, 4.2)
+    assert driver.sent(6) == [4.2]
+    assert driver.sent(5) == []
+
+
+def test_at_the_holding_limit_the_longest_wait_is_refused() -> None:
+    driver = Driver(endpoint(1), endpoint(2, destination=2), max_held=6, max_calls=2)
+    driver.message(1, 1.0)
+    driver.end(1, FULL, 1.1, retry_after=5.0)
+    for number in range(2, 5):
+        driver.message(number, 1.2)
+    for number in range(50, 54):
+        driver.message(number, 1.3, destination=2)
+    assert set(driver.refused) <= {1, 2, 3, 4}
+    assert len(driver.refused) >= 2
+    assert all(refusal.retry_after for refusal in driver.refused.values())
+
+
+def test_an_endpoint_that_failed_is_second_choice_and_one_that_was_full_is_not() -> None:
+    driver = Driver(endpoint(1), endpoint(2))
+    driver.message(1, 1.0, UNSAFE_INDEX)
+    bad = driver.where[1]
+    driver.end(1, ERROR, 1.1)
+    at = 1.2
+    for number in range(10, 14):
+        driver.message(number, at, KEYED_INDEX)
+        assert driver.where[number] != bad
+        driver.end(number, OK, at + 0.1)
+        at += 0.2
+    full = Driver(endpoint(1), endpoint(2))
+    full.message(1, 1.0)
+    first = full.where[1]
+    full.end(1, FULL, 1.1)
+    full.turn(2.0)
+    assert full.where[1] == first
+
+
+def test_a_started_stream_is_neither_silent_nor_stuck() -> None:
+    driver = Driver(endpoint(1), endpoint(2, destination=2), max_calls=2)
+    driver.turn(1.0, *(driver.received(n, 1.0, UNSAFE_INDEX) for n in (1, 2)))
+    driver.turn(1.2, *(api.StreamStarted(n, driver.where[n], 0, 0.2) for n in (1, 2)))
+    driver.message(50, 2.0, destination=2, due=18.0)
+    driver.turn(6.0)
+    assert driver.cancelled == []
