Take the fail-back budget from the highest limit reported

Told from an outage by the limit that the answers report. Change: the budget stands for capacity and takes the highest limit reported, or the listed rate. Could harm where a destination's capacity really falls with its limit and it then has an outage.

--- a/irisstack/choice.py
+++ b/irisstack/choice.py
@@ -76,6 +76,7 @@
     kind: api.DestinationKind = UNKNOWN_KIND
     listed: float = 0.0
     limit: float = 0.0  # calls a second, as it reports them
+    peak: float = 0.0  # the highest of these
     routes: dict[api.Address, _Route] = field(default_factory=dict)
     fresh: "list[tuple[float, int, _Message]]" = field(default_factory=list)  # by end of the aim
     late: "list[tuple[float, float, int, _Message]]" = field(default_factory=list)  # by worth, newest first
@@ -133,21 +134,18 @@
         self._destinations: dict[int, _Destination] = {}
         self._where: dict[api.Address, int] = {}
         self._messages: dict[int, _Message] = {}
-        self._held = 0
-        self._calls = 0
+        self._held = self._calls = 0
         self._stale = 0.0  # calls lost on idle connections, less a part of such calls that succeeded
         self._idle_limit = NEVER  # the shortest idle time before such a loss
         self._waiting: dict[int, None] = {}  # destinations with messages waiting, in order of arrival
         self._expiry: list[tuple[float, int]] = []
         self._overdue: list[tuple[float, int, _Call]] = []
         self._stuck: list[_Call] = []  # overdue at a silent destination, oldest first
-        self._sequence = 0
+        self._sequence = self._timers = self._failed_asks = 0
         self._keys: dict[int, deque[_Message]] = {}
         self._resting: list[tuple[float, int]] = []
         self._subscribe_at = 0.0 if settings.discovery_on_request else NEVER
-        self._failed_asks = 0
         self._wake = NEVER
-        self._timers = 0
 
     def turn(self, now: float, events: Iterable[api.Event]) -> list[api.Action]:
         """Take all that came at one time and answer with what to do about it."""
@@ -251,7 +249,9 @@
         rate, rules = self._rate(destination), self._set
         gap = SLOWER ** max(0.0, row.strikes - 1.0) / rate if row.strikes else 0.0
         if row.cold:
-            rate /= ROUGH if rules.rates_are_rough and not destination.limit else 1.0
+            # A limit that was lowered for a while says nothing of the capacity behind it.
+            listed = destination.listed / (ROUGH if rules.rates_are_rough else 1.0)
+            rate = max(destination.peak, listed) or UNKNOWN_RATE
             warm = max(0.0, self._now - row.back) / rules.cold_seconds if rules.cold_seconds else 1.0
             share = rules.cold_start_share + (1.0 - rules.cold_start_share) * min(1.0, warm)
             budget = rate * share * rules.tip_multiple * COLD_MARGIN / rules.senders
@@ -411,6 +411,7 @@
         key = self._row_key(destination, route)
         if event.report and "x1" in self._set.report_fields:
             destination.limit = max(0.0, event.report[self._set.report_fields.index("x1")])
+            destination.peak = max(destination.peak, destination.limit)
         if outcome is Outcome.OK:
             route.failed = False
             destination.ok_sent = max(destination.ok_sent, call.sent)
@@ -437,8 +438,7 @@
     def _judge_idle(self, call: _Call, weight: float) -> None:
         """Learn after how long something on the path drops idle connections: the next call there is lost.
 
-        Guards against early resets and, where the drop is silent, against calls that are never answered.
-        Closing such connections first costs a handshake; it could harm by that after a mistaken judgement.
+        Guards against early resets and silent drops. A mistaken judgement costs handshakes.
         """
         if call.idle > self._set.keepalive * IDLE_PART and self._stale < STALE:
             self._stale = max(0.0, self._stale + weight)
--- a/tests/test_found.py
+++ b/tests/test_found.py
@@ -231,3 +231,26 @@
     driver.message(50, 2.0, destination=2, due=18.0)
     driver.turn(6.0)
     assert driver.cancelled == []
+
+
+def first_gap(driver: Driver, lowered: float) -> float:
+    """The time between the first two calls after a long told wait, with this limit reported at its start."""
+    driver.message(1, 1.0)
+    driver.end(1, OK, 1.1, report=(0.9, 8.0))
+    driver.message(2, 2.0)
+    driver.end(2, FULL, 2.1, retry_after=DARK + 1.0, report=(0.0, lowered))
+    driver.turn(3.0, *(driver.received(n, 3.0) for n in range(50, 60)))
+    driver.turn(2.1 + DARK + 1.0 + 12.0)
+    first, second = [at for at, _ in driver.sends[2:4]]
+    return second - first
+
+
+def test_a_limit_lowered_for_a_while_does_not_slow_the_return() -> None:
+    budget = 8.0 * SETTINGS.cold_start_share * SETTINGS.tip_multiple / SETTINGS.senders
+    assert 1.0 / budget <= first_gap(Driver(listed_rates=False), lowered=4.0) <= 1.6 / budget
+
+
+def test_rough_listed_rates_are_trusted_less_for_the_return() -> None:
+    exact = first_gap(Driver(endpoint(1, rate=16.0), report_fields=()), lowered=0.0)
+    rough = first_gap(Driver(endpoint(1, rate=16.0), report_fields=(), rates_are_rough=True), lowered=0.0)
+    assert rough > exact * 1.2
