--- a/irisstack/choice.py
+++ b/irisstack/choice.py
@@ -566,7 +566,7 @@
         key = self._row_key(destination, route)
         row = self._rows.get(key)
         unproven = row is not None and row.cold and row.back == NEVER
-        size = 1 if unproven else destination.kind.max_batch
+        size = 1 if unproven and row.dark == NEVER else destination.kind.max_batch
         call = _Call(destination, route, now)
         if not self._connected(route):
             route.connections += 1
