--- a/irisstack/choice.py
+++ b/irisstack/choice.py
@@ -564,8 +564,8 @@
         routes = [r for r in destination.routes.values() if self._gate(self._row_key(destination, r)) <= now]
         route = min(routes, key=lambda r: (r.failed, r.calls + (0.0 if self._connected(r) else 0.75)))
         key = self._row_key(destination, route)
-        row = self._rows.get(key)
-        unproven = row is not None and row.cold and row.back == NEVER
+        row = self._rows.get(key) or _Row()
+        unproven = row.cold and row.back == NEVER
         size = 1 if unproven and row.dark == NEVER else destination.kind.max_batch
         call = _Call(destination, route, now)
         if not self._connected(route):
