--- a/irisstack/choice.py
+++ b/irisstack/choice.py
@@ -28,7 +28,6 @@
 OVERDUE = 4.0  # a call is overdue after this many usual times
 OVERDUE_REST = 0.5  # and these seconds, so that jitter on quick calls does not count
 PATIENCE = 3.0  # a repeatable call is given up after this many times the overdue time
-IN_WINDOW = 0.6  # of a keyed message's window, so that it can still go again or be refused in it
 LEARN = 0.1  # weight of a new call in the usual time
 FIRST_USUAL = 0.2  # share of a class's aim taken for its usual time before any call was seen
 STALE = 3.0  # this many calls lost on idle connections: those idle as long are closed before a call
@@ -592,8 +591,7 @@
             silent = OVERDUE * self._usual(message) + OVERDUE_REST
             overdue = max(overdue, silent)
             patient = message.kind.effect is Effect.UNSAFE or message.kind.streamed
-            window = message.kind.dedup_window if message.kind.effect is Effect.KEYED else NEVER
-            give_up = None if patient else min(message.due, now + min(silent * PATIENCE, window * IN_WINDOW))
+            give_up = None if patient else min(message.due, now + silent * PATIENCE)
             self._out.append(api.Send(message.id, route.address, give_up))
         destination.calls += 1
         self._calls += 1
