--- a/irisstack/choice.py
+++ b/irisstack/choice.py
@@ -459,10 +459,6 @@
                 if not answers and not call.judged:
                     call.judged = call.route.failed = True
                     self._failure(self._row_key(call.destination, call.route), call.destination, None)
-                    for message in call.messages if self._set.may_cancel else ():
-                        in_window = call.lost_at <= call.sent + message.kind.dedup_window
-                        if message.call is call and message.kind.effect is Effect.KEYED and not in_window:
-                            self._out.append(api.Cancel(message.id, message.attempts - 1))
 
     # ---- the endpoint list ----
 
