--- a/irisstack/choice.py
+++ b/irisstack/choice.py
@@ -52,6 +52,8 @@
     open_until: float = 0.0
     strikes: float = 0.0  # refusals as full not yet made good by successes: how far calls are slowed
     next_at: float = 0.0  # while spaced: the earliest time of the next call
+    spent: float = 0.0  # while cold: what the last call weighs
+    spent_at: float = 0.0
     dark: float = NEVER  # since when calls were turned away with none taken
     cold: bool = False  # it may be coming back from an outage
     back: float = NEVER  # when the first call after that succeeded
@@ -220,8 +222,9 @@
             floor = 1.0 if destination.number in self._waiting else 0.0
             row.strikes = max(floor, row.strikes - RECOVER)
 
-    def _gate(self, key: object) -> float:
+    def _gate(self, destination: _Destination, route: _Route) -> float:
         """The earliest time at which a call may go there. Closed, empty rows drop here."""
+        key = self._row_key(destination, route)
         row = self._rows.get(key)
         if row is None:
             return 0.0
@@ -230,33 +233,34 @@
         if lapsed and not row.cold and not row.strikes:
             del self._rows[key]
             return 0.0
-        return max(row.open_until, row.next_at if row.cold or row.strikes else 0.0)
+        spaced = row.next_at if row.strikes else 0.0
+        paced = row.spent_at + row.spent / self._budget(row, destination) if row.cold else 0.0
+        return max(row.open_until, spaced, paced)
 
     def _first_gate(self, destination: _Destination) -> float:
         """The earliest time at which a call may go to any route of a destination."""
-        keys = [self._row_key(destination, route) for route in destination.routes.values()]
-        return min((self._gate(key) for key in keys), default=NEVER)
+        return min((self._gate(destination, route) for route in destination.routes.values()), default=NEVER)
 
     def _rate(self, destination: _Destination) -> float:
         """Calls a second that the destination takes from all senders: as it reports, else as listed."""
         return destination.limit or destination.listed or UNKNOWN_RATE
 
     def _space(self, key: object, destination: _Destination, size: int) -> None:
-        """After a call, set the time of the next one: evenly after refusals, by the budget while cold."""
+        """Note a call: evenly spaced after refusals, charged to the budget while cold."""
         row = self._rows.get(key)
-        if row is None or not (row.cold or row.strikes):
-            return
-        rate, rules = self._rate(destination), self._set
-        gap = SLOWER ** max(0.0, row.strikes - 1.0) / rate if row.strikes else 0.0
-        if row.cold:
-            # A limit that was lowered for a while says nothing of the capacity behind it.
-            listed = destination.listed / (ROUGH if rules.rates_are_rough else 1.0)
-            rate = max(destination.peak, listed) or UNKNOWN_RATE
-            warm = max(0.0, self._now - row.back) / rules.cold_seconds if rules.cold_seconds else 1.0
-            share = rules.cold_start_share + (1.0 - rules.cold_start_share) * min(1.0, warm)
-            budget = rate * share * rules.tip_multiple * COLD_MARGIN / rules.senders
-            gap = max(gap, (1.0 + ITEM_WEIGHT * (size - 1)) / budget)
-        row.next_at = self._now + gap * self._random.uniform(1.0, 1.1)
+        if row is not None:
+            jitter = self._random.uniform(1.0, 1.1)
+            row.next_at = self._now + jitter * SLOWER ** max(0.0, row.strikes - 1.0) / self._rate(destination)
+            row.spent, row.spent_at = jitter * (1.0 + ITEM_WEIGHT * (size - 1)), self._now
+
+    def _budget(self, row: _Row, destination: _Destination) -> float:
+        """This sender's part of the calls a second that a destination coming back can bear by now."""
+        rules = self._set
+        listed = destination.listed / (ROUGH if rules.rates_are_rough else 1.0)
+        warm = max(0.0, self._now - row.back) / rules.cold_seconds if rules.cold_seconds else 1.0
+        share = rules.cold_start_share + (1.0 - rules.cold_start_share) * min(1.0, warm)
+        rate = max(destination.peak, listed) or UNKNOWN_RATE  # a limit lowered for a while is not capacity
+        return rate * share * rules.tip_multiple * COLD_MARGIN / rules.senders
 
     # ---- messages ----
 
@@ -561,7 +565,7 @@
     def _send(self, destination: _Destination) -> None:
         """Make one call."""
         now, per = self._now, self._set.calls_per_connection
-        routes = [r for r in destination.routes.values() if self._gate(self._row_key(destination, r)) <= now]
+        routes = [route for route in destination.routes.values() if self._gate(destination, route) <= now]
         route = min(routes, key=lambda r: (r.failed, r.calls + (0.0 if self._connected(r) else 0.75)))
         key = self._row_key(destination, route)
         row = self._rows.get(key) or _Row()
