--- a/irisstack/choice.py
+++ b/irisstack/choice.py
@@ -24,7 +24,7 @@
 COLD_MARGIN = 0.7  # part of the fail-back budget that is used: the capacity behind it is an estimate
 ROUGH = 1.5  # a rough listed rate may be this many times too high
 UNKNOWN_RATE = 2.0  # calls a second taken for a destination that tells no rate
-ITEM_WEIGHT = 0.25  # what each further message of a shared call weighs against the fail-back budget
+ITEM_WEIGHT = 0.2  # what each further message of a shared call weighs against the fail-back budget
 OVERDUE = 4.0  # a call is overdue after this many usual times
 OVERDUE_REST = 0.5  # and these seconds, so that jitter on quick calls does not count
 PATIENCE = 3.0  # a repeatable call is given up after this many times the overdue time
@@ -52,7 +52,7 @@
     open_until: float = 0.0
     strikes: float = 0.0  # refusals as full not yet made good by successes: how far calls are slowed
     next_at: float = 0.0  # while spaced: the earliest time of the next call
-    spent: float = 0.0  # while cold: what the last call weighs
+    spent: float = 0.0  # what the last call weighs against the fail-back budget
     spent_at: float = 0.0
     dark: float = NEVER  # since when calls were turned away with none taken
     cold: bool = False  # it may be coming back from an outage
@@ -229,8 +229,8 @@
         if row is None:
             return 0.0
         row.cold = row.cold and self._now < row.back + self._set.cold_seconds
-        lapsed = self._now >= max(row.open_until, row.window_end) and row.dark == NEVER
-        if lapsed and not row.cold and not row.strikes:
+        troubled = row.cold or row.strikes or row.dark < NEVER
+        if not troubled and self._now >= max(row.open_until, row.window_end):
             del self._rows[key]
             return 0.0
         spaced = row.next_at if row.strikes else 0.0
@@ -456,9 +456,9 @@
         """
         while self._overdue and self._overdue[0][0] <= self._now:
             call = heappop(self._overdue)[2]
+            answers = call.destination.ok_sent > call.sent
             if call.left:
                 self._stuck.append(call)
-                answers = call.destination.ok_sent > call.sent
                 self._judge_idle(call, 1.0 if answers else STALE_BACK)
                 if not answers and not call.judged:
                     call.judged = call.route.failed = True
@@ -567,8 +567,7 @@
         now, per = self._now, self._set.calls_per_connection
         routes = [route for route in destination.routes.values() if self._gate(destination, route) <= now]
         route = min(routes, key=lambda r: (r.failed, r.calls + (0.0 if self._connected(r) else 0.75)))
-        key = self._row_key(destination, route)
-        row = self._rows.get(key) or _Row()
+        row = self._rows.get(self._row_key(destination, route)) or _Row()
         unproven = row.cold and row.back == NEVER
         size = 1 if unproven and row.dark == NEVER else destination.kind.max_batch
         call = _Call(destination, route, now)
@@ -602,7 +601,7 @@
         self._sequence += 1
         call.lost_at = now + overdue * PATIENCE
         heappush(self._overdue, (now + overdue, self._sequence, call))
-        self._space(key, destination, call.left)
+        self._space(self._row_key(destination, route), destination, call.left)
 
     def _connected(self, route: _Route) -> bool:
         """Whether a connection is believed free there: a new one costs time and has a price."""
