--- a/irisstack/choice.py
+++ b/irisstack/choice.py
@@ -210,14 +210,14 @@
         for message in destination.waiting():
             self._refuse_if_parked_too_long(message)
 
-    def _success(self, key: object, destination: _Destination, sent: float) -> None:
+    def _success(self, key: object, destination: _Destination) -> None:
         """A call that ended well takes back part of the slowing; the spacing lapses once nothing waits."""
         row = self._rows.get(key)
         if row is None:
             return
-        if row.cold and self._now >= row.open_until:
-            row.back = min(row.back, self._now if row.dark == NEVER else sent)
         row.served, row.dark = row.served + 1, NEVER
+        if row.cold and self._now >= row.open_until:
+            row.back = min(row.back, self._now)
         if row.strikes:
             floor = 1.0 if destination.number in self._waiting else 0.0
             row.strikes = max(floor, row.strikes - RECOVER)
@@ -426,7 +426,7 @@
             if outcome in (Outcome.OK, Outcome.RESET):
                 self._judge_idle(call, -STALE_BACK if outcome is Outcome.OK else 1.0)
             if outcome is Outcome.OK:
-                self._success(key, destination, call.sent)
+                self._success(key, destination)
             elif outcome not in (Outcome.CANCELLED, Outcome.NOT_SENT):
                 route.failed = outcome is not Outcome.FULL
                 if outcome in NOT_RUN:
