--- a/irisstack/choice.py
+++ b/irisstack/choice.py
@@ -68,7 +68,6 @@
     connections: int = 0  # believed open
     all_used: float = 0.0  # when all of its connections were last in use
     failed: bool = False  # its last outcome was a failure
-    crowded: float = 0.0  # until when its connection table is taken for full
 
 
 @dataclass(slots=True, eq=False)
@@ -398,10 +397,6 @@
             self._calls -= 1
             destination.calls -= 1
             call.route.calls -= 1
-            if self._now < call.route.crowded and destination.number not in self._waiting:
-                # The senders' idle connections fill a small table: give ours back while one failed of late.
-                self._out.append(api.CloseIdle(call.route.address))
-                call.route.connections = call.route.calls
         self._learn(message, call, event)
         message.call = None
         if outcome in MAY_RUN_ON:
@@ -434,7 +429,6 @@
                 self._success(key, destination)
             elif outcome not in (Outcome.CANCELLED, Outcome.NOT_SENT):
                 route.failed = outcome is not Outcome.FULL
-                route.crowded = now + self._set.keepalive if outcome is Outcome.CONNECT_FAILED else route.crowded
                 if outcome in NOT_RUN:
                     row = self._rows.setdefault(key, _Row())
                     row.dark = min(row.dark, now)
@@ -446,14 +440,20 @@
             self._open(row, destination, now + event.retry_after + self._set.tick)
 
     def _judge_idle(self, call: _Call, weight: float) -> None:
-        """Learn after how long the path drops idle connections, by reset or in silence; a mistake costs handshakes."""
+        """Learn after how long the path drops idle connections, by reset or in silence.
+
+        Guards the next call there, which would be lost. A mistaken judgement costs handshakes.
+        """
         if call.idle > self._set.keepalive * IDLE_PART and self._stale < STALE:
             self._stale = max(0.0, self._stale + weight)
             if weight > 0.0:
                 self._idle_limit = min(self._idle_limit, call.idle)
 
     def _look_for_silence(self) -> None:
-        """Guard against silence: a call long overdue is a failure, unless one sent later was answered."""
+        """A call long overdue counts as a failure before it ends, unless the destination answered since.
+
+        Guards against silence (hung, vanished); a few very slow messages do not count where others go well.
+        """
         while self._overdue and self._overdue[0][0] <= self._now:
             call = heappop(self._overdue)[2]
             answers = call.destination.ok_sent > call.sent
