--- a/irisstack/choice.py
+++ b/irisstack/choice.py
@@ -17,7 +17,7 @@
 WINDOW = 10.0  # seconds in which failures are counted together
 THRESHOLD = 3  # the failure that opens
 TOLERATED = 0.25  # failures for each success in the window that do not open yet
-OPEN_FOR = 1.5  # seconds an opened row stays open: long parks fill the holding room (1 to 2 measured alike)
+OPEN_FOR = 2.0  # seconds an opened row stays open: longer parks fill the holding room of a small sender
 DARK = 3.0  # seconds of refusals with no call taken after which a destination counts as shut
 SLOWER = 1.5  # each further refusal stretches the gap between calls by this
 RECOVER = 0.25  # of a refusal's step is taken back by each call that succeeds
