--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -16,7 +16,7 @@
 
 STEP = st.tuples(
     st.sampled_from(("receive", "receive", "end", "end", "wait", "withdraw", "drain", "return", "stale")),
-    st.integers(0, 7), st.sampled_from(tuple(api.Outcome)), st.sampled_from((0.0, 0.004, 0.1, 0.7, 3.0)),
+    st.integers(0, 7), st.sampled_from(tuple(api.Outcome)), st.sampled_from((0.0, 0.004, 0.1, 0.7, 3.0, 11.0)),
     st.sampled_from((None, None, 0.3, 2.5)))
 
 
