Rule scripts reach past a keyed message's window

A change of the module that ignored the window went unnoticed by the generated scripts, as no keyed message lived longer than its window; now it does and the scripts reach it.

--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -16,8 +16,8 @@
 
 STEP = st.tuples(
     st.sampled_from(("receive", "receive", "end", "end", "wait", "withdraw", "drain", "return", "stale")),
-    st.integers(0, 7), st.sampled_from(tuple(api.Outcome)), st.sampled_from((0.0, 0.004, 0.1, 0.7, 3.0, 11.0)),
-    st.sampled_from((None, None, 0.3, 2.5)))
+    st.integers(0, 7), st.sampled_from(tuple(api.Outcome)),
+    st.sampled_from((0.0, 0.004, 0.1, 0.7, 3.0, 11.0)), st.sampled_from((None, None, 0.3, 2.5, 10.0)))
 
 
 class Book:
@@ -140,7 +140,7 @@
                     number, index = self.next, pick % 4
                     self.next += 1
                     message = api.MessageReceived(
-                        number, index, 1 + pick // 4, self.now + CLASSES[index].deadline / (1 + pick % 3),
+                        number, index, 1 + pick // 4, self.now + CLASSES[index].deadline / (1 + pick // 4),
                         key=1 + number % 2 if CLASSES[index].ordered else None)
                     self.messages[number] = message
                     if message.key is not None:
