Prune stuck calls as they come; one place for the repeat rule and the line test

The list of stuck calls was pruned only when slots ran out and grew without bound in a long-lived sender. Until when a message may be repeated or refused was worked out twice, and whether it is in line in five places.

--- a/irisstack/choice.py
+++ b/irisstack/choice.py
@@ -89,7 +89,7 @@
     def waiting(self) -> "list[_Message]":
         """The messages in line, the most pressing ones first, if not quite in order."""
         line = [entry[2] for entry in self.fresh] + [entry[3] for entry in self.late]
-        return [message for message in line if not message.over and message.call is None]
+        return [message for message in line if message.in_line]
 
 
 @dataclass(slots=True, eq=False)
@@ -123,6 +123,10 @@
     call: "_Call | None" = None
     over: bool = False
 
+    @property
+    def in_line(self) -> bool:
+        return not self.over and self.call is None  # owed an answer, with no attempt out
+
 
 class Sender:
     """One sender's decisions. Give it everything that came together; carry out what it returns, in order."""
@@ -284,14 +288,18 @@
         usual = self._destination(message.destination).usual
         return usual.get(message.index, message.kind.aim * FIRST_USUAL)
 
-    def _latest_start(self, message: _Message) -> float:
-        """The last time at which a further attempt is allowed and a usual call still fits."""
-        kind, latest = message.kind, message.due - self._usual(message)
+    def _repeatable_until(self, message: _Message) -> float:
+        """Until when another attempt, or a refusal, cannot double the message's effect."""
+        kind = message.kind
         if message.maybe_ran is None or kind.effect is Effect.SAFE:
-            return latest
+            return NEVER
         if kind.effect is Effect.UNSAFE or kind.dedup_scope is not api.DedupScope.DESTINATION:
             return -NEVER
-        return min(latest, message.maybe_ran + kind.dedup_window - self._set.tick)
+        return message.maybe_ran + kind.dedup_window
+
+    def _latest_start(self, message: _Message) -> float:
+        """The last time at which a further attempt is allowed and a usual call still fits."""
+        return min(message.due - self._usual(message), self._repeatable_until(message) - self._set.tick)
 
     def _queue(self, message: _Message) -> None:
         """Put a message in line at its destination, unless it cannot wait for the close."""
@@ -318,11 +326,7 @@
 
     def _give_up(self, message: _Message) -> None:
         """The final answer, at once, for a message that will not be sent again: a refusal where allowed."""
-        kind, ran = message.kind, message.maybe_ran
-        harmless = ran is None or kind.effect is Effect.SAFE or (
-            kind.effect is Effect.KEYED and kind.dedup_scope is api.DedupScope.DESTINATION
-            and self._now < ran + kind.dedup_window)
-        if harmless:
+        if self._now < self._repeatable_until(message):
             wait = min(self._close(message) - self._now, self._set.max_retry_after)
             advised = self._set.advises_retry_after and wait > 0.0
             self._out.append(api.Refuse(message.id, wait if advised else None))
@@ -360,7 +364,7 @@
 
     def _make_room(self) -> None:
         """At the holding limit, refuse the unsent message with least at stake before one is turned away."""
-        unsent = [m for m in self._messages.values() if not m.over and m.call is None]
+        unsent = [m for m in self._messages.values() if m.in_line]
         waits = dict.fromkeys((m.destination for m in unsent), NEVER)
         for destination in (self._destinations[number] for number in self._waiting):
             calls = (len(destination.fresh) + len(destination.late)) / destination.kind.max_batch
@@ -373,7 +377,7 @@
         """Give up messages for which a usual call no longer fits."""
         while self._expiry and self._expiry[0][0] < self._now:
             message = self._messages.get(heappop(self._expiry)[1])
-            if message is not None and not message.over and message.call is None:
+            if message is not None and message.in_line:
                 latest = self._latest_start(message)
                 if latest < self._now:
                     self._give_up(message)
@@ -386,8 +390,7 @@
         message = self._messages.get(event.message)
         if message is None or message.call is None or event.attempt != message.attempts - 1:
             return
-        call = message.call
-        outcome, destination = event.outcome, call.destination
+        call, outcome = message.call, event.outcome
         if outcome not in NOT_RUN and message.maybe_ran is None:
             message.maybe_ran = call.sent
         call.left -= 1
@@ -395,7 +398,7 @@
             if call.route.calls > (call.route.connections - 1) * self._set.calls_per_connection:
                 call.route.all_used = self._now
             self._calls -= 1
-            destination.calls -= 1
+            call.destination.calls -= 1
             call.route.calls -= 1
         self._learn(message, call, event)
         message.call = None
@@ -458,7 +461,7 @@
             call = heappop(self._overdue)[2]
             answers = call.destination.ok_sent > call.sent
             if call.left:
-                self._stuck.append(call)
+                self._stuck = [*(stuck for stuck in self._stuck if stuck.left), call]
                 self._judge_idle(call, 1.0 if answers else STALE_BACK)
                 if not answers and not call.judged:
                     call.judged = call.route.failed = True
@@ -535,9 +538,8 @@
         Guards against slots full of calls that wait for their deadline, unsafe ones above all: such a call is
         probably lost, and its slot serves many. Could lose a message whose answer was still to come.
         """
-        self._stuck = [call for call in self._stuck if call.left]
         for call in self._stuck if self._set.may_cancel else ():
-            if wanted and (call.destination.ok_sent < call.sent or self._now > call.lost_at):
+            if wanted and call.left and (call.destination.ok_sent < call.sent or self._now > call.lost_at):
                 wanted -= 1
                 for message in call.messages:
                     if message.call is call:
@@ -549,15 +551,14 @@
         size = min(destination.kind.max_batch, len(fresh) + len(late))
         while fresh:
             aim_at, sequence, message = fresh[0]
-            in_line = not message.over and message.call is None
-            if in_line and self._now + self._usual(message) <= aim_at:
+            if message.in_line and self._now + self._usual(message) <= aim_at:
                 return False, self._usual(message) / (size * message.kind.worth)
             heappop(fresh)
-            if in_line:
+            if message.in_line:
                 heappush(late, (-message.kind.worth, -aim_at, sequence, message))
         while late:
             message = late[0][3]
-            if not message.over and message.call is None:
+            if message.in_line:
                 return True, self._usual(message) / (size * message.kind.worth)
             heappop(late)
         return None
@@ -567,7 +568,8 @@
         now, per = self._now, self._set.calls_per_connection
         routes = [route for route in destination.routes.values() if self._gate(destination, route) <= now]
         route = min(routes, key=lambda r: (r.failed, r.calls + (0.0 if self._connected(r) else 0.75)))
-        row = self._rows.get(self._row_key(destination, route)) or _Row()
+        key = self._row_key(destination, route)
+        row = self._rows.get(key) or _Row()
         unproven = row.cold and row.back == NEVER
         size = 1 if unproven and row.dark == NEVER else destination.kind.max_batch
         call = _Call(destination, route, now)
@@ -601,7 +603,7 @@
         self._sequence += 1
         call.lost_at = now + overdue * PATIENCE
         heappush(self._overdue, (now + overdue, self._sequence, call))
-        self._space(self._row_key(destination, route), destination, call.left)
+        self._space(key, destination, call.left)
 
     def _connected(self, route: _Route) -> bool:
         """Whether a connection is believed free there: a new one costs time and has a price."""
