--- a/tests/test_design.py
+++ b/tests/test_design.py
@@ -9,15 +9,6 @@
 FULL, ERROR, OK = api.Outcome.FULL, api.Outcome.ERROR, api.Outcome.OK
 
 
-def fail(driver: Driver, numbers: range, at: float, outcome: api.Outcome = ERROR, gap: float = 0.1) -> float:
-    """Hand in one message after another and end the first attempt of each with a failure."""
-    for number in numbers:
-        driver.message(number, at)
-        driver.end(number, outcome, at + 0.05)
-        at += gap
-    return at
-
-
 def withdraw_all(driver: Driver, numbers: range, at: float) -> None:
     driver.turn(at, *(api.MessageWithdrawn(number) for number in numbers))
 
@@ -221,7 +212,9 @@
 
 def test_one_destination_does_not_shut_another() -> None:
     driver = Driver(endpoint(1), endpoint(2, destination=2))
-    fail(driver, range(1, 4), 1.0)
+    for number, at in ((1, 1.0), (2, 1.1), (3, 1.2)):
+        driver.message(number, at)
+        driver.end(number, ERROR, at + 0.05)
     driver.message(50, 1.4, destination=2)
     assert driver.sent(50) == [1.4]
 
