Pace by the sender's own flow, give idle connections back, tell a limit from an outage

A refusal whose report shows the allowance used up (share left under 0.75) no longer counts towards an outage, unless it tells a wait of 3 s or more. Refusals while shut reported 0.84 to 1.0 left, those at a limit mostly under 0.65. Spacing after a refusal goes by this sender's part: its own flow of messages, the even part of the rate at least. For 30 s after a failed connect idle connections are closed after each call. Closing always: no better. Highest reported limit, rough rates and the unknown rate drop out of the module. Cause: with one message a minute no sender ever saw three failures. Where a sender's part would not bring three calls in a window, a failure that may have run opens after as many as it would bring.

--- a/irisstack/choice.py
+++ b/irisstack/choice.py
@@ -5,7 +5,7 @@
 refusals as full and carries the return from an outage. `docs/design.md` tells the source and each change.
 """
 
-from collections import deque
+from collections import Counter, deque
 from collections.abc import Iterable
 from dataclasses import dataclass, field
 from heapq import heappop, heappush
@@ -19,15 +19,15 @@
 TOLERATED = 0.25  # failures for each success in the window that do not open yet
 OPEN_FOR = 2.0  # seconds an opened row stays open: longer parks fill the holding room of a small sender
 DARK = 3.0  # seconds of refusals with no call taken after which a destination counts as shut
+SPENT = 0.75  # a share left under this explains a refusal: it is the limit, and the destination is not shut
 SLOWER = 1.5  # each further refusal stretches the gap between calls by this
 RECOVER = 0.25  # of a refusal's step is taken back by each call that succeeds
 COLD_MARGIN = 0.7  # part of the fail-back budget that is used: the capacity behind it is an estimate
-ROUGH = 1.5  # a rough listed rate may be this many times too high
-UNKNOWN_RATE = 2.0  # calls a second taken for a destination that tells no rate
 ITEM_WEIGHT = 0.2  # what each further message of a shared call weighs against the fail-back budget
 OVERDUE = 4.0  # a call is overdue after this many usual times
 OVERDUE_REST = 0.5  # and these seconds, so that jitter on quick calls does not count
 PATIENCE = 3.0  # a repeatable call is given up after this many times the overdue time
+CROWDED = 30.0  # seconds after a failed connect in which connections are given back as soon as they are idle
 LEARN = 0.1  # weight of a new call in the usual time
 FIRST_USUAL = 0.2  # share of a class's aim taken for its usual time before any call was seen
 STALE = 3.0  # this many calls lost on idle connections: those idle as long are closed before a call
@@ -37,9 +37,8 @@
 RESUBSCRIBE = 0.2  # seconds before the first renewed subscription after a failure; doubles
 
 NEVER = float("inf")
-MAY_RUN_ON = frozenset((Outcome.TIMEOUT, Outcome.RESET, Outcome.CANCELLED))
-NOT_RUN = frozenset((Outcome.FULL, Outcome.CONNECT_FAILED, Outcome.NOT_SENT))
 UNKNOWN_KIND = api.DestinationKind("unknown")
+NOT_RUN = frozenset((Outcome.FULL, Outcome.CONNECT_FAILED, Outcome.NOT_SENT))
 
 
 @dataclass(slots=True, eq=False)
@@ -55,8 +54,7 @@
     spent: float = 0.0  # what the last call weighs against the fail-back budget
     spent_at: float = 0.0
     dark: float = NEVER  # since when calls were turned away with none taken
-    cold: bool = False  # it may be coming back from an outage
-    back: float = NEVER  # when the first call after that succeeded
+    cold_until: float = 0.0  # until when it may be cold from an outage; NEVER before a call has succeeded
 
 
 @dataclass(slots=True, eq=False)
@@ -78,18 +76,18 @@
     kind: api.DestinationKind = UNKNOWN_KIND
     listed: float = 0.0
     limit: float = 0.0  # calls a second, as it reports them
-    peak: float = 0.0  # the highest of these
     routes: dict[api.Address, _Route] = field(default_factory=dict)
-    fresh: "list[tuple[float, int, _Message]]" = field(default_factory=list)  # by end of the aim
-    late: "list[tuple[float, float, int, _Message]]" = field(default_factory=list)  # by worth, newest first
+    fresh: "list[_Entry]" = field(default_factory=list)  # by end of the aim
+    late: "list[_Entry]" = field(default_factory=list)  # by worth, newest first
     usual: dict[int, float] = field(default_factory=dict)
+    flow: float = 0.0  # messages a second of late for it that came to this sender
+    flow_at: float = 0.0
     calls: int = 0
     ok_sent: float = -NEVER  # when the newest call that succeeded was sent
 
     def waiting(self) -> "list[_Message]":
         """The messages in line, the most pressing ones first, if not quite in order."""
-        line = [entry[2] for entry in self.fresh] + [entry[3] for entry in self.late]
-        return [message for message in line if message.in_line]
+        return [entry[-1] for entry in (*self.fresh, *self.late) if entry[-1].in_line]
 
 
 @dataclass(slots=True, eq=False)
@@ -128,6 +126,9 @@
         return not self.over and self.call is None  # owed an answer, with no attempt out
 
 
+_Entry = tuple[float, float, int, _Message]  # rank, second rank, a number that settles ties, the message
+
+
 class Sender:
     """One sender's decisions. Give it everything that came together; carry out what it returns, in order."""
 
@@ -141,6 +142,7 @@
         self._where: dict[api.Address, int] = {}
         self._messages: dict[int, _Message] = {}
         self._held = self._calls = 0
+        self._crowded_until = 0.0  # until when idle connections are given back
         self._stale = 0.0  # calls lost on idle connections, less a part of such calls that succeeded
         self._idle_limit = NEVER  # the shortest idle time before such a loss
         self._waiting: dict[int, None] = {}  # destinations with messages waiting, in order of arrival
@@ -196,10 +198,12 @@
         row.count += 1
         # Few errors among many successes (a lossy path, one failing class) must not shut the rest out.
         few = reason is not Outcome.FULL and row.count < row.served * TOLERATED
-        if row.count >= THRESHOLD and not few:
+        # One of many senders has too few calls in a window to see the third: what may have run opens sooner.
+        most = THRESHOLD if reason in NOT_RUN else max(1.0, self._rate(destination) * WINDOW // 1.0)
+        if row.count >= min(THRESHOLD, most) and not few:
             row.count = 0
             if reason not in NOT_RUN:
-                row.cold, row.back = True, NEVER
+                row.cold_until = NEVER
             self._open(row, destination, now + OPEN_FOR)
             why = reason.name if reason else "SILENCE"
             self._out.append(api.Log(f"destination {destination.number} open for {OPEN_FOR:g} s after {why}"))
@@ -210,18 +214,17 @@
         if row.open_until > row.dark + DARK:
             # A busy destination's limit or full connection table turns calls away too, but not for long
             # without taking one. Turned away or told to wait longer than that, it will come back cold.
-            row.cold, row.back = True, NEVER
+            row.cold_until = NEVER
         for message in destination.waiting():
-            self._refuse_if_parked_too_long(message)
+            if not message.over and self._too_late(message):
+                self._give_up(message)
 
     def _success(self, key: object, destination: _Destination) -> None:
         """A call that ended well takes back part of the slowing; the spacing lapses once nothing waits."""
-        row = self._rows.get(key)
-        if row is None:
-            return
+        row = self._rows.get(key) or _Row()
         row.served, row.dark = row.served + 1, NEVER
-        if row.cold and self._now >= row.open_until:
-            row.back = min(row.back, self._now)
+        if row.cold_until == NEVER and self._now >= row.open_until:
+            row.cold_until = self._now + self._set.cold_seconds
         if row.strikes:
             floor = 1.0 if destination.number in self._waiting else 0.0
             row.strikes = max(floor, row.strikes - RECOVER)
@@ -232,13 +235,13 @@
         row = self._rows.get(key)
         if row is None:
             return 0.0
-        row.cold = row.cold and self._now < row.back + self._set.cold_seconds
-        troubled = row.cold or row.strikes or row.dark < NEVER
+        cold = self._now < row.cold_until
+        troubled = cold or row.strikes or row.dark < NEVER
         if not troubled and self._now >= max(row.open_until, row.window_end):
             del self._rows[key]
             return 0.0
         spaced = row.next_at if row.strikes else 0.0
-        paced = row.spent_at + row.spent / self._budget(row, destination) if row.cold else 0.0
+        paced = row.spent_at + row.spent / self._budget(row, destination) if cold else 0.0
         return max(row.open_until, spaced, paced)
 
     def _first_gate(self, destination: _Destination) -> float:
@@ -246,25 +249,25 @@
         return min((self._gate(destination, route) for route in destination.routes.values()), default=NEVER)
 
     def _rate(self, destination: _Destination) -> float:
-        """Calls a second that the destination takes from all senders: as it reports, else as listed."""
-        return destination.limit or destination.listed or UNKNOWN_RATE
+        """This sender's part of the rate told for all: its own flow, the even part at least."""
+        whole = destination.limit or destination.listed or destination.flow
+        return min(whole, max(destination.flow, whole / self._set.senders))
 
     def _space(self, key: object, destination: _Destination, size: int) -> None:
         """Note a call: evenly spaced after refusals, charged to the budget while cold."""
-        row = self._rows.get(key)
-        if row is not None:
-            jitter = self._random.uniform(1.0, 1.1)
-            row.next_at = self._now + jitter * SLOWER ** max(0.0, row.strikes - 1.0) / self._rate(destination)
-            row.spent, row.spent_at = jitter * (1.0 + ITEM_WEIGHT * (size - 1)), self._now
+        row = self._rows.get(key) or _Row()
+        jitter = self._random.uniform(1.0, 1.1)
+        row.next_at = self._now + jitter * SLOWER ** max(0.0, row.strikes - 1.0) / self._rate(destination)
+        row.spent, row.spent_at = jitter * (1.0 + ITEM_WEIGHT * (size - 1)), self._now
 
     def _budget(self, row: _Row, destination: _Destination) -> float:
         """This sender's part of the calls a second that a destination coming back can bear by now."""
         rules = self._set
-        listed = destination.listed / (ROUGH if rules.rates_are_rough else 1.0)
-        warm = max(0.0, self._now - row.back) / rules.cold_seconds if rules.cold_seconds else 1.0
-        share = rules.cold_start_share + (1.0 - rules.cold_start_share) * min(1.0, warm)
-        rate = max(destination.peak, listed) or UNKNOWN_RATE  # a limit lowered for a while is not capacity
-        return rate * share * rules.tip_multiple * COLD_MARGIN / rules.senders
+        warm = max(0.0, 1.0 - (row.cold_until - self._now) / (rules.cold_seconds or 1.0))
+        share = rules.cold_start_share + (1.0 - rules.cold_start_share) * warm
+        # Before a call has succeeded the even part would be a push: many senders try, and each only a little.
+        part = destination.flow if row.cold_until == NEVER else self._rate(destination)
+        return part * share * rules.tip_multiple * COLD_MARGIN
 
     # ---- messages ----
 
@@ -275,6 +278,9 @@
             event.message, event.message_class, kind, event.destination, event.due,
             min(event.due, event.due - kind.deadline + aim), event.key if kind.ordered else None)
         self._held += 1
+        destination = self._destination(event.destination)
+        kept = max(0.0, 1.0 - (self._now - destination.flow_at) / WINDOW)
+        destination.flow, destination.flow_at = destination.flow * kept + 1.0 / WINDOW, self._now
         line = deque() if message.key is None else self._keys.setdefault(message.key, deque())
         line.append(message)
         heappush(self._expiry, (self._latest_start(message), message.id))
@@ -303,26 +309,23 @@
 
     def _queue(self, message: _Message) -> None:
         """Put a message in line at its destination, unless it cannot wait for the close."""
-        if message.attempts >= self._set.max_attempts or self._now > self._latest_start(message):
+        if message.attempts >= self._set.max_attempts or self._too_late(message):
             self._give_up(message)
-        elif not self._refuse_if_parked_too_long(message):
+        else:
             destination = self._destination(message.destination)
             self._sequence += 1
-            heappush(destination.fresh, (message.aim_at, self._sequence, message))
+            heappush(destination.fresh, (message.aim_at, 0.0, self._sequence, message))
             self._waiting[destination.number] = None
 
-    def _refuse_if_parked_too_long(self, message: _Message) -> bool:
-        close = self._close(message)
-        too_long = close > self._now and close > self._latest_start(message)
-        if too_long and not message.over:
-            self._give_up(message)
-        return too_long
+    def _too_late(self, message: _Message) -> bool:
+        """Whether a usual call fits neither now nor after the close."""
+        return max(self._now, self._close(message)) > self._latest_start(message)
 
     def _close(self, message: _Message) -> float:
         """When the first of the message's routes closes again; no endpoint yet is no reason to refuse."""
         destination = self._destination(message.destination)
-        keys = [self._row_key(destination, route) for route in destination.routes.values()]
-        return min((self._rows[key].open_until if key in self._rows else 0.0 for key in keys), default=0.0)
+        rows = [self._rows.get(self._row_key(destination, route)) for route in destination.routes.values()]
+        return min((row.open_until if row else 0.0 for row in rows), default=0.0)
 
     def _give_up(self, message: _Message) -> None:
         """The final answer, at once, for a message that will not be sent again: a refusal where allowed."""
@@ -365,11 +368,11 @@
     def _make_room(self) -> None:
         """At the holding limit, refuse the unsent message with least at stake before one is turned away."""
         unsent = [m for m in self._messages.values() if m.in_line]
-        waits = dict.fromkeys((m.destination for m in unsent), NEVER)
-        for destination in (self._destinations[number] for number in self._waiting):
-            calls = (len(destination.fresh) + len(destination.late)) / destination.kind.max_batch
-            wait = max(0.0, self._first_gate(destination) - self._now)
-            waits[destination.number] = wait + calls / self._rate(destination)
+        waits: dict[int, float] = {}
+        for number, count in Counter(m.destination for m in unsent).items():
+            destination = self._destination(number)
+            line = count / destination.kind.max_batch / self._rate(destination)
+            waits[number] = max(0.0, self._first_gate(destination) - self._now) + line
         if unsent:
             self._give_up(max(unsent, key=lambda m: (waits[m.destination], -m.kind.worth, m.aim_at, m.id)))
 
@@ -402,7 +405,7 @@
             call.route.calls -= 1
         self._learn(message, call, event)
         message.call = None
-        if outcome in MAY_RUN_ON:
+        if outcome in (Outcome.TIMEOUT, Outcome.RESET, Outcome.CANCELLED):
             message.rest_until = self._now + self._set.order_pause
         if message.over:
             self._forget(message)
@@ -411,14 +414,17 @@
         else:
             heappush(self._expiry, (self._latest_start(message), message.id))
             self._queue(message)
+        if self._now < self._crowded_until and not call.left:
+            # Guards against tables full of many senders' idle connections; at an outage it costs handshakes.
+            self._out.append(api.CloseIdle(call.route.address))
+            call.route.connections = call.route.calls
 
     def _learn(self, message: _Message, call: _Call, event: api.AttemptEnded) -> None:
         """What an outcome shows of its destination. A shared call has one fate and counts once."""
         destination, route, outcome, now = call.destination, call.route, event.outcome, self._now
         key = self._row_key(destination, route)
-        if event.report and "x1" in self._set.report_fields:
-            destination.limit = max(0.0, event.report[self._set.report_fields.index("x1")])
-            destination.peak = max(destination.peak, destination.limit)
+        told = dict(zip(self._set.report_fields, event.report, strict=False))
+        destination.limit = max(0.0, told.get("x1", destination.limit))
         if outcome is Outcome.OK:
             route.failed = False
             destination.ok_sent = max(destination.ok_sent, call.sent)
@@ -432,9 +438,14 @@
                 self._success(key, destination)
             elif outcome not in (Outcome.CANCELLED, Outcome.NOT_SENT):
                 route.failed = outcome is not Outcome.FULL
+                if outcome is Outcome.CONNECT_FAILED:
+                    self._crowded_until = now + CROWDED
                 if outcome in NOT_RUN:
                     row = self._rows.setdefault(key, _Row())
-                    row.dark = min(row.dark, now)
+                    # One of many senders sees few calls taken. A limit that reports itself used up counts
+                    # like one, unless the wait is too long for a limit; a shut destination reports it unused.
+                    used = destination.limit > 0.0 and told.get("x0", 1.0) < SPENT
+                    row.dark = NEVER if used and (event.retry_after or 0.0) < DARK else min(row.dark, now)
                     row.strikes += outcome is Outcome.FULL
                 self._failure(key, destination, outcome)
                 self._space(key, destination, 1)
@@ -491,8 +502,7 @@
                 self._remove(endpoint.address)
                 continue
             destination = self._destination(endpoint.destination)
-            if endpoint.kind < len(self._set.kinds):
-                destination.kind = self._set.kinds[endpoint.kind]
+            destination.kind = self._set.kinds[endpoint.kind]
             destination.listed = endpoint.rate if self._set.listed_rates else 0.0
             if endpoint.address not in destination.routes:
                 destination.routes[endpoint.address] = _Route(endpoint.address)
@@ -541,26 +551,19 @@
         for call in self._stuck if self._set.may_cancel else ():
             if wanted and call.left and (call.destination.ok_sent < call.sent or self._now > call.lost_at):
                 wanted -= 1
-                for message in call.messages:
-                    if message.call is call:
-                        self._out.append(api.Cancel(message.id, message.attempts - 1))
+                self._out.extend(api.Cancel(m.id, m.attempts - 1) for m in call.messages if m.call is call)
 
     def _head(self, destination: _Destination) -> tuple[bool, float] | None:
         """The rank of the next call: in time before late, then by slot time for each unit of worth."""
-        fresh, late = destination.fresh, destination.late
-        size = min(destination.kind.max_batch, len(fresh) + len(late))
-        while fresh:
-            aim_at, sequence, message = fresh[0]
-            if message.in_line and self._now + self._usual(message) <= aim_at:
-                return False, self._usual(message) / (size * message.kind.worth)
-            heappop(fresh)
-            if message.in_line:
-                heappush(late, (-message.kind.worth, -aim_at, sequence, message))
-        while late:
-            message = late[0][3]
-            if message.in_line:
-                return True, self._usual(message) / (size * message.kind.worth)
-            heappop(late)
+        size = min(destination.kind.max_batch, len(destination.fresh) + len(destination.late))
+        for line, is_late in ((destination.fresh, False), (destination.late, True)):
+            while line:
+                message = line[0][-1]
+                if message.in_line and (is_late or self._now + self._usual(message) <= message.aim_at):
+                    return is_late, self._usual(message) / (size * message.kind.worth)
+                heappop(line)
+                if message.in_line:
+                    heappush(destination.late, (-message.kind.worth, -message.aim_at, message.id, message))
         return None
 
     def _send(self, destination: _Destination) -> None:
@@ -570,7 +573,7 @@
         route = min(routes, key=lambda r: (r.failed, r.calls + (0.0 if self._connected(r) else 0.75)))
         key = self._row_key(destination, route)
         row = self._rows.get(key) or _Row()
-        unproven = row.cold and row.back == NEVER
+        unproven = row.cold_until == NEVER
         size = 1 if unproven and row.dark == NEVER else destination.kind.max_batch
         call = _Call(destination, route, now)
         if not self._connected(route):
@@ -615,11 +618,10 @@
         """The next message to send. On an unproven destination one that may be repeated goes first."""
         if self._head(destination) is None:
             return None
-        if unproven:
-            for message in destination.waiting():
-                if message.kind.effect is not Effect.UNSAFE:
-                    return message
-        return heappop(destination.fresh)[-1] if destination.fresh else heappop(destination.late)[-1]
+        for message in destination.waiting() if unproven else ():
+            if message.kind.effect is not Effect.UNSAFE:
+                return message
+        return heappop(destination.fresh or destination.late)[-1]
 
     def _set_timer(self, wake: float) -> None:
         for line, late in ((self._overdue, 0.0), (self._resting, 0.0), (self._expiry, self._set.tick)):
--- a/tests/support.py
+++ b/tests/support.py
@@ -104,6 +104,13 @@
     def sent(self, number: int) -> list[float]:
         return [at for at, send in self.sends if send.message == number]
 
+    def wait_for(self, number: int, attempts: int = 1) -> float:
+        """Let time pass until the message has been sent so often; returns the time, 30 s on at the latest."""
+        for _ in range(300):
+            if len(self.sent(number)) < attempts:
+                self.turn(self.now + 0.1)
+        return self.now
+
     def serve(self, first: int, count: int, at: float, gap: float = 0.5, destination: int = 1) -> float:
         """Hand in messages one after another and answer each with success; returns the time after."""
         for number in range(first, first + count):
