Spread the return after a common close; a wait with the limit unused means shut

Cause: every refusal tells the same end, so all senders call at it; and senders first refused in the last 3 s are told waits too short to look like an outage. Told apart from a limit by the report: the refusals showed 0.74 to 1.0 of the allowance left. Change: the first call after a close comes at a random place in the first gap of the fail-back pace; a refusal that tells a wait while the limit is reported unused, with no call sent in the last 3 s that succeeded, marks an outage.

--- a/irisstack/choice.py
+++ b/irisstack/choice.py
@@ -211,6 +211,8 @@
     def _open(self, row: _Row, destination: _Destination, until: float) -> None:
         """Move the open-until time; messages that cannot wait for it are given up at once."""
         row.open_until = max(row.open_until, until)
+        # Many senders told one close would all call at it: each takes a place of its own in the first gap.
+        row.spent, row.spent_at = self._random.random(), row.open_until
         if row.open_until > row.dark + DARK:
             # A busy destination's limit or full connection table turns calls away too, but not for long
             # without taking one. Turned away or told to wait longer than that, it will come back cold.
@@ -226,8 +228,7 @@
         if row.cold_until == NEVER and self._now >= row.open_until:
             row.cold_until = self._now + self._set.cold_seconds
         if row.strikes:
-            floor = 1.0 if destination.number in self._waiting else 0.0
-            row.strikes = max(floor, row.strikes - RECOVER)
+            row.strikes = max(float(destination.number in self._waiting), row.strikes - RECOVER)
 
     def _gate(self, destination: _Destination, route: _Route) -> float:
         """The earliest time at which a call may go there. Closed, empty rows drop here."""
@@ -236,8 +237,7 @@
         if row is None:
             return 0.0
         cold = self._now < row.cold_until
-        troubled = cold or row.strikes or row.dark < NEVER
-        if not troubled and self._now >= max(row.open_until, row.window_end):
+        if not (cold or row.strikes or row.dark < NEVER) and self._now >= max(row.open_until, row.window_end):
             del self._rows[key]
             return 0.0
         spaced = row.next_at if row.strikes else 0.0
@@ -443,12 +443,14 @@
                 if outcome in NOT_RUN:
                     row = self._rows.setdefault(key, _Row())
                     # One of many senders sees few calls taken. A limit that reports itself used up counts
-                    # like one, unless the wait is too long for a limit; a shut destination reports it unused.
-                    used = destination.limit > 0.0 and told.get("x0", 1.0) < SPENT
-                    row.dark = NEVER if used and (event.retry_after or 0.0) < DARK else min(row.dark, now)
+                    # like one, unless the wait is too long for it; a wait with it unused tells of a shut one.
+                    wait, used = event.retry_after or 0.0, told.get("x0", 1.0) < SPENT
+                    row.dark = NEVER if destination.limit and used and wait < DARK else min(row.dark, now)
+                    if destination.limit and not used and wait and destination.ok_sent < now - DARK:
+                        row.dark = -NEVER
                     row.strikes += outcome is Outcome.FULL
-                self._failure(key, destination, outcome)
                 self._space(key, destination, 1)
+                self._failure(key, destination, outcome)
         if event.retry_after:
             row = self._rows.setdefault(key, _Row())
             self._open(row, destination, now + event.retry_after + self._set.tick)
@@ -588,10 +590,7 @@
         if route.calls > (route.connections - 1) * per:
             route.all_used = now
         overdue = 0.0
-        while call.left < size:
-            message = self._take(destination, unproven)
-            if message is None:
-                break
+        while call.left < size and (message := self._take(destination, unproven)):
             message.call = call
             call.messages.append(message)
             message.attempts += 1
