Bound trial calls to one and a half even parts before a destination has answered

Cause: 44 of 69 calls in the last 1.5 s were trial calls of senders that knew of the outage; each went by its own flow, and all flows together were four times the limit. Told apart from other senders by replaying each sender's row at the time of its calls. Change: before a call has succeeded the pace goes by own flow, but by one and a half times the even part of the told rate at most (one message a window at least). A refusal that reports none of the allowance left counts towards an outage again.

--- a/irisstack/choice.py
+++ b/irisstack/choice.py
@@ -19,6 +19,7 @@
 TOLERATED = 0.25  # failures for each success in the window that do not open yet
 OPEN_FOR = 2.0  # seconds an opened row stays open: longer parks fill the holding room of a small sender
 DARK = 3.0  # seconds of refusals with no call taken after which a destination counts as shut
+UNEVEN = 1.5  # times the even part of a told rate that one sender may take of a destination not back yet
 SPENT = 0.75  # a share left under this explains a refusal: it is the limit, and the destination is not shut
 SLOWER = 1.5  # each further refusal stretches the gap between calls by this
 RECOVER = 0.25  # of a refusal's step is taken back by each call that succeeds
@@ -265,8 +266,10 @@
         rules = self._set
         warm = max(0.0, 1.0 - (row.cold_until - self._now) / (rules.cold_seconds or 1.0))
         share = rules.cold_start_share + (1.0 - rules.cold_start_share) * warm
-        # Before a call has succeeded the even part would be a push: many senders try, and each only a little.
-        part = destination.flow if row.cold_until == NEVER else self._rate(destination)
+        even = (destination.limit or destination.listed) / rules.senders
+        # Guards a hot destination before a call has succeeded: all flows together may be far above its limit.
+        tried = min(destination.flow, max(1.0 / WINDOW, UNEVEN * even))
+        part = tried if row.cold_until == NEVER else self._rate(destination)
         return part * share * rules.tip_multiple * COLD_MARGIN
 
     # ---- messages ----
@@ -444,9 +447,9 @@
                     row = self._rows.setdefault(key, _Row())
                     # One of many senders sees few calls taken. A limit that reports itself used up counts
                     # like one, unless the wait is too long for it; a wait with it unused tells of a shut one.
-                    wait, used = event.retry_after or 0.0, told.get("x0", 1.0) < SPENT
-                    row.dark = NEVER if destination.limit and used and wait < DARK else min(row.dark, now)
-                    if destination.limit and not used and wait and destination.ok_sent < now - DARK:
+                    wait, left = event.retry_after or 0.0, told.get("x0", 0.0) if destination.limit else 0.0
+                    row.dark = NEVER if 0.0 < left < SPENT and wait < DARK else min(row.dark, now)
+                    if wait and left >= SPENT and destination.ok_sent < now - DARK:
                         row.dark = -NEVER
                     row.strikes += outcome is Outcome.FULL
                 self._space(key, destination, 1)
@@ -456,10 +459,7 @@
             self._open(row, destination, now + event.retry_after + self._set.tick)
 
     def _judge_idle(self, call: _Call, weight: float) -> None:
-        """Learn after how long the path drops idle connections, by reset or in silence.
-
-        Guards the next call there, which would be lost. A mistaken judgement costs handshakes.
-        """
+        """Learn after how long the path drops idle connections, losing calls; a mistake costs handshakes."""
         if call.idle > self._set.keepalive * IDLE_PART and self._stale < STALE:
             self._stale = max(0.0, self._stale + weight)
             if weight > 0.0:
