Places in the first gap by the number of senders; stricter sign of a shut destination

With two senders half a gap was lost for nothing, and a destination with no told rate was held to one trial call a window. Change: a sender takes one of as many places in the first gap as there are senders; no bound where no rate is told; a short wait with the limit unused means shut only where no call sent within the last window has succeeded (3 s before).

--- a/irisstack/choice.py
+++ b/irisstack/choice.py
@@ -212,8 +212,9 @@
     def _open(self, row: _Row, destination: _Destination, until: float) -> None:
         """Move the open-until time; messages that cannot wait for it are given up at once."""
         row.open_until = max(row.open_until, until)
-        # Many senders told one close would all call at it: each takes a place of its own in the first gap.
-        row.spent, row.spent_at = self._random.random(), row.open_until
+        # Many senders told one close would all call at it: each takes one of as many places in the first gap.
+        many = self._set.senders
+        row.spent, row.spent_at = self._random.randrange(many) / many, row.open_until
         if row.open_until > row.dark + DARK:
             # A busy destination's limit or full connection table turns calls away too, but not for long
             # without taking one. Turned away or told to wait longer than that, it will come back cold.
@@ -263,14 +264,13 @@
 
     def _budget(self, row: _Row, destination: _Destination) -> float:
         """This sender's part of the calls a second that a destination coming back can bear by now."""
-        rules = self._set
-        warm = max(0.0, 1.0 - (row.cold_until - self._now) / (rules.cold_seconds or 1.0))
-        share = rules.cold_start_share + (1.0 - rules.cold_start_share) * warm
-        even = (destination.limit or destination.listed) / rules.senders
+        warm = max(0.0, 1.0 - (row.cold_until - self._now) / (self._set.cold_seconds or 1.0))
+        share = self._set.cold_start_share + (1.0 - self._set.cold_start_share) * warm
+        even = (destination.limit or destination.listed or NEVER) / self._set.senders
         # Guards a hot destination before a call has succeeded: all flows together may be far above its limit.
         tried = min(destination.flow, max(1.0 / WINDOW, UNEVEN * even))
         part = tried if row.cold_until == NEVER else self._rate(destination)
-        return part * share * rules.tip_multiple * COLD_MARGIN
+        return part * share * self._set.tip_multiple * COLD_MARGIN
 
     # ---- messages ----
 
@@ -449,7 +449,7 @@
                     # like one, unless the wait is too long for it; a wait with it unused tells of a shut one.
                     wait, left = event.retry_after or 0.0, told.get("x0", 0.0) if destination.limit else 0.0
                     row.dark = NEVER if 0.0 < left < SPENT and wait < DARK else min(row.dark, now)
-                    if wait and left >= SPENT and destination.ok_sent < now - DARK:
+                    if wait and left >= SPENT and destination.ok_sent < now - WINDOW:
                         row.dark = -NEVER
                     row.strikes += outcome is Outcome.FULL
                 self._space(key, destination, 1)
