--- a/tests/test_found.py
+++ b/tests/test_found.py
@@ -294,14 +294,13 @@
 def test_a_wait_told_while_the_limit_is_unused_tells_of_a_shut_destination() -> None:
     def calls(left: float, served: bool) -> int:
         driver = Driver(senders=100)
-        driver.serve(10, 10, 1.0, gap=0.11)
+        driver.serve(10, 1, 1.0)
         if served:
-            driver.serve(30, 1, 5.0)
-        driver.message(40, 5.5)
-        driver.end(40, FULL, 5.6, retry_after=0.5, report=(left, 4.0))
-        driver.turn(5.7, *(driver.received(n, 5.7) for n in range(50, 60)))
-        driver.turn(9.5)
-        return sum(at > 5.7 for at, _ in driver.sends)
+            driver.serve(30, 1, 12.0)
+        driver.turn(13.5, *(driver.received(n, 13.5) for n in range(40, 49)))
+        driver.end(driver.sends[-1][1].message, FULL, 13.6, retry_after=0.5, report=(left, 4.0))
+        driver.turn(18.0)
+        return sum(at > 13.7 for at, _ in driver.sends)
     assert calls(0.95, served=False) < calls(0.1, served=False)
     assert calls(0.95, served=True) == calls(0.1, served=True)
 
