--- a/tests/test_found.py
+++ b/tests/test_found.py
@@ -293,7 +293,7 @@
 
 def test_a_wait_told_while_the_limit_is_unused_tells_of_a_shut_destination() -> None:
     def calls(left: float, served: bool) -> int:
-        driver = Driver(senders=100)
+        driver = Driver(senders=100, max_calls=1)
         driver.serve(10, 1, 1.0)
         if served:
             driver.serve(30, 1, 12.0)
