Take a connect that gets no answer in time for silence

Told apart from full connection tables by the time: those say no within 30 ms, and a host that is gone answers nothing until the connect time-out. Change: a failed connect that took the whole connect time-out counts like silence, and so opens sooner for a small sender and marks an outage. Harm: a very slow network.

--- a/irisstack/choice.py
+++ b/irisstack/choice.py
@@ -38,7 +38,6 @@
 RESUBSCRIBE = 0.2  # seconds before the first renewed subscription after a failure; doubles
 
 NEVER = float("inf")
-UNKNOWN_KIND = api.DestinationKind("unknown")
 NOT_RUN = frozenset((Outcome.FULL, Outcome.CONNECT_FAILED, Outcome.NOT_SENT))
 
 
@@ -74,7 +73,7 @@
     """A destination's routes, waiting messages and what its calls have shown."""
 
     number: int
-    kind: api.DestinationKind = UNKNOWN_KIND
+    kind: api.DestinationKind = field(default_factory=lambda: api.DestinationKind("unknown"))
     listed: float = 0.0
     limit: float = 0.0  # calls a second, as it reports them
     routes: dict[api.Address, _Route] = field(default_factory=dict)
@@ -242,9 +241,8 @@
         if not (cold or row.strikes or row.dark < NEVER) and self._now >= max(row.open_until, row.window_end):
             del self._rows[key]
             return 0.0
-        spaced = row.next_at if row.strikes else 0.0
         paced = row.spent_at + row.spent / self._budget(row, destination) if cold else 0.0
-        return max(row.open_until, spaced, paced)
+        return max(row.open_until, row.next_at if row.strikes else 0.0, paced)
 
     def _first_gate(self, destination: _Destination) -> float:
         """The earliest time at which a call may go to any route of a destination."""
@@ -453,7 +451,9 @@
                         row.dark = -NEVER
                     row.strikes += outcome is Outcome.FULL
                 self._space(key, destination, 1)
-                self._failure(key, destination, outcome)
+                # A connect without an answer is silence: the host is gone. A full table says no at once.
+                silent = outcome is Outcome.CONNECT_FAILED and event.elapsed >= self._set.connect_timeout
+                self._failure(key, destination, None if silent else outcome)
         if event.retry_after:
             row = self._rows.setdefault(key, _Row())
             self._open(row, destination, now + event.retry_after + self._set.tick)
--- a/tests/test_found.py
+++ b/tests/test_found.py
@@ -332,3 +332,13 @@
             total += (driver.sends[out][0] if len(driver.sends) > out else 20.0) - 1.1 - OPEN_FOR
         return total
     assert first_trial(40) > 0.6 * first_trial(8)
+
+
+def test_a_connect_without_an_answer_is_silence_and_a_quick_no_is_not() -> None:
+    def sent_at_once(after: float) -> bool:
+        driver = Driver(senders=200)
+        driver.message(1, 1.0, UNSAFE_INDEX)
+        driver.end(1, api.Outcome.CONNECT_FAILED, 1.0 + after)
+        return len(driver.sent(1)) == 2
+    assert sent_at_once(0.03)
+    assert not sent_at_once(SETTINGS.connect_timeout)
