--- a/irisstack/benchlink/codec.py
+++ b/irisstack/benchlink/codec.py
@@ -2,7 +2,7 @@
 
 import json
 import struct
-from collections.abc import Iterable, Mapping
+from collections.abc import Iterable
 from dataclasses import dataclass
 from typing import Any, assert_never
 
@@ -11,10 +11,6 @@
     AttemptEnded,
     Cancel,
     CloseIdle,
-    Decay,
-    DedupScope,
-    DestinationKind,
-    Effect,
     Endpoint,
     EndpointState,
     EndpointsUpdated,
@@ -22,7 +18,6 @@
     Fail,
     FetchEndpoints,
     Log,
-    MessageClass,
     MessageReceived,
     MessageWithdrawn,
     Outcome,
@@ -36,10 +31,10 @@
     StreamStarted,
     Subscribe,
     TellPeer,
-    Tenant,
     TimerFired,
     UpdateScope,
 )
+from irisstack.settings import Reader, SettingsError, read
 
 
 class WireError(Exception):
@@ -95,9 +90,6 @@
 SCOPES = (UpdateScope.DELTA, UpdateScope.FULL, UpdateScope.CACHED, UpdateScope.FAILED)
 STATES = {0: EndpointState.READY, 1: EndpointState.DRAINING, 3: EndpointState.GONE}
 OUTCOMES = tuple(Outcome)
-EFFECTS = {"read_like": Effect.SAFE, "idempotency_key": Effect.KEYED, "non_idempotent": Effect.UNSAFE}
-GROUPS = {"all": DedupScope.DESTINATION, "zone": DedupScope.ZONE}
-FADES = {"even": Decay.LINEAR, "by_half": Decay.HALVING}
 
 
 def _take(form: struct.Struct, body: memoryview, exact: bool = True) -> tuple[Any, ...]:
@@ -211,76 +203,11 @@
 
 
 def settings(text: bytes) -> Settings:
-    """The settings from their JSON text; unknown keys are skipped, absent ones mean what the wire says."""
+    """The settings from their JSON text."""
     try:
-        raw = json.loads(text)
-        return _settings(raw)
-    except WireError:
-        raise
-    except (ValueError, KeyError, TypeError, AttributeError) as error:
-        raise WireError(f"the settings cannot be read: {type(error).__name__}: {error}") from None
-
-
-def _settings(raw: Mapping[str, Any]) -> Settings:
-    allowed, extra, rules = raw["allowed"], raw.get("extra", {}), raw.get("invariants", {})
-    report = raw.get("report", {})
-    names = raw.get("shapes", [])
-    batches, apart = extra.get("batchByKind", []), extra.get("separateRoutes", [])
-    kinds = tuple(
-        DestinationKind(name, int(batches[i]) if i < len(batches) else 1, i < len(apart) and bool(apart[i]))
-        for i, name in enumerate(names))
-    return Settings(
-        classes=tuple(_message_class(lane) for lane in raw["lanes"]),
-        kinds=kinds,
-        tenants=tuple(Tenant(t["name"], float(t.get("allowancePerS", 0.0)), float(t.get("share", 0.0)))
-                      for t in raw.get("tenants", [])),
-        zones=tuple(raw.get("failureDomains", [])),
-        senders=int(raw.get("balancers", 1)),
-        ordinal=int(raw.get("ordinal", 0)),
-        max_calls=int(extra["maxCalls"]),
-        max_held=int(allowed["mostHeld"]),
-        max_attempts=int(allowed["attemptsCap"]),
-        may_cancel=bool(allowed.get("cancel", False)),
-        may_duplicate=bool(allowed.get("mayDuplicate", False)),
-        may_probe=bool(allowed.get("mayProbe", False)),
-        may_tell_peers=bool(allowed.get("mayTell", False)),
-        advises_retry_after=bool(allowed.get("retryAfter", False)),
-        max_retry_after=float(allowed.get("maxRetryAfter", 0.0)),
-        connect_timeout=float(allowed.get("dialTimeout", 0.0)),
-        keepalive=float(allowed.get("keepalive", 0.0)),
-        calls_per_connection=int(allowed.get("multiplex", 1)),
-        discovery_on_request=raw.get("discovery") == "on_request",
-        ask_within=float(rules["askWithin"]) if "askWithin" in rules else None,
-        listed_rates=raw.get("weights", "off") in ("nominal", "rough"),
-        rates_are_rough=raw.get("weights") == "rough",
-        report_fields=tuple(report.get("names", [])) if report.get("how", "off") != "off" else (),
-        decay=FADES.get(extra.get("fades", "even"), Decay.LINEAR),
-        over_share_worth=float(raw.get("overShareWorth", 1.0)),
-        answer_slack=float(rules.get("answerSlack", 0.0)),
-        drain_grace=float(rules.get("drainGrace", 0.0)),
-        cold_start_share=float(rules.get("startCapacity", 1.0)),
-        cold_seconds=float(rules.get("cold", 0.0)),
-        tip_multiple=float(rules.get("tipMultiple", 1.0)),
-        tip_seconds=float(rules.get("fall", 0.0)),
-        order_pause=float(rules.get("orderPause", 0.0)),
-        tick=float(raw.get("resolution", 0.0)),
-    )
-
-
-def _message_class(lane: Mapping[str, Any]) -> MessageClass:
-    return MessageClass(
-        name=lane["name"],
-        effect=_one_of(EFFECTS, lane["repeat"], "kind of repeat"),
-        aim=float(lane["slo"]),
-        deadline=float(lane["hardLimit"]),
-        worth=float(lane.get("importance", 1.0)),
-        late_worth=float(lane.get("lateValue", 0.0)),
-        dedup_scope=GROUPS.get(lane.get("group", "all"), DedupScope.ZONE),
-        dedup_window=float(lane.get("window", 0.0)),
-        ordered=bool(lane.get("keepOrder", False)),
-        streamed=bool(lane.get("streamed", False)),
-        aim_stretch=float(lane.get("aimStretch", 0.0)),
-    )
+        return read(Reader(json.loads(text)))
+    except (ValueError, SettingsError) as error:
+        raise WireError(f"the settings cannot be read: {error}") from None
 
 
 def _record(code: int, fields: bytes) -> bytes:
--- a/irisstack/choice.py
+++ b/irisstack/choice.py
@@ -276,8 +276,8 @@
         kind = self._set.classes[event.message_class]
         aim = kind.aim + kind.aim_stretch * (event.work_hint or 0.0)
         message = self._messages[event.message] = _Message(
-            event.message, event.message_class, kind, event.destination, event.due,
-            min(event.due, event.due - kind.deadline + aim), event.key if kind.ordered else None)
+            event.message, event.message_class, kind, event.destination, event.due, min(event.due, event.due
+            - kind.deadline + aim), event.key if kind.ordered else None, event.attempts, event.maybe_ran)
         self._held += 1
         destination = self._destination(event.destination)
         kept = max(0.0, 1.0 - (self._now - destination.flow_at) / WINDOW)
--- a/irisstack/interface.py
+++ b/irisstack/interface.py
@@ -160,7 +160,10 @@
 
 @dataclass(slots=True, frozen=True)
 class MessageReceived:
-    """A message was handed in; the sender now owes it exactly one final answer."""
+    """A message was handed in; the sender now owes it exactly one final answer.
+
+    The last two tell what an earlier life of this sender did with one that outlived it.
+    """
 
     message: int
     message_class: int
@@ -172,6 +175,9 @@
     is_retry: bool = False
     from_dead_sender: bool = False
     is_write: bool = False
+    attempts: int = 0
+    maybe_ran: float | None = None
+    """When the first attempt that may have run was sent."""
 
 
 @dataclass(slots=True, frozen=True)
--- /dev/null
+++ b/irisstack/node/config.py
@@ -0,0 +1,102 @@
+"""The one place where configuration is read, checked and given defaults."""
+
+import json
+import os
+from collections.abc import Mapping
+from dataclasses import dataclass
+from pathlib import Path
+from typing import Any
+
+from irisstack.interface import Settings
+from irisstack.settings import Reader, SettingsError, read
+
+HostPort = tuple[str, int]
+
+DEFAULT_SOCKETS = 1024
+DEFAULT_DISK_MB = 64.0
+
+
+class ConfigError(Exception):
+    """The configuration cannot be used; the text names the key at fault."""
+
+
+@dataclass(slots=True, frozen=True)
+class Config:
+    """All that a node is told at its start."""
+
+    name: str
+    listen: HostPort
+    discovery: HostPort
+    state: Path
+    seed: int
+    sockets: int
+    disk_bytes: int
+    known: Mapping[str, Any]
+    settings: Settings
+
+
+def host_port(text: str, key: str) -> HostPort:
+    """Split `host:port`; the host is an address, since nothing here looks names up."""
+    host, _, port = text.rpartition(":")
+    if not host or not port.isascii() or not port.isdigit() or not 0 < int(port) < 65536:
+        raise ConfigError(f"{key}: host:port is due, not {text!r}")
+    return host, int(port)
+
+
+def name_of(peer: HostPort) -> str:
+    """`host:port`, as a header or a line of the log names it."""
+    host, port = peer
+    return f"{host}:{port}"
+
+
+def load(environment: Mapping[str, str] = os.environ) -> Config:
+    """The configuration from `RELAY_CONFIG` and the variables that stand above the file."""
+    path = environment.get("RELAY_CONFIG", "")
+    if not path:
+        raise ConfigError("RELAY_CONFIG: the path of the configuration file is due")
+    try:
+        raw = Reader(json.loads(Path(path).read_bytes()))
+        limits = raw.part("limits")
+        known = raw.value("known") or {}
+        Reader(known, "known")
+
+        def told(variable: str, key: str, default: str | None = None) -> str:
+            return environment.get(variable) or raw.text(key, default)
+
+        config = Config(
+            name=told("RELAY_NAME", "name", "node"),
+            listen=host_port(told("RELAY_LISTEN", "listen"), "listen"),
+            discovery=host_port(told("RELAY_DISCOVERY", "discovery"), "discovery"),
+            state=Path(told("RELAY_STATE", "state")),
+            seed=_seed(raw.text("seed", "0")),
+            sockets=limits.whole("sockets", DEFAULT_SOCKETS),
+            disk_bytes=int(limits.number("disk_mb", DEFAULT_DISK_MB) * 1_000_000),
+            known=known,
+            settings=read(raw.part("settings")),
+        )
+    except OSError as error:
+        raise ConfigError(f"RELAY_CONFIG: {path} cannot be read: {error.strerror}") from None
+    except ValueError as error:
+        raise ConfigError(f"RELAY_CONFIG: {path} holds no JSON: {error}") from None
+    except SettingsError as error:
+        raise ConfigError(str(error)) from None
+    _check(config)
+    return config
+
+
+def _seed(text: str) -> int:
+    try:
+        return int(text, 16)
+    except ValueError:
+        raise ConfigError(f"seed: a hexadecimal number is due, not {text!r}") from None
+
+
+def _check(config: Config) -> None:
+    if not config.state.is_dir() or not os.access(config.state, os.W_OK | os.X_OK):
+        raise ConfigError(f"RELAY_STATE: {config.state} is no folder that can be written")
+    if config.sockets < 64:
+        raise ConfigError(f"limits.sockets: 64 at least are due, not {config.sockets}")
+    if config.disk_bytes < 1_000_000:
+        raise ConfigError("limits.disk_mb: 1 at least is due")
+    if config.settings.max_calls < 1:
+        raise ConfigError("settings.extra.maxCalls: 1 at least is due")
--- /dev/null
+++ b/irisstack/node/decider.py
@@ -0,0 +1,282 @@
+"""The module's actor: sole owner of `Sender`, of the clock it is given and of its timer.
+
+What its mailbox holds makes one turn. What a turn decides goes on record first; then clients hear of it; then
+calls leave. Nothing is decided here.
+"""
+
+import time
+from collections.abc import Callable, Iterable
+from dataclasses import dataclass, field
+from heapq import heappop, heappush
+from http import HTTPStatus
+from typing import Protocol
+
+import gevent
+import structlog
+from gevent.queue import Empty, Queue
+
+from irisstack import interface as api
+from irisstack.choice import Sender
+from irisstack.node.counters import Counters
+from irisstack.node.endpoint import Call, CallOff, CloseIdle, Ended, Outgoing
+from irisstack.node.store import Entry, Store
+
+log = structlog.get_logger()
+
+
+class Client(Protocol):
+    """Who handed a message in and waits for the answer."""
+
+    def answer(self, status: HTTPStatus, retry_after: float | None = None) -> bool:
+        """Write the answer; returns whether somebody was there to hear it."""
+
+
+@dataclass(slots=True, frozen=True)
+class Arrival:
+    """A message that a client hands in."""
+
+    client: Client
+    id: str
+    key: str
+    message_class: int
+    tenant: int
+    destination: int
+    due: float
+    is_retry: bool
+    from_dead_sender: bool
+    body: bytes
+
+
+@dataclass(slots=True)
+class _Turn:
+    """What one turn brings about, in the order in which it is carried out."""
+
+    arrivals: dict[int, Arrival] = field(default_factory=dict)
+    records: list[bytes] = field(default_factory=list)
+    answers: list[tuple[Arrival, HTTPStatus, float | None]] = field(default_factory=list)
+    sends: list[api.Send] = field(default_factory=list)
+    others: list[api.Action] = field(default_factory=list)
+
+
+class Decider:
+    """Turns what comes into events, and actions into what is done."""
+
+    def __init__(self, settings: api.Settings, seed: int, store: Store, counters: Counters, *,
+                 call: Callable[[api.Address, Call | CallOff | CloseIdle], None],
+                 ask: Callable[[api.Action], None], notice: Callable[[Entry], None], room: int) -> None:
+        self._settings = settings
+        self._sender = Sender(settings, seed)
+        self._store = store
+        self._counters = counters
+        self._call = call
+        self._ask = ask
+        self._notice = notice
+        self.mailbox: Queue[Arrival | Ended | api.EndpointsUpdated] = Queue(room)
+        self._next: list[api.Event] = []  # known already, for the next turn
+        self._timers: list[tuple[float, int]] = []
+        self._where: dict[int, tuple[api.Address, float, int]] = {}  # calls out: endpoint, sent at, attempt
+        self._attempts: dict[int, int] = {}
+        self._batches: dict[api.Address, int] = {}
+        self._turned = -1.0
+        self.refusing = False  # nothing new is taken on
+        self.holding = False  # nothing more is sent
+
+    @property
+    def calls_out(self) -> int:
+        return len(self._where)
+
+    # ---- the start ----
+
+    def recover(self, known: api.EndpointsUpdated) -> None:
+        """The list as it was last held, and what an earlier life of this node owes."""
+        now, unix = time.monotonic(), time.time()
+        self._learn(known)
+        self._next.append(known)
+        names = {kind.name: i for i, kind in enumerate(self._settings.classes)}
+        for entry in self._store.entries.values():
+            if entry.to_tell:
+                self._notice(entry)
+            if not entry.owed:
+                continue
+            self._attempts[entry.number] = entry.attempts
+            ran = None if entry.ran_at is None else now + entry.ran_at - unix
+            self._next.append(api.MessageReceived(
+                entry.number, names[entry.message_class], entry.destination, now + entry.due - unix,
+                entry.tenant, is_retry=entry.is_retry, from_dead_sender=entry.from_dead_sender,
+                attempts=entry.attempts, maybe_ran=ran))
+        self._counters.add("recovered", len(self._attempts))
+
+    # ---- the loop ----
+
+    def run(self) -> None:
+        """One turn after another, the settings' resolution apart at the least."""
+        while True:
+            items = [] if self._next else self._wait()
+            pause = self._turned + self._settings.tick - time.monotonic()
+            if pause > 0.0:
+                gevent.sleep(pause)
+            while True:
+                try:
+                    items.append(self.mailbox.get_nowait())
+                except Empty:
+                    break
+            self._turn(items)
+
+    def _wait(self) -> list[Arrival | Ended | api.EndpointsUpdated]:
+        wait = max(0.0, self._timers[0][0] - time.monotonic()) if self._timers else None
+        try:
+            return [self.mailbox.get(timeout=wait)]
+        except Empty:
+            return []
+
+    def _turn(self, items: Iterable[Arrival | Ended | api.EndpointsUpdated]) -> None:
+        now, unix = time.monotonic(), time.time()
+        self._turned = now
+        turn = _Turn()
+        events, self._next = self._next, []
+        for item in items:
+            match item:
+                case Arrival():
+                    self._arrived(item, turn, events, now, unix)
+                case Ended():
+                    self._ended(item, turn, events, now)
+                case api.EndpointsUpdated():
+                    self._learn(item)
+                    events.append(item)
+        while self._timers and self._timers[0][0] <= now:
+            events.append(api.TimerFired(heappop(self._timers)[1]))
+        if events:
+            for action in self._sender.turn(now, events):
+                self._note(action, turn, now)
+        self._carry_out(turn, now, unix)
+
+    # ---- events ----
+
+    def _arrived(self, arrival: Arrival, turn: _Turn, events: list[api.Event], now: float,
+                 unix: float) -> None:
+        store = self._store
+        self._counters.add("received")
+        if (number := store.by_id.get(arrival.id)) is not None:
+            # The same handing in once more: what became of it holds, and it is not taken twice.
+            result = store.entries[number].result
+            told = {"": HTTPStatus.ACCEPTED, "delivered": HTTPStatus.OK}
+            status = told.get(result, HTTPStatus.SERVICE_UNAVAILABLE)
+            turn.answers.append((arrival, status, None))
+        elif self.refusing or not store.fits(len(arrival.body)):
+            self._counters.add("turned_away")
+            turn.answers.append((arrival, HTTPStatus.SERVICE_UNAVAILABLE, None))
+        else:
+            number, store.next_number = store.next_number, store.next_number + 1
+            entry = Entry(number, arrival.id, arrival.key, self._settings.classes[arrival.message_class].name,
+                          arrival.tenant, arrival.destination, unix + arrival.due - now, arrival.is_retry,
+                          arrival.from_dead_sender, arrival.body)
+            turn.arrivals[number] = arrival
+            turn.records.append(store.take(entry))
+            self._attempts[number] = 0
+            events.append(api.MessageReceived(
+                number, arrival.message_class, arrival.destination, arrival.due, arrival.tenant,
+                is_retry=arrival.is_retry, from_dead_sender=arrival.from_dead_sender))
+
+    def _ended(self, ended: Ended, turn: _Turn, events: list[api.Event], now: float) -> None:
+        _, sent, _ = self._where.pop(ended.number)
+        result = ended.result
+        entry = self._store.entries.get(ended.number)
+        owed = entry is not None and entry.owed
+        if owed:
+            ran = result.outcome not in (api.Outcome.FULL, api.Outcome.CONNECT_FAILED, api.Outcome.NOT_SENT)
+            turn.records.append(self._store.end(ended.number, ended.attempt, ran))
+            if result.over:
+                name = "delivered" if result.outcome is api.Outcome.OK else "withdrawn"
+                turn.records.append(self._over(ended.number, name))
+        events.append(api.AttemptEnded(
+            ended.number, ended.address, ended.attempt, now - sent, result.over or not owed, result.outcome,
+            result.retry_after, result.no_free_slot, result.report))
+
+    def _learn(self, update: api.EndpointsUpdated) -> None:
+        for endpoint in update.endpoints:
+            self._batches[endpoint.address] = self._settings.kinds[endpoint.kind].max_batch
+
+    # ---- actions ----
+
+    def _over(self, number: int, result: str, wait_ms: int = 0) -> bytes:
+        self._attempts.pop(number, None)
+        self._counters.add(result)
+        return self._store.over(number, result, wait_ms)
+
+    def _note(self, action: api.Action, turn: _Turn, now: float) -> None:
+        match action:
+            case api.Refuse(number, wait):
+                self._final(number, "bounced", wait, turn)
+            case api.Fail(number):
+                self._final(number, "dead", None, turn)
+            case api.Send():
+                turn.sends.append(action)
+            case api.SetTimer(delay, token):
+                heappush(self._timers, (now + delay, token))
+            case _:
+                turn.others.append(action)
+
+    def _final(self, number: int, result: str, wait: float | None, turn: _Turn) -> None:
+        """An end that is not delivery: the answer itself where the client still waits, else a notice."""
+        arrival = turn.arrivals.pop(number, None)
+        if arrival is not None:
+            status = HTTPStatus.TOO_MANY_REQUESTS if result == "bounced" else HTTPStatus.INTERNAL_SERVER_ERROR
+            turn.answers.append((arrival, status, wait))
+            turn.records.append(self._over(number, "refused" if result == "bounced" else "failed"))
+        else:
+            turn.records.append(self._over(number, result, round((wait or 0.0) * 1000.0)))
+            self._notice(self._store.entries[number])
+
+    def _carry_out(self, turn: _Turn, now: float, unix: float) -> None:
+        self._store.write(turn.records, unix)
+        gone: set[int] = set()
+        for number, arrival in turn.arrivals.items():
+            if arrival.client.answer(HTTPStatus.ACCEPTED):
+                self._counters.add("taken")
+            else:
+                gone.add(number)
+        if gone:
+            self._store.write([self._over(number, "withdrawn") for number in gone], unix)
+            self._next.extend(api.MessageWithdrawn(number) for number in gone)
+        for arrival, status, wait in turn.answers:
+            arrival.client.answer(status, wait)
+        for action in turn.others:
+            self._do(action)
+        self._send(turn.sends, now, unix)
+
+    def _do(self, action: api.Action) -> None:
+        match action:
+            case api.Cancel(number, attempt):
+                if number in self._where:
+                    self._call(self._where[number][0], CallOff(number, attempt))
+            case api.CloseIdle(address):
+                self._call(address, CloseIdle())
+            case api.Subscribe() | api.FetchEndpoints():
+                self._ask(action)
+            case api.Log(text):
+                log.info("module", text=text)
+            case _:
+                log.error("action_unknown", action=repr(action))
+
+    def _send(self, sends: list[api.Send], now: float, unix: float) -> None:
+        """What goes to one endpoint in one turn travels together, as far as its kind allows."""
+        by_endpoint: dict[api.Address, list[Outgoing]] = {}
+        for send in sends:
+            entry = self._store.entries.get(send.message)
+            attempt = self._attempts.get(send.message)
+            if entry is None or attempt is None:  # withdrawn in this very turn
+                self._next.append(api.AttemptEnded(
+                    send.message, send.endpoint, 0, 0.0, True, api.Outcome.NOT_SENT))
+                continue
+            if self.holding:
+                continue
+            self._attempts[send.message] = attempt + 1
+            self._where[send.message] = send.endpoint, now, attempt
+            due = now + entry.due - unix
+            give_up = min(due, send.give_up_at or due)
+            by_endpoint.setdefault(send.endpoint, []).append(
+                Outgoing(entry.number, attempt, entry.id, entry.key, entry.body, give_up, due))
+        for address, messages in by_endpoint.items():
+            most = self._batches.get(address, 1)
+            for start in range(0, len(messages), most):
+                self._call(address, Call(messages[start:start + most], unix))
--- /dev/null
+++ b/irisstack/node/discovery.py
@@ -0,0 +1,149 @@
+"""The actor of the endpoint list: asks discovery when told to, and hands on what it says."""
+
+import json
+import time
+from collections.abc import Callable, Mapping
+from dataclasses import replace
+from typing import Any
+
+import gevent
+import structlog
+from gevent import socket
+from gevent.queue import Queue
+
+from irisstack import interface as api
+from irisstack.node import http
+from irisstack.node.buffer import Buffer
+from irisstack.node.config import HostPort, host_port, name_of
+
+STATES = {
+    "SERVING": api.EndpointState.READY,
+    "DRAINING": api.EndpointState.DRAINING,
+    "DELETED": api.EndpointState.GONE,
+}
+SILENCE = 5.0
+"""Seconds without a line, due every 2 s, after which a watch counts as broken; calls wait as long."""
+
+log = structlog.get_logger()
+
+
+class ListReader:
+    """The list's JSON as `EndpointsUpdated`; a line that cannot be read is logged and passed over."""
+
+    def __init__(self, settings: api.Settings) -> None:
+        self._kinds = {kind.name: i for i, kind in enumerate(settings.kinds)}
+        self._zones = {name: i for i, name in enumerate(settings.zones)}
+        self._addresses: dict[str, tuple[bytes, int]] = {}
+
+    def update(self, raw: Mapping[str, Any], scope: api.UpdateScope | None = None) -> api.EndpointsUpdated:
+        """One object of discovery's; raises `ValueError` or `KeyError` if it is none."""
+        revision, members = int(raw["revision"]), raw["members"]
+        if scope is None:
+            scope = api.UpdateScope.FULL if raw["complete"] else api.UpdateScope.DELTA
+        endpoints: list[api.Endpoint] = []
+        for member in members:
+            try:
+                endpoints.extend(self._endpoints(member))
+            except Exception as error:  # a single bad line must not cost the rest of the list
+                log.warning("list_line_unread", line=str(member)[:200], error=repr(error))
+        return api.EndpointsUpdated(scope, revision, tuple(endpoints))
+
+    def _endpoints(self, member: Mapping[str, Any]) -> list[api.Endpoint]:
+        id_ = str(member["id"])
+        state = STATES[member["phase"]]
+        before = self._addresses.get(id_)
+        if state is api.EndpointState.GONE and "host_port" not in member and before is not None:
+            address = before
+        else:
+            host, port = host_port(member["host_port"], "host_port")
+            address = (socket.inet_aton(host), port)
+        since = float(member.get("up_since_ms", 0)) / 1000.0
+        endpoint = api.Endpoint(
+            address, state, self._kinds.get(member.get("flavor", ""), 0), int(member.get("cell", 0)),
+            self._zones.get(member.get("locality", ""), 0), float(member.get("size", 1.0)),
+            since - time.time() + time.monotonic() if since else None)
+        if state is api.EndpointState.GONE:
+            self._addresses.pop(id_, None)
+        else:
+            self._addresses[id_] = address
+        if before is not None and before != address:
+            return [replace(endpoint, address=before, state=api.EndpointState.GONE), endpoint]
+        return [endpoint]
+
+
+class Discovery:
+    """Holds at most one watch and one fetch."""
+
+    def __init__(self, peer: HostPort, reader: ListReader, post: Callable[[api.EndpointsUpdated], None],
+                 revision: int) -> None:
+        self._peer = peer
+        self._reader = reader
+        self._post = post
+        self._revision = revision
+        self._watch: gevent.Greenlet[..., None] | None = None
+        self._fetch: gevent.Greenlet[..., None] | None = None
+        self.mailbox: Queue[api.Action] = Queue(64)
+
+    def run(self) -> None:
+        while True:
+            match self.mailbox.get():
+                case api.Subscribe(on):
+                    if self._watch is not None:
+                        self._watch.kill()
+                        self._watch = None
+                    if on:
+                        self._watch = gevent.spawn(self._ask, f"?watch=1&from={self._revision}", True)
+                case api.FetchEndpoints():
+                    if self._fetch is None or self._fetch.dead:
+                        self._fetch = gevent.spawn(self._ask, "", False)
+
+    def _ask(self, query: str, watch: bool) -> None:
+        """One call to discovery, to its end; a failure or the end of a watch is told."""
+        connection = None
+        try:
+            connection = socket.create_connection(self._peer, timeout=SILENCE)
+            connection.settimeout(SILENCE)
+            connection.sendall(http.request("GET", f"/v1/servers{query}", name_of(self._peer)))
+            if watch:
+                self._follow(connection)
+            else:
+                answer = self._whole(connection)
+                if answer.status == 200:
+                    self._tell(bytes(answer.body))
+                    return
+                log.info("list_not_had", status=answer.status)
+        except (OSError, http.BadMessage, ValueError, KeyError, TypeError) as error:
+            log.info("list_not_had", error=repr(error))
+        finally:
+            if connection is not None:
+                connection.close()
+        self._post(api.EndpointsUpdated(api.UpdateScope.FAILED, self._revision, ()))
+
+    def _whole(self, connection: socket.socket) -> http.Message:
+        buffer, reader = Buffer(), http.AnswerReader(http.MAX_LIST)
+        while (answer := reader.advance(buffer)) is None:
+            if not buffer.receive(connection):
+                answer = reader.ended()
+                if answer is None:
+                    raise ConnectionResetError("the answer ended early")
+                break
+        return answer
+
+    def _follow(self, connection: socket.socket) -> None:
+        """Hand on each object of a watch until it ends."""
+        buffer, reader = Buffer(), http.AnswerReader(http.MAX_LIST)
+        rest = b""
+        while buffer.receive(connection):
+            ended = reader.advance(buffer) is not None
+            if ended or (reader.head_done and reader.message.status != 200):
+                log.info("watch_ended", status=reader.message.status)
+                return
+            *lines, rest = (rest + reader.take_body()).split(b"\n")
+            for line in lines:
+                if line.strip():
+                    self._tell(line)
+
+    def _tell(self, line: bytes) -> None:
+        update = self._reader.update(json.loads(line))
+        self._revision = update.version
+        self._post(update)
--- /dev/null
+++ b/irisstack/node/endpoint.py
@@ -0,0 +1,304 @@
+"""An actor for each endpoint: its connections, and the calls on them."""
+
+import select
+import time
+from collections import deque
+from collections.abc import Callable, Sequence
+from contextlib import suppress
+from dataclasses import dataclass
+
+import gevent
+from gevent import socket
+from gevent.queue import Empty, Queue
+
+from irisstack.interface import Address
+from irisstack.node import http
+from irisstack.node.buffer import Buffer
+from irisstack.node.config import HostPort, name_of
+from irisstack.node.counters import Counters
+from irisstack.node.results import Ending, Reached, Result, answered, answered_each, unanswered
+from irisstack.node.store import Store
+
+LONG = 3600.0
+"""Seconds an idle connection is kept where the settings name no limit."""
+IDLE_MARGIN = 0.05
+"""Part of the endpoint's idle limit in which a connection is no longer trusted."""
+
+
+@dataclass(slots=True, frozen=True)
+class Outgoing:
+    """One message of a call."""
+
+    number: int
+    attempt: int
+    id: str
+    key: str
+    body: bytes
+    give_up: float
+    due: float
+
+
+@dataclass(slots=True, eq=False)
+class Call:
+    """The messages that go to one endpoint together."""
+
+    messages: Sequence[Outgoing]
+    sent_at: float  # Unix time, for the record
+    worker: "gevent.Greenlet[..., None] | None" = None
+    begun: bool = False
+    over: bool = False  # ended or called off
+
+
+@dataclass(slots=True, frozen=True)
+class CallOff:
+    """Stop waiting for the call that carries this attempt."""
+
+    number: int
+    attempt: int
+
+
+@dataclass(slots=True, frozen=True)
+class CloseIdle:
+    """Close the connections that carry no call."""
+
+
+@dataclass(slots=True, frozen=True)
+class Retire:
+    """The endpoint drains or is gone: close each connection as its call ends."""
+
+
+@dataclass(slots=True, frozen=True)
+class _Back:
+    """A call has ended; its connection comes back, if it can be used again."""
+
+    call: Call
+    connection: "Connection | None"
+
+
+@dataclass(slots=True, frozen=True)
+class Ended:
+    """The end of one attempt, for the decider."""
+
+    number: int
+    attempt: int
+    address: Address
+    result: Result
+
+
+class _CalledOff(Exception):
+    """Raised inside a call's greenlet."""
+
+
+class Connection:
+    """One connection: a call at a time. Its exceptions stop here."""
+
+    def __init__(self, peer: HostPort, connect_timeout: float, report_fields: Sequence[str]) -> None:
+        self._peer = peer
+        self._connect_timeout = connect_timeout
+        self._fields = report_fields
+        self._socket: socket.socket | None = None
+        self._buffer = Buffer()
+        self._reader = http.AnswerReader()
+        self.idle_since = 0.0
+
+    def usable(self) -> bool:
+        """Whether nothing, not even an end, waits to be read on an idle connection."""
+        if self._socket is None:
+            return False
+        poll = select.poll()
+        poll.register(self._socket.fileno(), select.POLLIN | select.POLLHUP | select.POLLERR)
+        return not poll.poll(0)
+
+    def close(self) -> None:
+        if self._socket is not None:
+            self._socket.close()
+            self._socket = None
+
+    def carry(self, call: Call, leaving: Callable[[Call], None],
+              end: Callable[[Outgoing, Result], None]) -> bool:
+        """Carry one call to its end and tell each message's; returns whether the connection can be kept."""
+        pending = {message.id: message for message in call.messages}
+        reached, ending = Reached.NOTHING, Ending.BROKEN
+        keep = False
+        answer: http.Message | None = None
+        try:
+            if call.over:
+                raise _CalledOff
+            call.begun = True
+            self._open(min(message.give_up for message in call.messages))
+            reached = Reached.CONNECTED
+            leaving(call)
+            self._write(call)
+            reached = Reached.WRITTEN
+            answer = self._read(pending, end)
+            keep = answer is not None and answer.keep_alive and not len(self._buffer)
+            ending = Ending.BROKEN if answer is not None else Ending.GIVEN_UP
+        except _CalledOff:
+            ending = Ending.CALLED_OFF
+        except TimeoutError:
+            ending = Ending.GIVEN_UP
+        except (OSError, http.BadMessage):
+            ending = Ending.BROKEN
+        call.over = True
+        if answer is None and ending is Ending.BROKEN and len(call.messages) == 1 and self._reader.head_done:
+            answer = self._reader.message  # its first line told the end already
+        if answer is None:
+            results = dict.fromkeys(pending, unanswered(reached, ending))
+        elif len(call.messages) == 1:
+            results = dict.fromkeys(pending, answered(answer, self._fields))
+        else:
+            results = answered_each(answer, list(pending), self._fields)
+        if not keep:
+            self.close()
+        for id_, message in pending.items():
+            end(message, results[id_])
+        return keep
+
+    def _open(self, give_up: float) -> None:
+        if self._socket is not None:
+            return
+        left = give_up - time.monotonic()
+        if left <= 0.0:
+            raise TimeoutError
+        self._socket = socket.create_connection(self._peer, timeout=min(left, self._connect_timeout or left))
+        self._socket.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+
+    def _write(self, call: Call) -> None:
+        assert self._socket is not None
+        give_up = max(message.give_up for message in call.messages)
+        left = max(0.001, give_up - time.monotonic())
+        headers = [("X-Timeout", f"{left:.3f}")]
+        if len(call.messages) == 1:
+            message = call.messages[0]
+            headers.append(("X-Request-ID", message.id))
+            if message.key:
+                headers.append(("Idempotency-Key", message.key))
+            path, body = "/v1/messages", message.body
+        else:
+            path = "/v1/messages:batch"
+            body = b"".join(
+                f"{m.id} {m.key or '-'} {len(m.body)}\r\n".encode("latin-1") + m.body + b"\r\n"
+                for m in call.messages)
+        self._socket.settimeout(left)
+        self._socket.sendall(http.request("POST", path, name_of(self._peer), headers, body))
+
+    def _read(self, pending: dict[str, Outgoing],
+              end: Callable[[Outgoing, Result], None]) -> http.Message | None:
+        """The answer, or nothing once no message waits for it.
+
+        A message whose own time is up ends alone. Any earlier giving up ends the call: with the connection
+        open, another attempt would be a second copy.
+        """
+        assert self._socket is not None
+        while True:
+            answer = self._reader.advance(self._buffer)
+            if answer is not None:
+                return answer
+            now = time.monotonic()
+            for message in [m for m in pending.values() if m.give_up <= now]:
+                if message.give_up < message.due:
+                    return None
+                del pending[message.id]
+                end(message, unanswered(Reached.WRITTEN, Ending.GIVEN_UP))
+            if not pending:
+                return None
+            self._socket.settimeout(max(0.001, min(m.give_up for m in pending.values()) - now))
+            try:
+                if not self._buffer.receive(self._socket):
+                    answer = self._reader.ended()
+                    if answer is None:
+                        raise ConnectionResetError
+                    return answer
+            except TimeoutError:
+                continue
+
+
+class Endpoint:
+    """The actor of one endpoint."""
+
+    def __init__(self, address: Address, peer: HostPort, post: Callable[[Ended], None], store: Store,
+                 counters: Counters, *, connect_timeout: float, idle_limit: float, most_idle: int,
+                 most_calls: int, report_fields: Sequence[str]) -> None:
+        self.address = address
+        self._peer = peer
+        self._post = post
+        self._store = store
+        self._counters = counters
+        self._connect_timeout = connect_timeout
+        self._trusted = idle_limit * (1.0 - IDLE_MARGIN) if idle_limit else LONG
+        self._most_idle = most_idle
+        self._report_fields = report_fields
+        # A call, its cancelling and its end for each slot, and what the list tells beside them.
+        self.mailbox: Queue[Call | CallOff | CloseIdle | Retire | _Back] = Queue(4 * most_calls + 16)
+        self._calls: list[Call] = []
+        self._idle: deque[Connection] = deque()
+        self._retired = False
+        self.worker: gevent.Greenlet[..., None] = gevent.Greenlet(self.run)
+
+    def run(self) -> None:
+        """Take what is in the mailbox until the node ends."""
+        while True:
+            wait = None
+            if self._idle:
+                wait = max(0.0, self._idle[0].idle_since + self._trusted - time.monotonic())
+            with suppress(Empty):
+                self._handle(self.mailbox.get(timeout=wait))
+            while self._idle and self._idle[0].idle_since + self._trusted <= time.monotonic():
+                self._idle.popleft().close()
+
+    @property
+    def finished(self) -> bool:
+        """Retired, with nothing left to do."""
+        return self._retired and not self._calls and self.mailbox.empty()
+
+    def revive(self) -> None:
+        """The list names the endpoint again."""
+        self._retired = False
+
+    def _handle(self, command: "Call | CallOff | CloseIdle | Retire | _Back") -> None:
+        match command:
+            case Call():
+                self._calls.append(command)
+                command.worker = gevent.spawn(self._work, command, self._connection())
+            case CallOff(number, attempt):
+                for call in self._calls:
+                    carried = ((message.number, message.attempt) for message in call.messages)
+                    if not call.over and (number, attempt) in carried:
+                        call.over = True
+                        if call.begun and call.worker is not None:
+                            call.worker.kill(_CalledOff, block=False)
+            case _Back(call, connection):
+                self._calls.remove(call)
+                if connection is not None:
+                    connection.idle_since = time.monotonic()
+                    self._idle.append(connection)
+                    if self._retired or len(self._idle) > self._most_idle:
+                        self._idle.popleft().close()
+            case CloseIdle() | Retire():
+                self._retired = self._retired or isinstance(command, Retire)
+                while self._idle:
+                    self._idle.pop().close()
+
+    def _connection(self) -> Connection:
+        """The connection used last, or a new one."""
+        while self._idle:
+            connection = self._idle.pop()
+            if time.monotonic() - connection.idle_since < self._trusted and connection.usable():
+                return connection
+            connection.close()
+        self._counters.add("connections_opened")
+        return Connection(self._peer, self._connect_timeout, self._report_fields)
+
+    def _work(self, call: Call, connection: Connection) -> None:
+        keep = connection.carry(call, self._leaving, self._end)
+        self.mailbox.put(_Back(call, connection if keep else None))
+
+    def _leaving(self, call: Call) -> None:
+        """On record before the last byte leaves: from here on the call may have run."""
+        self._store.out([(m.number, m.attempt) for m in call.messages], call.sent_at)
+        self._counters.add("calls_sent")
+        self._counters.add("messages_sent", len(call.messages))
+
+    def _end(self, message: Outgoing, result: Result) -> None:
+        self._counters.add(f"ended_{result.outcome.name.lower()}")
+        self._post(Ended(message.number, message.attempt, self.address, result))
--- /dev/null
+++ b/irisstack/node/http.py
@@ -0,0 +1,182 @@
+"""HTTP/1.1 without sockets: messages out of a connection's buffer, heads into bytes."""
+
+from collections.abc import Callable, Iterable
+from dataclasses import dataclass, field
+from http import HTTPStatus
+from typing import Generic, TypeVar
+
+import httptools
+
+from irisstack.node.buffer import Buffer
+
+MAX_HEAD = 16 * 1024
+MAX_BODY = 64 * 1024
+"""A body's limit on this protocol, either way."""
+MAX_LIST = 16 * 1024 * 1024
+"""The limit for an endpoint list, which grows with the fleet."""
+
+
+class BadMessage(Exception):
+    """What came is no HTTP message that can be taken; carries the status to answer it with."""
+
+    def __init__(self, status: HTTPStatus, reason: str) -> None:
+        super().__init__(reason)
+        self.status = status
+
+
+P = TypeVar("P", httptools.HttpRequestParser, httptools.HttpResponseParser)
+
+
+@dataclass(slots=True)
+class Message:
+    """A request or an answer."""
+
+    headers: dict[str, str] = field(default_factory=dict)
+    body: bytearray = field(default_factory=bytearray)
+    keep_alive: bool = False
+    method: str = ""
+    path: str = ""
+    status: int = 0
+
+
+class _Reader(Generic[P]):
+    """Feeds httptools from the buffer piece by piece, so that nothing beyond one message is taken."""
+
+    def __init__(self, make_parser: Callable[["_Reader[P]"], P], max_body: int) -> None:
+        self._make_parser: Callable[[_Reader[P]], P] = make_parser
+        self.max_body = max_body
+        self._fresh()
+
+    def _fresh(self) -> None:
+        self.message = Message()
+        self.head_done = self._complete = False
+        self._head_size = 0
+        self._left: int | None = None  # of a body whose length was told
+        self._chunked = False
+        self._parser: P = self._make_parser(self)
+
+    @property
+    def started(self) -> bool:
+        """Whether a part of a message has been read."""
+        return self._head_size > 0
+
+    def advance(self, buffer: Buffer) -> Message | None:
+        """Take what the buffer holds of the present message; returns it once it is whole."""
+        while not self._complete and (size := self._piece(buffer)):
+            if not self.head_done:
+                self._head_size += size
+                if self._head_size > MAX_HEAD:
+                    raise BadMessage(HTTPStatus.REQUEST_HEADER_FIELDS_TOO_LARGE, "the head is too long")
+            try:
+                self._parser.feed_data(buffer.take(size))
+            except httptools.HttpParserUpgrade:
+                raise BadMessage(HTTPStatus.BAD_REQUEST, "no other protocol is spoken here") from None
+            except httptools.HttpParserCallbackError as error:
+                if isinstance(error.__context__, BadMessage):
+                    raise error.__context__ from None
+                raise BadMessage(HTTPStatus.BAD_REQUEST, str(error)) from None
+            except httptools.HttpParserError as error:
+                raise BadMessage(HTTPStatus.BAD_REQUEST, str(error)) from None
+        if not self._complete:
+            return None
+        whole = self.message
+        self._fresh()
+        return whole
+
+    def _piece(self, buffer: Buffer) -> int:
+        """How much may be fed without running past the end of the message."""
+        if self.head_done and not self._chunked:
+            return len(buffer) if self._left is None else min(len(buffer), self._left)
+        size = buffer.line()
+        if not size and len(buffer) > (self.max_body if self.head_done else 0) + MAX_HEAD:
+            raise BadMessage(HTTPStatus.BAD_REQUEST, "a line is too long")
+        return size
+
+    # What httptools calls:
+
+    def on_header(self, name: bytes, value: bytes) -> None:
+        self.message.headers[name.decode("latin-1").lower()] = value.decode("latin-1")
+
+    def on_headers_complete(self) -> None:
+        self.head_done = True
+        headers = self.message.headers
+        self._chunked = "chunked" in headers.get("transfer-encoding", "").lower()
+        self.message.keep_alive = self._parser.should_keep_alive()
+        length = headers.get("content-length")
+        if length is not None and not self._chunked:
+            self._left = int(length)
+            if self._left > self.max_body:
+                raise BadMessage(HTTPStatus.REQUEST_ENTITY_TOO_LARGE, "the body is too long")
+
+    def on_body(self, body: bytes) -> None:
+        self.message.body += body
+        if self._left is not None:
+            self._left -= len(body)
+        if len(self.message.body) > self.max_body:
+            raise BadMessage(HTTPStatus.REQUEST_ENTITY_TOO_LARGE, "the body is too long")
+
+    def on_message_complete(self) -> None:
+        self._complete = True
+
+
+class RequestReader(_Reader[httptools.HttpRequestParser]):
+    """Requests from a client."""
+
+    def __init__(self) -> None:
+        super().__init__(httptools.HttpRequestParser, MAX_BODY)
+
+    def on_url(self, url: bytes) -> None:
+        self.message.path += url.decode("latin-1")
+
+    def on_headers_complete(self) -> None:
+        self.message.method = self._parser.get_method().decode("latin-1")
+        super().on_headers_complete()
+
+
+class AnswerReader(_Reader[httptools.HttpResponseParser]):
+    """Answers from an endpoint or the platform."""
+
+    def __init__(self, max_body: int = MAX_BODY) -> None:
+        super().__init__(httptools.HttpResponseParser, max_body)
+
+    def on_headers_complete(self) -> None:
+        self.message.status = self._parser.get_status_code()
+        super().on_headers_complete()
+
+    def advance(self, buffer: Buffer) -> Message | None:
+        """As for any message; an interim answer is passed over."""
+        while (message := super().advance(buffer)) is not None:
+            if message.status >= HTTPStatus.OK:
+                return message
+        return None
+
+    def ended(self) -> Message | None:
+        """The connection ended: that is the end of a body whose length was not told."""
+        if self.head_done and self._left is None and not self._chunked:
+            return self.message
+        return None
+
+    def take_body(self) -> bytes:
+        """What has come so far of a body that is used as it comes."""
+        taken = bytes(self.message.body)
+        self.message.body.clear()
+        return taken
+
+
+def request(method: str, path: str, host: str, headers: Iterable[tuple[str, str]] = (),
+            body: bytes = b"") -> bytes:
+    """A whole request."""
+    lines = [f"{method} {path} HTTP/1.1", f"Host: {host}", *(f"{name}: {value}" for name, value in headers)]
+    if body or method == "POST":
+        lines.append(f"Content-Length: {len(body)}")
+    return "\r\n".join([*lines, "", ""]).encode("latin-1") + body
+
+
+def answer(status: HTTPStatus, headers: Iterable[tuple[str, str]] = (), body: bytes = b"",
+           close: bool = False) -> bytes:
+    """A whole answer."""
+    lines = [f"HTTP/1.1 {status.value} {status.phrase}", *(f"{name}: {value}" for name, value in headers)]
+    if close:
+        lines.append("Connection: close")
+    lines.append(f"Content-Length: {len(body)}")
+    return "\r\n".join([*lines, "", ""]).encode("latin-1") + body
--- /dev/null
+++ b/irisstack/node/service.py
@@ -0,0 +1,175 @@
+"""The whole node: its parts wired together, its signals, its end."""
+
+import signal
+import sys
+import time
+
+import gevent
+import structlog
+from gevent.event import Event
+
+from irisstack import interface as api
+from irisstack.node.config import Config, ConfigError, HostPort, load, name_of
+from irisstack.node.counters import Counters
+from irisstack.node.decider import Arrival, Decider
+from irisstack.node.discovery import Discovery, ListReader
+from irisstack.node.endpoint import Call, CallOff, CloseIdle, Ended, Endpoint, Retire
+from irisstack.node.intake import Intake
+from irisstack.node.notices import Notices
+from irisstack.node.store import Store
+
+SEND_UNTIL = 2.2
+"""Seconds after SIGTERM in which calls still leave."""
+END_BY = 3.3
+"""Seconds after SIGTERM at which the node ends, whatever is still out."""
+ACCEPT_FOR = 0.9
+"""Seconds after SIGTERM in which clients may still come."""
+LOOK = 0.05
+"""Seconds between two looks at what is left to end."""
+
+log = structlog.get_logger()
+
+
+class Service:
+    """One node."""
+
+    def __init__(self, config: Config) -> None:
+        self._config = config
+        settings = config.settings
+        self.counters = Counters()
+        self._store = Store(config.state, config.disk_bytes, time.time())
+        self._notices = Notices(config.discovery, self._store, self.counters)
+        reader = ListReader(settings)
+        known = self._known(reader)
+        self._discovery = Discovery(config.discovery, reader, self._listed, known.version)
+        self._endpoints: dict[api.Address, Endpoint] = {}
+        self._listed_now: set[api.Address] = set()
+        # A quarter of the descriptors for clients, a half for endpoints, the rest for all else.
+        self._most_clients = config.sockets // 4
+        self._most_idle = config.sockets // 2
+        most_batch = max((kind.max_batch for kind in settings.kinds), default=1)
+        self._decider = Decider(
+            settings, config.seed, self._store, self.counters, call=self._to_endpoint,
+            ask=self._discovery.mailbox.put, notice=self._notices.owe,
+            room=self._most_clients + settings.max_calls * most_batch + 64)
+        self._intake = Intake(config.listen, settings, self._hand_in, self.counters, self._most_clients)
+        self._follow(known)
+        self._decider.recover(known)
+        self._stop = Event()
+
+    def _known(self, reader: ListReader) -> api.EndpointsUpdated:
+        empty = {"revision": 0, "members": []}
+        try:
+            return reader.update({**empty, **self._config.known}, api.UpdateScope.CACHED)
+        except (ValueError, KeyError, TypeError):
+            raise ConfigError("known: no list of endpoints") from None
+
+    def run(self) -> int:
+        """Serve until SIGTERM or SIGINT; returns the exit code."""
+        for number in (signal.SIGTERM, signal.SIGINT):
+            gevent.signal_handler(number, self._stop.set)
+        parts = [gevent.spawn(part.run) for part in (self._decider, self._discovery, self._notices)]
+        for part in parts:
+            part.link_exception(self._broken)
+        self._intake.start()
+        log.info("serving", name=self._config.name, listen=name_of(self._config.listen),
+                 **self.counters.snapshot())
+        self._stop.wait()
+        if any(part.dead for part in parts):
+            return 1
+        self._end(time.monotonic())
+        return 0
+
+    def _broken(self, part: "gevent.Greenlet[..., None]") -> None:
+        """A part that fails takes the node with it: the folder knows all that is owed."""
+        log.critical("part_failed", error=repr(part.exception))
+        self._stop.set()
+
+    def _end(self, asked: float) -> None:
+        """Turn away what is new, bring calls to an end, leave the rest to the next life."""
+        log.info("stopping", calls_out=self._decider.calls_out)
+        self._decider.refusing = True
+        self._intake.stop()
+        while (passed := time.monotonic() - asked) < END_BY:
+            self._decider.holding = passed > SEND_UNTIL
+            owed = any(entry.owed for entry in self._store.entries.values())
+            if (passed > ACCEPT_FOR and not self._decider.calls_out and self._notices.idle
+                    and (self._decider.holding or not owed)):
+                break
+            gevent.sleep(LOOK)
+        self._intake.close()
+        self._store.close()
+        log.info("stopped", **self.counters.snapshot())
+
+    # ---- between the parts ----
+
+    def _hand_in(self, arrival: Arrival) -> None:
+        self._decider.mailbox.put(arrival)
+
+    def _listed(self, update: api.EndpointsUpdated) -> None:
+        self._follow(update)
+        self._decider.mailbox.put(update)
+
+    def _follow(self, update: api.EndpointsUpdated) -> None:
+        """Close what leads to endpoints that the list no longer offers."""
+        offered = {e.address for e in update.endpoints if e.state is api.EndpointState.READY}
+        if update.scope is api.UpdateScope.FAILED:
+            return
+        if update.scope is api.UpdateScope.DELTA:
+            gone = {e.address for e in update.endpoints} - offered
+            self._listed_now = (self._listed_now | offered) - gone
+        else:
+            gone = self._listed_now - offered
+            self._listed_now = offered
+        for address in gone & self._endpoints.keys():
+            self._endpoints[address].mailbox.put(Retire())
+        for address in offered & self._endpoints.keys():
+            self._endpoints[address].revive()
+
+    def _ended(self, ended: Ended) -> None:
+        self._decider.mailbox.put(ended)
+
+    def _to_endpoint(self, address: api.Address, command: Call | CallOff | CloseIdle) -> None:
+        endpoint = self._endpoints.get(address)
+        if endpoint is None:
+            endpoint = self._start_endpoint(address)
+        endpoint.mailbox.put(command)
+
+    def _start_endpoint(self, address: api.Address) -> Endpoint:
+        settings = self._config.settings
+        for old in [a for a, e in self._endpoints.items() if e.finished]:
+            self._endpoints.pop(old).worker.kill(block=False)
+        endpoint = self._endpoints[address] = Endpoint(
+            address, _peer(address), self._ended, self._store, self.counters,
+            connect_timeout=settings.connect_timeout, idle_limit=settings.keepalive,
+            most_idle=max(1, self._most_idle // max(1, len(self._listed_now))), most_calls=settings.max_calls,
+            report_fields=settings.report_fields)
+        endpoint.worker.start()
+        return endpoint
+
+
+def _peer(address: api.Address) -> HostPort:
+    host, port = address
+    return ".".join(str(byte) for byte in host), port
+
+
+def _log_to_stdout() -> None:
+    structlog.configure(
+        processors=[
+            structlog.processors.add_log_level,
+            structlog.processors.TimeStamper(fmt="iso", utc=True),
+            structlog.processors.JSONRenderer(),
+        ],
+        cache_logger_on_first_use=True,
+    )
+
+
+def main() -> int:
+    """Run a node from the environment; a configuration that cannot be used is one line and code 2."""
+    _log_to_stdout()
+    try:
+        service = Service(load())
+    except ConfigError as error:
+        print(f"irisstack: {error}", file=sys.stderr)
+        return 2
+    return service.run()
--- /dev/null
+++ b/irisstack/node/store.py
@@ -0,0 +1,268 @@
+"""The lasting folder: a log of what the node owes, in segments, that outlives its processes.
+
+A record is a head (two lengths and a checksum), a JSON note and, for a message taken on, its body. The oldest
+segment makes room by having what is still needed of it written anew; a torn record ends the reading of its
+segment. Times in the folder are Unix time.
+"""
+
+import json
+import os
+import struct
+import zlib
+from collections.abc import Iterable, Iterator
+from dataclasses import asdict, dataclass, fields
+from heapq import heappop, heappush
+from pathlib import Path
+from typing import Any
+
+HEAD = struct.Struct(">III")
+UNIT = 512
+"""Files count in whole units of this size."""
+SEGMENTS = 12
+"""The folder's room is shared out among so many segments."""
+SPARE = 4
+"""Segments kept free of owed messages, so that one can always be written anew."""
+NOTE_ROOM = 512
+"""Room counted for a message's notes beside its body."""
+
+
+@dataclass(slots=True)
+class Entry:
+    """A message that was taken on, as the folder knows it."""
+
+    number: int
+    id: str
+    key: str
+    message_class: str
+    tenant: int
+    destination: int
+    due: float
+    is_retry: bool
+    from_dead_sender: bool
+    body: bytes
+    attempts: int = 0
+    ran_at: float | None = None  # when the first attempt that may have run was sent
+    out_at: float | None = None  # when the attempt that is out was sent
+    result: str = ""  # how it ended, empty while it is owed
+    wait_ms: int = 0
+    told: bool = False  # its notice was taken
+    segment: int = 0
+
+    @property
+    def owed(self) -> bool:
+        return not self.result
+
+    @property
+    def to_tell(self) -> bool:
+        """Whether a notice is owed."""
+        return self.result in ("dead", "bounced") and not self.told
+
+    @property
+    def room(self) -> int:
+        return len(self.body) + NOTE_ROOM
+
+
+NOTED = tuple(field.name for field in fields(Entry) if field.name not in ("body", "segment"))
+
+
+def _record(note: dict[str, Any], body: bytes = b"") -> bytes:
+    text = json.dumps(note, separators=(",", ":")).encode()
+    return HEAD.pack(len(text), len(body), zlib.crc32(body, zlib.crc32(text))) + text + body
+
+
+def _records(data: bytes) -> Iterator[tuple[dict[str, Any], bytes]]:
+    """The records of a segment, up to the first that is torn."""
+    at = 0
+    while at + HEAD.size <= len(data):
+        note_size, body_size, check = HEAD.unpack_from(data, at)
+        start = at + HEAD.size
+        middle, end = start + note_size, start + note_size + body_size
+        if end > len(data) or zlib.crc32(data[start:end]) != check:
+            return
+        yield json.loads(data[start:middle]), data[middle:end]
+        at = end
+
+
+class Store:
+    """Keeps the folder and, beside it, the entries in memory."""
+
+    def __init__(self, folder: Path, disk_bytes: int, now: float) -> None:
+        self._folder = folder
+        self._disk = disk_bytes
+        self._segment_size = disk_bytes // SEGMENTS
+        self._sizes: dict[int, int] = {}
+        self._file = -1
+        self._current = 0
+        self._room = 0
+        self._ended: list[tuple[float, int]] = []
+        self.entries: dict[int, Entry] = {}
+        self.by_id: dict[str, int] = {}
+        self.next_number = 1
+        self._read()
+        self._rotate()
+        self._make_room(now)
+
+    # ---- reading ----
+
+    def _read(self) -> None:
+        for path in sorted(self._folder.glob("*.log")):
+            segment = int(path.stem)
+            data = path.read_bytes()
+            self._sizes[segment] = len(data)
+            self._current = max(self._current, segment)
+            for note, body in _records(data):
+                self._replay(note, body, segment)
+        for entry in self.entries.values():
+            if entry.out_at is not None:  # the process ended with this call out: it may have run
+                entry.ran_at, entry.out_at = entry.ran_at or entry.out_at, None
+
+    def _replay(self, note: dict[str, Any], body: bytes, segment: int) -> None:
+        match note["t"]:
+            case "taken":
+                del note["t"]
+                entry = Entry(**note, body=body, segment=segment)
+                known = self.entries.get(entry.number)
+                if known is not None:
+                    self._room -= known.room
+                self.entries[entry.number] = entry
+                self.by_id[entry.id] = entry.number
+                self._room += entry.room
+                self.next_number = max(self.next_number, entry.number + 1)
+                if not entry.owed:
+                    heappush(self._ended, (entry.due, entry.number))
+            case "out":
+                for number, attempt in note["n"]:
+                    if out := self.entries.get(number):
+                        out.out_at, out.attempts = note["at"], attempt + 1
+            case "end":
+                if ended := self.entries.get(note["n"]):
+                    self._end(ended, note["a"], note["ran"])
+            case "over":
+                if over := self.entries.get(note["n"]):
+                    self._over(over, note["result"], note["wait_ms"])
+            case "told":
+                for number in note["n"]:
+                    if told := self.entries.get(number):
+                        told.told = True
+
+    # ---- what happens to an entry, first and when read again ----
+
+    @staticmethod
+    def _end(entry: Entry, attempt: int, ran: bool) -> None:
+        entry.attempts = max(entry.attempts, attempt + 1)
+        if ran and entry.ran_at is None:
+            entry.ran_at = entry.out_at
+        entry.out_at = None
+
+    def _over(self, entry: Entry, result: str, wait_ms: int) -> None:
+        self._room -= entry.room
+        entry.result, entry.wait_ms, entry.body = result, wait_ms, b""
+        self._room += entry.room
+        heappush(self._ended, (entry.due, entry.number))
+
+    # ---- what others note ----
+
+    def fits(self, size: int) -> bool:
+        """Whether a body of this size finds room beside all that is owed."""
+        return self._room + size + NOTE_ROOM <= self._disk - SPARE * self._segment_size
+
+    def take(self, entry: Entry) -> bytes:
+        """A message is taken on; returns the record to write."""
+        entry.segment = self._current
+        self.entries[entry.number] = entry
+        self.by_id[entry.id] = entry.number
+        self._room += entry.room
+        return self._taken(entry)
+
+    def end(self, number: int, attempt: int, ran: bool) -> bytes:
+        """An attempt has ended; returns the record to write."""
+        self._end(self.entries[number], attempt, ran)
+        return _record({"t": "end", "n": number, "a": attempt, "ran": ran})
+
+    def over(self, number: int, result: str, wait_ms: int = 0) -> bytes:
+        """A message is over; returns the record to write."""
+        self._over(self.entries[number], result, wait_ms)
+        return _record({"t": "over", "n": number, "result": result, "wait_ms": wait_ms})
+
+    def out(self, attempts: Iterable[tuple[int, int]], at: float) -> None:
+        """A call is about to leave with these messages; on record when this returns."""
+        numbers = [(number, attempt) for number, attempt in attempts if number in self.entries]
+        for number, attempt in numbers:
+            entry = self.entries[number]
+            entry.out_at, entry.attempts = at, attempt + 1
+        self.write([_record({"t": "out", "n": numbers, "at": at})], at)
+
+    def told(self, numbers: Iterable[int], now: float) -> None:
+        """The platform has taken these notices."""
+        known = [number for number in numbers if number in self.entries]
+        for number in known:
+            self.entries[number].told = True
+        self.write([_record({"t": "told", "n": known})], now)
+
+    def write(self, records: list[bytes], now: float) -> None:
+        """Append records with one write."""
+        if not records:
+            return
+        data = b"".join(records)
+        if self._sizes[self._current] and self._sizes[self._current] + len(data) > self._segment_size:
+            self._rotate()
+            self._append(data)
+            self._make_room(now)
+        else:
+            self._append(data)
+
+    def close(self) -> None:
+        os.close(self._file)
+
+    # ---- segments ----
+
+    @staticmethod
+    def _taken(entry: Entry) -> bytes:
+        note = asdict(entry)
+        return _record({"t": "taken", **{name: note[name] for name in NOTED}}, entry.body)
+
+    def _append(self, data: bytes) -> None:
+        self._sizes[self._current] += len(data)
+        while data:
+            data = data[os.write(self._file, data):]
+
+    def _path(self, segment: int) -> Path:
+        return self._folder / f"{segment:010d}.log"
+
+    def _rotate(self) -> None:
+        if self._file >= 0:
+            os.close(self._file)
+        self._current += 1
+        self._sizes[self._current] = 0
+        self._file = os.open(self._path(self._current), os.O_WRONLY | os.O_CREAT | os.O_APPEND, 0o600)
+
+    def _used(self) -> int:
+        return sum(-(-size // UNIT) * UNIT for size in self._sizes.values())
+
+    def _make_room(self, now: float) -> None:
+        """Drop what is no longer needed, then free the oldest segments while less than two are free."""
+        while self._ended and self._ended[0][0] < now:
+            due, number = heappop(self._ended)
+            entry = self.entries.get(number)
+            if entry is not None and entry.to_tell:
+                heappush(self._ended, (due + 1.0, number))
+                break
+            if entry is not None:
+                self._forget(entry)
+        for segment in sorted(self._sizes)[:-1]:
+            if self._used() + 2 * self._segment_size <= self._disk:
+                break
+            for entry in [e for e in self.entries.values() if e.segment == segment]:
+                data = self._taken(entry)
+                if self._sizes[self._current] + len(data) > self._segment_size:
+                    self._rotate()
+                entry.segment = self._current
+                self._append(data)
+            self._path(segment).unlink()
+            del self._sizes[segment]
+
+    def _forget(self, entry: Entry) -> None:
+        del self.entries[entry.number]
+        if self.by_id.get(entry.id) == entry.number:
+            del self.by_id[entry.id]
+        self._room -= entry.room
--- /dev/null
+++ b/irisstack/settings.py
@@ -0,0 +1,141 @@
+"""The platform's settings object as `interface.Settings`, for the bench's wire and the node alike.
+
+Translation only: unknown keys are skipped, absent ones mean what the wire's page says.
+"""
+
+import math
+from collections.abc import Mapping
+from typing import Any
+
+from irisstack.interface import Decay, DedupScope, DestinationKind, Effect, MessageClass, Settings, Tenant
+
+EFFECTS = {"read_like": Effect.SAFE, "idempotency_key": Effect.KEYED, "non_idempotent": Effect.UNSAFE}
+GROUPS = {"all": DedupScope.DESTINATION, "zone": DedupScope.ZONE}
+FADES = {"even": Decay.LINEAR, "by_half": Decay.HALVING}
+
+
+class SettingsError(Exception):
+    """A key that is missing or holds what it may not; the text begins with its whole path."""
+
+
+class Reader:
+    """One JSON object, read key by key."""
+
+    def __init__(self, raw: object, path: str = "") -> None:
+        if not isinstance(raw, Mapping):
+            raise SettingsError(f"{path or 'the document'}: an object is due, not {type(raw).__name__}")
+        self._raw: Mapping[str, Any] = raw
+        self._path = path
+
+    def path(self, key: str) -> str:
+        return f"{self._path}.{key}" if self._path else key
+
+    def value(self, key: str) -> Any:
+        """Whatever stands there; `None` if nothing does."""
+        return self._raw.get(key)
+
+    def number(self, key: str, default: float | None = None) -> float:
+        value = self._raw.get(key, default)
+        if isinstance(value, bool) or not isinstance(value, int | float) or not math.isfinite(value):
+            raise SettingsError(f"{self.path(key)}: a number is due, not {value!r}")
+        return float(value)
+
+    def whole(self, key: str, default: int | None = None) -> int:
+        value = self.number(key, default)
+        if value != int(value):
+            raise SettingsError(f"{self.path(key)}: a whole number is due, not {value!r}")
+        return int(value)
+
+    def flag(self, key: str, default: bool = False) -> bool:
+        value = self._raw.get(key, default)
+        if not isinstance(value, bool):
+            raise SettingsError(f"{self.path(key)}: true or false is due, not {value!r}")
+        return value
+
+    def text(self, key: str, default: str | None = None) -> str:
+        value = self._raw.get(key, default)
+        if not isinstance(value, str):
+            raise SettingsError(f"{self.path(key)}: a text is due, not {value!r}")
+        return value
+
+    def items(self, key: str) -> list[Any]:
+        value = self._raw.get(key, [])
+        if not isinstance(value, list):
+            raise SettingsError(f"{self.path(key)}: a list is due, not {type(value).__name__}")
+        return value
+
+    def part(self, key: str) -> "Reader":
+        return Reader(self._raw.get(key, {}), self.path(key))
+
+    def parts(self, key: str) -> "list[Reader]":
+        return [Reader(item, f"{self.path(key)}[{i}]") for i, item in enumerate(self.items(key))]
+
+    def one_of(self, key: str, table: Mapping[str, Any], default: str | None = None) -> Any:
+        name = self.text(key, default)
+        if name not in table:
+            raise SettingsError(f"{self.path(key)}: one of {', '.join(table)} is due, not {name!r}")
+        return table[name]
+
+
+def read(raw: Reader) -> Settings:
+    """The settings from the object that an instance is handed."""
+    allowed, extra, rules, report = (raw.part(key) for key in ("allowed", "extra", "invariants", "report"))
+    batches, apart = extra.items("batchByKind"), extra.items("separateRoutes")
+    kinds = tuple(
+        DestinationKind(name, int(batches[i]) if i < len(batches) else 1, i < len(apart) and bool(apart[i]))
+        for i, name in enumerate(raw.items("shapes")))
+    classes = tuple(_message_class(lane) for lane in raw.parts("lanes"))
+    if not classes:
+        raise SettingsError(f"{raw.path('lanes')}: at least one class is due")
+    return Settings(
+        classes=classes,
+        kinds=kinds,
+        tenants=tuple(Tenant(t.text("name"), t.number("allowancePerS", 0.0), t.number("share", 0.0))
+                      for t in raw.parts("tenants")),
+        zones=tuple(raw.items("failureDomains")),
+        senders=raw.whole("balancers", 1),
+        ordinal=raw.whole("ordinal", 0),
+        max_calls=extra.whole("maxCalls"),
+        max_held=allowed.whole("mostHeld"),
+        max_attempts=allowed.whole("attemptsCap"),
+        may_cancel=allowed.flag("cancel"),
+        may_duplicate=allowed.flag("mayDuplicate"),
+        may_probe=allowed.flag("mayProbe"),
+        may_tell_peers=allowed.flag("mayTell"),
+        advises_retry_after=allowed.flag("retryAfter"),
+        max_retry_after=allowed.number("maxRetryAfter", 0.0),
+        connect_timeout=allowed.number("dialTimeout", 0.0),
+        keepalive=allowed.number("keepalive", 0.0),
+        calls_per_connection=allowed.whole("multiplex", 1),
+        discovery_on_request=raw.text("discovery", "pushed") == "on_request",
+        ask_within=rules.number("askWithin") if rules.value("askWithin") is not None else None,
+        listed_rates=raw.text("weights", "off") in ("nominal", "rough"),
+        rates_are_rough=raw.text("weights", "off") == "rough",
+        report_fields=tuple(report.items("names")) if report.text("how", "off") != "off" else (),
+        decay=FADES.get(extra.text("fades", "even"), Decay.LINEAR),
+        over_share_worth=raw.number("overShareWorth", 1.0),
+        answer_slack=rules.number("answerSlack", 0.0),
+        drain_grace=rules.number("drainGrace", 0.0),
+        cold_start_share=rules.number("startCapacity", 1.0),
+        cold_seconds=rules.number("cold", 0.0),
+        tip_multiple=rules.number("tipMultiple", 1.0),
+        tip_seconds=rules.number("fall", 0.0),
+        order_pause=rules.number("orderPause", 0.0),
+        tick=raw.number("resolution", 0.0),
+    )
+
+
+def _message_class(lane: Reader) -> MessageClass:
+    return MessageClass(
+        name=lane.text("name"),
+        effect=lane.one_of("repeat", EFFECTS),
+        aim=lane.number("slo"),
+        deadline=lane.number("hardLimit"),
+        worth=lane.number("importance", 1.0),
+        late_worth=lane.number("lateValue", 0.0),
+        dedup_scope=GROUPS.get(lane.text("group", "all"), DedupScope.ZONE),
+        dedup_window=lane.number("window", 0.0),
+        ordered=lane.flag("keepOrder"),
+        streamed=lane.flag("streamed"),
+        aim_stretch=lane.number("aimStretch", 0.0),
+    )
