--- a/irisstack/node/config.py
+++ b/irisstack/node/config.py
@@ -98,5 +98,7 @@
         raise ConfigError(f"limits.sockets: 64 at least are due, not {config.sockets}")
     if config.disk_bytes < 1_000_000:
         raise ConfigError("limits.disk_mb: 1 at least is due")
+    if not config.settings.kinds:
+        raise ConfigError("settings.shapes: at least one kind is due")
     if config.settings.max_calls < 1:
         raise ConfigError("settings.extra.maxCalls: 1 at least is due")
--- a/irisstack/node/decider.py
+++ b/irisstack/node/decider.py
@@ -54,6 +54,7 @@
     arrivals: dict[int, Arrival] = field(default_factory=dict)
     records: list[bytes] = field(default_factory=list)
     answers: list[tuple[Arrival, HTTPStatus, float | None]] = field(default_factory=list)
+    again: list[tuple[Arrival, int]] = field(default_factory=list)  # handed in before, under this number
     sends: list[api.Send] = field(default_factory=list)
     others: list[api.Action] = field(default_factory=list)
 
@@ -93,11 +94,16 @@
         self._learn(known)
         self._next.append(known)
         names = {kind.name: i for i, kind in enumerate(self._settings.classes)}
-        for entry in self._store.entries.values():
+        for entry in list(self._store.entries.values()):
             if entry.to_tell:
                 self._notice(entry)
             if not entry.owed:
                 continue
+            if entry.message_class not in names:  # the settings changed between two lives
+                log.error("class_gone", message_class=entry.message_class, id=entry.id)
+                self._store.write([self._over(entry.number, "dead")], unix)
+                self._notice(entry)
+                continue
             self._attempts[entry.number] = entry.attempts
             ran = None if entry.ran_at is None else now + entry.ran_at - unix
             self._next.append(api.MessageReceived(
@@ -157,25 +163,22 @@
         store = self._store
         self._counters.add("received")
         if (number := store.by_id.get(arrival.id)) is not None:
-            # The same handing in once more: what became of it holds, and it is not taken twice.
-            result = store.entries[number].result
-            told = {"": HTTPStatus.ACCEPTED, "delivered": HTTPStatus.OK}
-            status = told.get(result, HTTPStatus.SERVICE_UNAVAILABLE)
-            turn.answers.append((arrival, status, None))
-        elif self.refusing or not store.fits(len(arrival.body)):
+            turn.again.append((arrival, number))
+            return
+        entry = Entry(store.next_number, arrival.id, arrival.key,
+                      self._settings.classes[arrival.message_class].name, arrival.tenant, arrival.destination,
+                      unix + arrival.due - now, arrival.is_retry, arrival.from_dead_sender, arrival.body)
+        if self.refusing or not store.fits(entry):
             self._counters.add("turned_away")
             turn.answers.append((arrival, HTTPStatus.SERVICE_UNAVAILABLE, None))
-        else:
-            number, store.next_number = store.next_number, store.next_number + 1
-            entry = Entry(number, arrival.id, arrival.key, self._settings.classes[arrival.message_class].name,
-                          arrival.tenant, arrival.destination, unix + arrival.due - now, arrival.is_retry,
-                          arrival.from_dead_sender, arrival.body)
-            turn.arrivals[number] = arrival
-            turn.records.append(store.take(entry))
-            self._attempts[number] = 0
-            events.append(api.MessageReceived(
-                number, arrival.message_class, arrival.destination, arrival.due, arrival.tenant,
-                is_retry=arrival.is_retry, from_dead_sender=arrival.from_dead_sender))
+            return
+        store.next_number += 1
+        store.take(entry)
+        turn.arrivals[entry.number] = arrival
+        self._attempts[entry.number] = 0
+        events.append(api.MessageReceived(
+            entry.number, arrival.message_class, arrival.destination, arrival.due, arrival.tenant,
+            is_retry=arrival.is_retry, from_dead_sender=arrival.from_dead_sender))
 
     def _ended(self, ended: Ended, turn: _Turn, events: list[api.Event], now: float) -> None:
         _, sent, _ = self._where.pop(ended.number)
@@ -192,6 +195,13 @@
             ended.number, ended.address, ended.attempt, now - sent, result.over or not owed, result.outcome,
             result.retry_after, result.no_free_slot, result.report))
 
+    def _what_became(self, number: int) -> HTTPStatus:
+        """The answer to the same handing in once more: it is not taken twice."""
+        entry = self._store.entries.get(number)
+        if entry is None or entry.result not in ("", "delivered"):
+            return HTTPStatus.SERVICE_UNAVAILABLE
+        return HTTPStatus.OK if entry.result else HTTPStatus.ACCEPTED
+
     def _learn(self, update: api.EndpointsUpdated) -> None:
         for endpoint in update.endpoints:
             self._batches[endpoint.address] = self._settings.kinds[endpoint.kind].max_batch
@@ -222,13 +232,15 @@
         if arrival is not None:
             status = HTTPStatus.TOO_MANY_REQUESTS if result == "bounced" else HTTPStatus.INTERNAL_SERVER_ERROR
             turn.answers.append((arrival, status, wait))
-            turn.records.append(self._over(number, "refused" if result == "bounced" else "failed"))
+            self._attempts.pop(number)
+            self._store.refuse(number)
+            self._counters.add("refused" if result == "bounced" else "failed")
         else:
             turn.records.append(self._over(number, result, round((wait or 0.0) * 1000.0)))
             self._notice(self._store.entries[number])
 
     def _carry_out(self, turn: _Turn, now: float, unix: float) -> None:
-        self._store.write(turn.records, unix)
+        self._store.write([*(self._store.taken(n) for n in turn.arrivals), *turn.records], unix)
         gone: set[int] = set()
         for number, arrival in turn.arrivals.items():
             if arrival.client.answer(HTTPStatus.ACCEPTED):
@@ -240,6 +252,8 @@
             self._next.extend(api.MessageWithdrawn(number) for number in gone)
         for arrival, status, wait in turn.answers:
             arrival.client.answer(status, wait)
+        for arrival, number in turn.again:
+            arrival.client.answer(self._what_became(number))
         for action in turn.others:
             self._do(action)
         self._send(turn.sends, now, unix)
--- a/irisstack/node/discovery.py
+++ b/irisstack/node/discovery.py
@@ -59,7 +59,7 @@
             address = (socket.inet_aton(host), port)
         since = float(member.get("up_since_ms", 0)) / 1000.0
         endpoint = api.Endpoint(
-            address, state, self._kinds.get(member.get("flavor", ""), 0), int(member.get("cell", 0)),
+            address, state, self._kinds[member["flavor"]], int(member["cell"]),
             self._zones.get(member.get("locality", ""), 0), float(member.get("size", 1.0)),
             since - time.time() + time.monotonic() if since else None)
         if state is api.EndpointState.GONE:
--- a/irisstack/node/endpoint.py
+++ b/irisstack/node/endpoint.py
@@ -89,6 +89,10 @@
     """Raised inside a call's greenlet."""
 
 
+class _Withheld(Exception):
+    """Nothing may go to the endpoint any more."""
+
+
 class Connection:
     """One connection: a call at a time. Its exceptions stop here."""
 
@@ -114,7 +118,7 @@
             self._socket.close()
             self._socket = None
 
-    def carry(self, call: Call, leaving: Callable[[Call], None],
+    def carry(self, call: Call, leaving: Callable[[Call], bool],
               end: Callable[[Outgoing, Result], None]) -> bool:
         """Carry one call to its end and tell each message's; returns whether the connection can be kept."""
         pending = {message.id: message for message in call.messages}
@@ -127,7 +131,8 @@
             call.begun = True
             self._open(min(message.give_up for message in call.messages))
             reached = Reached.CONNECTED
-            leaving(call)
+            if not leaving(call):
+                raise _Withheld
             self._write(call)
             reached = Reached.WRITTEN
             answer = self._read(pending, end)
@@ -135,13 +140,15 @@
             ending = Ending.BROKEN if answer is not None else Ending.GIVEN_UP
         except _CalledOff:
             ending = Ending.CALLED_OFF
+        except _Withheld:
+            ending = Ending.WITHHELD
         except TimeoutError:
             ending = Ending.GIVEN_UP
         except (OSError, http.BadMessage):
             ending = Ending.BROKEN
         call.over = True
-        if answer is None and ending is Ending.BROKEN and len(call.messages) == 1 and self._reader.head_done:
-            answer = self._reader.message  # its first line told the end already
+        if answer is None and reached is Reached.WRITTEN and len(call.messages) == 1:
+            answer = self._reader.told()  # its first line may have told the end already
         if answer is None:
             results = dict.fromkeys(pending, unanswered(reached, ending))
         elif len(call.messages) == 1:
@@ -293,11 +300,18 @@
         keep = connection.carry(call, self._leaving, self._end)
         self.mailbox.put(_Back(call, connection if keep else None))
 
-    def _leaving(self, call: Call) -> None:
-        """On record before the last byte leaves: from here on the call may have run."""
+    def _leaving(self, call: Call) -> bool:
+        """On record before the last byte leaves: from here on the call may have run.
+
+        A call that was still connecting when the endpoint began to drain does not leave.
+        """
+        if self._retired:
+            self._counters.add("calls_withheld")
+            return False
         self._store.out([(m.number, m.attempt) for m in call.messages], call.sent_at)
         self._counters.add("calls_sent")
         self._counters.add("messages_sent", len(call.messages))
+        return True
 
     def _end(self, message: Outgoing, result: Result) -> None:
         self._counters.add(f"ended_{result.outcome.name.lower()}")
--- a/irisstack/node/http.py
+++ b/irisstack/node/http.py
@@ -156,6 +156,10 @@
             return self.message
         return None
 
+    def told(self) -> Message | None:
+        """What has been read of an answer that broke off, once its status is known."""
+        return self.message if self.head_done and self.message.status >= HTTPStatus.OK else None
+
     def take_body(self) -> bytes:
         """What has come so far of a body that is used as it comes."""
         taken = bytes(self.message.body)
--- a/irisstack/node/intake.py
+++ b/irisstack/node/intake.py
@@ -5,11 +5,10 @@
 import select
 import time
 from collections.abc import Callable
+from contextlib import suppress
 from http import HTTPStatus
 from typing import Any
 
-import gevent
-import structlog
 from gevent import socket
 from gevent.event import Event
 from gevent.server import StreamServer
@@ -28,22 +27,15 @@
 """Seconds a client may take over one request."""
 LONGEST_NAME = 256
 
-log = structlog.get_logger()
-
 
 class _Malformed(Exception):
     """A request that can be parsed but says what it may not."""
 
 
-class _Stop(Exception):
-    """Raised in a connection that waits for a request, to close it."""
-
-
 class _Connection:
     """One client's connection: a request at a time, each answered before the next is read."""
 
-    def __init__(self, intake: "Intake", sock: socket.socket,
-                 greenlet: "gevent.Greenlet[..., None]") -> None:
+    def __init__(self, intake: "Intake", sock: socket.socket) -> None:
         self._intake = intake
         self._socket = sock
         self._buffer = Buffer()
@@ -51,24 +43,28 @@
         self._answered = Event()
         self._close = False
         self.idle_since: float | None = None  # None while a request is in hand
-        self._greenlet = greenlet
 
     def serve(self) -> None:
         try:
             self._socket.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+            self._serve()
+            self._finish()
+        except OSError:
+            pass  # the client is gone; a message it waited for was withdrawn when its answer failed
+        finally:
+            self._socket.close()
+
+    def _serve(self) -> None:
+        """Answer one request after another until the connection is to be closed."""
+        try:
             while not self._close and (request := self._next()) is not None:
                 self._close = not request.keep_alive or self._intake.stopping
                 self._handle(request)
-            self._finish()
+                self._close = self._close or self._intake.stopping
         except http.BadMessage as error:
             self._intake.counters.add("unreadable")
             self._close = True
             self._write(error.status, str(error).encode())
-            self._finish()
-        except OSError:
-            pass  # the client is gone; a message it waited for was withdrawn when its answer failed
-        finally:
-            self._socket.close()
 
     def _next(self) -> http.Message | None:
         """The next request, or nothing if the connection ends between requests."""
@@ -84,16 +80,6 @@
                     if begun:
                         raise http.BadMessage(HTTPStatus.BAD_REQUEST, "the request ended early")
                     return None
-        except _Stop:
-            self._close = True
-            self._socket.settimeout(0.0)
-            try:  # a request may have come just now; it is answered
-                if not self._buffer.receive(self._socket):
-                    return None
-            except BlockingIOError:
-                return None
-            self._socket.settimeout(SLOW)
-            return self._next()
         except TimeoutError:
             raise http.BadMessage(HTTPStatus.REQUEST_TIMEOUT, "the request took too long") from None
         finally:
@@ -103,16 +89,19 @@
     def _handle(self, request: http.Message) -> None:
         path, _, _ = request.path.partition("?")
         if path in ("/healthz", "/counters"):
-            if request.method not in ("GET", "HEAD"):
+            if request.method != "GET":
                 self._write(HTTPStatus.METHOD_NOT_ALLOWED)
             elif path == "/healthz":
                 self._write(HTTPStatus.OK, b"ok\n")
             else:
                 self._write(HTTPStatus.OK, json.dumps(self._intake.counters.snapshot()).encode() + b"\n")
             return
-        if request.method != "POST":
+        if path[1:].partition("/")[0] not in self._intake.classes:
             self._write(HTTPStatus.NOT_FOUND)
             return
+        if request.method != "POST":
+            self._write(HTTPStatus.METHOD_NOT_ALLOWED)
+            return
         try:
             arrival = self._intake.arrival(request, path, self)
         except _Malformed as error:
@@ -162,10 +151,10 @@
             pass
 
     def stop(self) -> None:
-        """Close the connection if it waits for a request."""
+        """Close the connection if it waits for a request; one that has just come is still answered."""
         if self.idle_since is not None:
-            self.idle_since = None
-            self._greenlet.kill(_Stop, block=False)
+            with suppress(OSError):
+                self._socket.shutdown(socket.SHUT_RD)
 
 
 class Intake:
@@ -174,7 +163,7 @@
     def __init__(self, listen: HostPort, settings: api.Settings, post: Callable[[Arrival], None],
                  counters: Counters, most: int) -> None:
         self._post = post
-        self._classes = {kind.name: i for i, kind in enumerate(settings.classes)}
+        self.classes = {kind.name: i for i, kind in enumerate(settings.classes)}
         self._kinds = settings.classes
         self._tenants = {tenant.name: i for i, tenant in enumerate(settings.tenants)}
         self._most = most
@@ -203,9 +192,7 @@
         self._post(arrival)
 
     def _serve(self, sock: socket.socket, _: Any) -> None:
-        greenlet = gevent.getcurrent()
-        assert isinstance(greenlet, gevent.Greenlet)
-        connection = _Connection(self, sock, greenlet)
+        connection = _Connection(self, sock)
         self._connections[id(connection)] = connection
         if len(self._connections) >= self._most:
             self._close_idle()
@@ -222,11 +209,10 @@
 
     def arrival(self, request: http.Message, path: str, client: _Connection) -> Arrival:
         """The message that a request hands in."""
-        name = path.split("/")[1] if path.startswith("/") else ""
-        name = request.headers.get("x-priority-class", name)
-        if name not in self._classes:
-            raise _Malformed(f"X-Priority-Class: no class {name[:LONGEST_NAME]!r}")
-        index = self._classes[name]
+        name = path[1:].partition("/")[0]
+        if request.headers.get("x-priority-class", name) != name:
+            raise _Malformed("X-Priority-Class: not the class that the path names")
+        index = self.classes[name]
         key = _word(request, "Idempotency-Key")
         if self._kinds[index].effect is api.Effect.KEYED and not key:
             raise _Malformed("Idempotency-Key: due in this class")
--- a/irisstack/node/results.py
+++ b/irisstack/node/results.py
@@ -23,6 +23,7 @@
     BROKEN = auto()
     GIVEN_UP = auto()
     CALLED_OFF = auto()
+    WITHHELD = auto()  # held back before its last byte, since nothing may go there any more
 
 
 @dataclass(slots=True, frozen=True)
@@ -53,6 +54,8 @@
 
 def unanswered(reached: Reached, ending: Ending) -> Result:
     """An attempt that ended without an answer."""
+    if ending is Ending.WITHHELD:
+        return Result(Outcome.NOT_SENT, reached)
     if reached < Reached.WRITTEN:
         return Result(Outcome.CONNECT_FAILED, reached)
     return Result(MAY_HAVE_RUN[ending], reached)
--- a/irisstack/node/store.py
+++ b/irisstack/node/store.py
@@ -20,8 +20,10 @@
 """Files count in whole units of this size."""
 SEGMENTS = 12
 """The folder's room is shared out among so many segments."""
-SPARE = 4
-"""Segments kept free of owed messages, so that one can always be written anew."""
+FREE = 3
+"""Segments that are free again once room has been made: one to fill, one to write anew, one in hand."""
+SPARE = 5
+"""Segments that owed messages may not fill, so that the free ones can always be had."""
 NOTE_ROOM = 512
 """Room counted for a message's notes beside its body."""
 
@@ -59,7 +61,7 @@
 
     @property
     def room(self) -> int:
-        return len(self.body) + NOTE_ROOM
+        return len(self.body) + len(self.id) + len(self.key) + NOTE_ROOM
 
 
 NOTED = tuple(field.name for field in fields(Entry) if field.name not in ("body", "segment"))
@@ -105,7 +107,7 @@
     # ---- reading ----
 
     def _read(self) -> None:
-        for path in sorted(self._folder.glob("*.log")):
+        for path in sorted(self._folder.glob("[0-9]" * 10 + ".log")):
             segment = int(path.stem)
             data = path.read_bytes()
             self._sizes[segment] = len(data)
@@ -162,18 +164,26 @@
 
     # ---- what others note ----
 
-    def fits(self, size: int) -> bool:
-        """Whether a body of this size finds room beside all that is owed."""
-        return self._room + size + NOTE_ROOM <= self._disk - SPARE * self._segment_size
+    def fits(self, entry: Entry) -> bool:
+        """Whether one more message finds room beside all that is owed."""
+        return self._room + entry.room <= self._disk - SPARE * self._segment_size
 
-    def take(self, entry: Entry) -> bytes:
-        """A message is taken on; returns the record to write."""
-        entry.segment = self._current
+    def take(self, entry: Entry) -> None:
+        """A message comes in; it is on record once what `taken` returns is written."""
         self.entries[entry.number] = entry
         self.by_id[entry.id] = entry.number
         self._room += entry.room
+
+    def taken(self, number: int) -> bytes:
+        """The record of a message that was taken on, as it stands now."""
+        entry = self.entries[number]
+        entry.segment = self._current
         return self._taken(entry)
 
+    def refuse(self, number: int) -> None:
+        """A message that was not taken on after all leaves no trace."""
+        self._forget(self.entries[number])
+
     def end(self, number: int, attempt: int, ran: bool) -> bytes:
         """An attempt has ended; returns the record to write."""
         self._end(self.entries[number], attempt, ran)
@@ -200,16 +210,19 @@
         self.write([_record({"t": "told", "n": known})], now)
 
     def write(self, records: list[bytes], now: float) -> None:
-        """Append records with one write."""
-        if not records:
-            return
-        data = b"".join(records)
-        if self._sizes[self._current] and self._sizes[self._current] + len(data) > self._segment_size:
-            self._rotate()
-            self._append(data)
-            self._make_room(now)
-        else:
-            self._append(data)
+        """Append records with one write, unless they run over the end of a segment."""
+        left = self._segment_size - self._sizes[self._current]
+        batch: list[bytes] = []
+        for record in records:
+            if len(record) > left:
+                self._append(b"".join(batch))
+                batch.clear()
+                self._rotate()
+                self._make_room(now)
+                left = self._segment_size - self._sizes[self._current]
+            batch.append(record)
+            left -= len(record)
+        self._append(b"".join(batch))
 
     def close(self) -> None:
         os.close(self._file)
@@ -240,7 +253,7 @@
         return sum(-(-size // UNIT) * UNIT for size in self._sizes.values())
 
     def _make_room(self, now: float) -> None:
-        """Drop what is no longer needed, then free the oldest segments while less than two are free."""
+        """Drop what is no longer needed, then free the oldest segments while too few are free."""
         while self._ended and self._ended[0][0] < now:
             due, number = heappop(self._ended)
             entry = self.entries.get(number)
@@ -250,7 +263,7 @@
             if entry is not None:
                 self._forget(entry)
         for segment in sorted(self._sizes)[:-1]:
-            if self._used() + 2 * self._segment_size <= self._disk:
+            if self._used() + FREE * self._segment_size <= self._disk:
                 break
             for entry in [e for e in self.entries.values() if e.segment == segment]:
                 data = self._taken(entry)
