--- a/irisstack/node/config.py
+++ b/irisstack/node/config.py
@@ -57,8 +57,8 @@
     try:
         raw = Reader(json.loads(Path(path).read_bytes()))
         limits = raw.part("limits")
-        known = raw.value("known") or {}
-        Reader(known, "known")
+        known = {} if raw.value("known") is None else raw.value("known")
+        Reader(known, raw.path("known"))
 
         def told(variable: str, key: str, default: str | None = None) -> str:
             return environment.get(variable) or raw.text(key, default)
--- a/irisstack/node/http.py
+++ b/irisstack/node/http.py
@@ -89,7 +89,8 @@
             return len(buffer) if self._left is None else min(len(buffer), self._left)
         size = buffer.line()
         if not size and len(buffer) > (self.max_body if self.head_done else 0) + MAX_HEAD:
-            raise BadMessage(HTTPStatus.BAD_REQUEST, "a line is too long")
+            status = HTTPStatus.BAD_REQUEST if self.head_done else HTTPStatus.REQUEST_HEADER_FIELDS_TOO_LARGE
+            raise BadMessage(status, "a line is too long")
         return size
 
     # What httptools calls:
--- /dev/null
+++ b/tests/node_support.py
@@ -0,0 +1,281 @@
+"""A real node in a process of its own, and scripted peers on free loopback ports."""
+
+import contextlib
+import json
+import os
+import signal
+import socket
+import subprocess
+import sys
+import threading
+import time
+from collections.abc import Callable, Iterator
+from pathlib import Path
+from typing import Any
+
+from irisstack.node import http
+from irisstack.node.buffer import Buffer
+
+PATIENCE = 20.0
+SETTINGS: dict[str, Any] = {
+    "allowed": {"attemptsCap": 4, "cancel": True, "dialTimeout": 1.0, "keepalive": 30.0, "maxRetryAfter": 3.0,
+                "mayDuplicate": False, "mostHeld": 60, "multiplex": 1, "retryAfter": True},
+    "balancers": 2, "discovery": "on_request",
+    "extra": {"batchByKind": [1, 5], "fades": "even", "maxCalls": 12, "separateRoutes": [False, False]},
+    "failureDomains": ["z"], "ordinal": 0,
+    "invariants": {"answerSlack": 0.02, "askWithin": 10.0, "cold": 1.0, "drainGrace": 0.25, "fall": 3.0,
+                   "startCapacity": 0.5, "tipMultiple": 2.5},
+    "lanes": [
+        {"name": "safe", "repeat": "read_like", "slo": 2.0, "hardLimit": 20.0},
+        {"name": "keyed", "repeat": "idempotency_key", "group": "all", "window": 15.0, "slo": 2.0,
+         "hardLimit": 20.0},
+        {"name": "unsafe", "repeat": "non_idempotent", "slo": 2.0, "hardLimit": 20.0},
+    ],
+    "report": {"how": "inline", "names": ["x0", "x1"]}, "resolution": 0.005,
+    "shapes": ["plain", "shared"], "tenants": [{"name": "acme", "allowancePerS": 9.0, "share": 1.0}],
+    "weights": "nominal",
+}
+
+
+def eventually(condition: Callable[[], Any], what: str = "the condition") -> Any:
+    """Wait until something holds; the limit only ends a test that has failed."""
+    end = time.monotonic() + PATIENCE
+    while time.monotonic() < end:
+        if found := condition():
+            return found
+        time.sleep(0.01)
+    raise AssertionError(f"{what} did not come about")
+
+
+def free_port() -> int:
+    with socket.socket() as probe:
+        probe.bind(("127.0.0.1", 0))
+        return int(probe.getsockname()[1])
+
+
+class Peer:
+    """Accepts connections and answers each request as a script says; keeps what it was sent."""
+
+    def __init__(self) -> None:
+        self._server = socket.create_server(("127.0.0.1", 0))
+        self.port = int(self._server.getsockname()[1])
+        self.requests: list[http.Message] = []
+        self.connections = 0
+        self._open: list[socket.socket] = []
+        threading.Thread(target=self._accept, daemon=True).start()
+
+    def _accept(self) -> None:
+        with contextlib.suppress(OSError):
+            while True:
+                connection, _ = self._server.accept()
+                self.connections += 1
+                self._open.append(connection)
+                threading.Thread(target=self._serve, args=(connection,), daemon=True).start()
+
+    def _serve(self, connection: socket.socket) -> None:
+        buffer, reader = Buffer(), http.RequestReader()
+        with contextlib.suppress(OSError):
+            while True:
+                while (request := reader.advance(buffer)) is None:
+                    if not buffer.receive(connection):
+                        connection.close()
+                        return
+                self.requests.append(request)
+                self.reply(connection, request)
+
+    def reply(self, connection: socket.socket, request: http.Message) -> None:
+        raise NotImplementedError
+
+    def close(self) -> None:
+        self._server.close()
+        for connection in self._open:
+            connection.close()
+
+
+def raw(status: int, *headers: str, body: str = "") -> bytes:
+    lines = [f"HTTP/1.1 {status} Said", *headers, f"Content-Length: {len(body)}", "", body]
+    return "\r\n".join(lines).encode()
+
+
+class EndpointPeer(Peer):
+    """An endpoint: answers with what its script holds next, the last one over and over; `None` is silence."""
+
+    def __init__(self, *script: bytes | None) -> None:
+        self.script = list(script) or [raw(200)]
+        super().__init__()
+
+    def reply(self, connection: socket.socket, request: http.Message) -> None:
+        answer = self.script.pop(0) if len(self.script) > 1 else self.script[0]
+        if answer == b"":
+            connection.close()
+        elif answer is not None:
+            connection.sendall(answer)
+
+    def calls_with(self, id_: str) -> list[http.Message]:
+        return [request for request in self.requests
+                if request.headers.get("x-request-id") == id_ or f"{id_} ".encode() in request.body]
+
+
+class PlatformPeer(Peer):
+    """Discovery and the ear for notices."""
+
+    def __init__(self) -> None:
+        self.members: list[dict[str, Any]] = []
+        self.revision = 1
+        self.notices: list[dict[str, Any]] = []
+        self.refusals = 0  # so many posts are answered 503 first
+        self.watchers: list[socket.socket] = []
+        super().__init__()
+
+    def list(self, endpoint: Peer, number: int, **changes: Any) -> dict[str, Any]:
+        member = {"id": f"s-{number}", "host_port": f"127.0.0.1:{endpoint.port}", "locality": "z",
+                  "flavor": "plain", "cell": number, "phase": "SERVING", "size": 50.0, "up_since_ms": 0,
+                  **changes}
+        self.members.append(member)
+        return member
+
+    def document(self) -> dict[str, Any]:
+        return {"revision": self.revision, "complete": True, "members": self.members}
+
+    def reply(self, connection: socket.socket, request: http.Message) -> None:
+        if request.path == "/reports":
+            if self.refusals:
+                self.refusals -= 1
+                connection.sendall(raw(503))
+                return
+            self.notices += [json.loads(line) for line in bytes(request.body).splitlines()]
+            connection.sendall(b"HTTP/1.1 204 No Content\r\n\r\n")
+        elif "watch=1" in request.path:
+            connection.sendall(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n")
+            self.watchers.append(connection)
+            self.tell(self.document())
+        else:
+            connection.sendall(raw(200, body=json.dumps(self.document())))
+
+    def tell(self, line: dict[str, Any] | str) -> None:
+        text = line if isinstance(line, str) else json.dumps(line)
+        chunk = f"{text}\n".encode()
+        for watcher in self.watchers:
+            with contextlib.suppress(OSError):
+                watcher.sendall(b"%x\r\n%s\r\n" % (len(chunk), chunk))
+
+    def change(self, *members: dict[str, Any]) -> None:
+        self.revision += 1
+        self.tell({"revision": self.revision, "complete": False, "members": list(members)})
+
+    def notice(self, id_: str) -> dict[str, Any] | None:
+        return next((notice for notice in self.notices if notice["ref"] == id_), None)
+
+
+class Node:
+    """The real program under one name and address, started, killed and started again."""
+
+    def __init__(self, folder: Path, platform: PlatformPeer, **limits: float) -> None:
+        self.port = free_port()
+        self.state = folder / "state"
+        self.state.mkdir(exist_ok=True)
+        self.log = folder / "log"
+        self.config = folder / "config.json"
+        self.raw: dict[str, Any] = {
+            "name": "n0", "listen": f"127.0.0.1:{self.port}", "discovery": f"127.0.0.1:{platform.port}",
+            "seed": "5f", "limits": {"sockets": 256, "disk_mb": 3, **limits}, "known": platform.document(),
+            "settings": SETTINGS}
+        self.process: subprocess.Popen[bytes] | None = None
+
+    def launch(self) -> "subprocess.Popen[bytes]":
+        self.config.write_text(json.dumps(self.raw))
+        environment = {**os.environ, "RELAY_CONFIG": str(self.config), "RELAY_STATE": str(self.state)}
+        with self.log.open("ab") as log:
+            self.process = subprocess.Popen([sys.executable, "-m", "irisstack", "run"], env=environment,
+                                            stdout=log, stderr=log)
+        return self.process
+
+    def start(self) -> "Node":
+        process = self.launch()
+        eventually(lambda: process.poll() is not None or self.healthy(), "a healthy node")
+        assert process.poll() is None, self.log.read_text()
+        return self
+
+    def healthy(self) -> bool:
+        try:
+            return self.ask(http.request("GET", "/healthz", "node")).status == 200
+        except OSError:
+            return False
+
+    def kill(self) -> None:
+        assert self.process is not None
+        self.process.kill()
+        self.process.wait()
+
+    def terminate(self) -> int:
+        assert self.process is not None
+        self.process.send_signal(signal.SIGTERM)
+        return self.process.wait(PATIENCE)
+
+    def connect(self) -> "ClientPeer":
+        return ClientPeer(self.port)
+
+    def ask(self, data: bytes) -> http.Message:
+        """One request on a connection of its own."""
+        client = self.connect()
+        try:
+            client.send(data)
+            return client.answer()
+        finally:
+            client.close()
+
+    def hand_in(self, id_: str, kind: str = "safe", body: bytes = b"hello", **changes: str) -> http.Message:
+        return self.ask(message(id_, kind, body, **changes))
+
+    def counters(self) -> dict[str, int]:
+        answer = self.ask(http.request("GET", "/counters", "node"))
+        return dict(json.loads(answer.body))
+
+
+class ClientPeer:
+    """One client connection."""
+
+    def __init__(self, port: int) -> None:
+        self._socket = socket.create_connection(("127.0.0.1", port), timeout=PATIENCE)
+        self._buffer, self._reader = Buffer(), http.AnswerReader()
+
+    def send(self, data: bytes) -> None:
+        self._socket.sendall(data)
+
+    def answer(self) -> http.Message:
+        while (answer := self._reader.advance(self._buffer)) is None:
+            if not self._buffer.receive(self._socket):
+                raise ConnectionResetError("no answer")
+        return answer
+
+    def ended(self) -> bool:
+        """Whether the node ends the connection without another byte."""
+        return self._socket.recv(1) == b""
+
+    def close(self) -> None:
+        self._socket.close()
+
+
+def message(id_: str, kind: str = "safe", body: bytes = b"hello", **changes: str) -> bytes:
+    """A request that hands a message in; a change of `""` leaves a header out."""
+    headers = {"X-Request-ID": id_, "X-Priority-Class": kind, "X-Tenant-Id": "acme", "X-Timeout": "20.000",
+               "X-Consignee": "dest=1", "Idempotency-Key": f"key-{id_}" if kind == "keyed" else "",
+               **{name.replace("_", "-"): value for name, value in changes.items()}}
+    return http.request("POST", f"/{kind}", "node", [item for item in headers.items() if item[1]], body)
+
+
+@contextlib.contextmanager
+def scene(folder: Path, *endpoints: EndpointPeer, flavor: str = "plain", **limits: float) -> Iterator[Any]:
+    """A platform that lists the endpoints, all of destination 1, and a node beside them that runs."""
+    platform = PlatformPeer()
+    for number, peer in enumerate(endpoints, start=1):
+        platform.list(peer, number, cell=1, flavor=flavor)
+    node = Node(folder, platform, **limits)
+    try:
+        yield node.start(), platform
+    finally:
+        if node.process is not None and node.process.poll() is None:
+            node.kill()
+        platform.close()
+        for endpoint in endpoints:
+            endpoint.close()
--- /dev/null
+++ b/tests/test_node.py
@@ -0,0 +1,284 @@
+"""The real program on real sockets: messages taken on, sent, ended, and what outlives a process."""
+
+import os
+import time
+from pathlib import Path
+
+from irisstack.node import http
+from tests.node_support import EndpointPeer, Node, eventually, message, raw, scene
+
+
+def delivered(node: Node, count: int) -> None:
+    eventually(lambda: node.counters().get("delivered") == count, f"{count} delivered")
+
+
+def test_a_message_is_taken_on_and_passes_on_unchanged(tmp_path: Path) -> None:
+    partner = EndpointPeer()
+    body = bytes(range(256))
+    with scene(tmp_path, partner) as (node, platform):
+        assert node.hand_in("m1", "keyed", body).status == 202
+        delivered(node, 1)
+        (call,) = partner.requests
+        assert (call.method, call.path) == ("POST", "/v1/messages")
+        assert (call.headers["x-request-id"], call.headers["idempotency-key"]) == ("m1", "key-m1")
+        assert 0.0 < float(call.headers["x-timeout"]) <= 20.0
+        assert call.body == body
+        assert platform.notices == []
+
+
+def test_a_connection_is_kept_on_either_side(tmp_path: Path) -> None:
+    partner = EndpointPeer()
+    with scene(tmp_path, partner) as (node, _):
+        client = node.connect()
+        for number in range(1, 5):
+            client.send(message(f"m{number}"))
+            assert client.answer().status == 202
+            delivered(node, number)
+        client.close()
+        assert partner.connections == 1
+
+
+def test_a_connection_that_the_endpoint_ended_is_not_used_again(tmp_path: Path) -> None:
+    partner = EndpointPeer(raw(200))
+    with scene(tmp_path, partner) as (node, _):
+        node.hand_in("m1", "unsafe")
+        delivered(node, 1)
+        for connection in partner._open:
+            connection.shutdown(2)
+        node.hand_in("m2", "unsafe")
+        delivered(node, 2)
+        assert len(partner.calls_with("m2")) == 1
+
+
+def test_messages_that_wait_for_one_endpoint_share_a_call(tmp_path: Path) -> None:
+    def answer_each(_: object = None) -> bytes:
+        ids = [line.split()[0] for line in bytes(partner.requests[-1].body).decode().splitlines()[::2]]
+        return raw(200, body="".join(f"{id_} accepted\r\n" for id_ in ids))
+
+    class Partner(EndpointPeer):
+        def reply(self, connection, request):  # type: ignore[no-untyped-def]
+            connection.sendall(answer_each() if request.path.endswith(":batch") else self.script.pop(0))
+
+    # The first call is turned away: what comes in meanwhile is spaced, and goes on together.
+    partner = Partner(raw(429, "Retry-After: 0.5"), raw(200), raw(200))
+    with scene(tmp_path, partner, flavor="shared") as (node, _):
+        for number in range(1, 6):
+            assert node.hand_in(f"m{number}", body=b"x\r\ny").status == 202
+        delivered(node, 5)
+        shared = [call for call in partner.requests if call.path == "/v1/messages:batch"]
+        assert shared
+        assert b" - 4\r\nx\r\ny\r\n" in bytes(shared[0].body)
+
+
+def test_an_endpoint_that_is_told_to_drain_gets_nothing_more(tmp_path: Path) -> None:
+    first, second = EndpointPeer(), EndpointPeer()
+    with scene(tmp_path, first, second) as (node, platform):
+        eventually(lambda: platform.watchers)
+        platform.change({**platform.members[0], "phase": "DRAINING"})
+        platform.tell("no JSON")
+        eventually(lambda: len(platform.watchers) > 1, "a new watch after a line that cannot be read")
+        platform.members[0]["phase"] = "DRAINING"
+        before = len(first.requests)
+        for number in range(6):
+            node.hand_in(f"m{number}")
+        delivered(node, 6)
+        assert len(first.requests) == before
+
+
+def test_what_cannot_be_delivered_in_time_ends_with_a_notice_told_until_it_is_taken(tmp_path: Path) -> None:
+    partner = EndpointPeer(raw(500))
+    with scene(tmp_path, partner) as (node, platform):
+        platform.refusals = 2
+        node.hand_in("m1", "unsafe")
+        eventually(lambda: platform.notice("m1"))
+        assert platform.notice("m1") == {"ref": "m1", "result": "dead"}
+        assert len(partner.calls_with("m1")) == 1
+        eventually(lambda: node.counters().get("notices_taken") == 1)
+        assert len(platform.notices) == 1
+
+
+def test_a_message_over_at_the_endpoint_is_owed_nothing_more(tmp_path: Path) -> None:
+    partner = EndpointPeer(raw(410))
+    with scene(tmp_path, partner) as (node, platform):
+        node.hand_in("m1")
+        eventually(lambda: node.counters().get("ended_not_sent") == 1)
+        node.hand_in("m2")
+        eventually(lambda: node.counters().get("ended_not_sent") == 2)
+        assert len(partner.calls_with("m1")) == 1
+        assert platform.notices == []
+
+
+def test_an_answer_that_is_no_http_is_an_outcome(tmp_path: Path) -> None:
+    partner = EndpointPeer(b"nonsense\r\n\r\n")
+    with scene(tmp_path, partner) as (node, platform):
+        node.hand_in("m1", "unsafe")
+        assert eventually(lambda: platform.notice("m1"))["result"] == "dead"
+        assert node.healthy()
+
+
+def test_a_refused_connection_never_ran(tmp_path: Path) -> None:
+    closed, partner = EndpointPeer(), EndpointPeer()
+    with scene(tmp_path, closed, partner) as (node, _):
+        closed.close()
+        for number in range(4):
+            node.hand_in(f"m{number}", "unsafe")
+        delivered(node, 4)
+        assert node.counters().get("dead", 0) == 0
+
+
+UNTAKEN = [
+    (b"nonsense\r\n\r\n", 400),
+    (http.request("POST", "/safe", "node", [("X-Request-ID", "m1")]), 400),
+    (message("m1", X_Timeout="soon"), 400),
+    (message("m1", X_Timeout="nan"), 400),
+    (message("m1", X_Consignee="dest=x"), 400),
+    (message("m1", X_Tenant_Id="nobody"), 400),
+    (message("two words"), 400),
+    (message("m1", "keyed", Idempotency_Key=""), 400),
+    (message("m1", X_Priority_Class="unsafe"), 400),
+    (message("m1", body=bytes(http.MAX_BODY + 1)), 413),
+    (b"POST /safe HTTP/1.1\r\nX-Long: " + b"x" * 40000 + b"\r\n\r\n", 431),
+    (message("m1", "unknown"), 404),
+    (http.request("GET", "/safe", "node"), 405),
+    (http.request("POST", "/healthz", "node"), 405),
+]
+
+
+def test_what_cannot_be_taken_is_answered_and_the_node_goes_on(tmp_path: Path) -> None:
+    with scene(tmp_path, EndpointPeer()) as (node, _):
+        assert [node.ask(data).status for data, _ in UNTAKEN] == [status for _, status in UNTAKEN]
+        assert node.hand_in("m2").status == 202
+
+
+def test_the_largest_body_is_taken_and_requests_may_come_together(tmp_path: Path) -> None:
+    partner = EndpointPeer()
+    with scene(tmp_path, partner) as (node, _):
+        client = node.connect()
+        client.send(message("m1", body=bytes(http.MAX_BODY)) + message("m2"))
+        assert [client.answer().status, client.answer().status] == [202, 202]
+        delivered(node, 2)
+        assert max(len(call.body) for call in partner.requests) == http.MAX_BODY
+
+
+def test_a_client_that_left_before_the_answer_has_withdrawn_its_message(tmp_path: Path) -> None:
+    partner = EndpointPeer()
+    with scene(tmp_path, partner) as (node, platform):
+        os.kill(node.process.pid, 19)  # stopped: the request waits unread
+        client = node.connect()
+        client.send(message("m1"))
+        client.close()
+        os.kill(node.process.pid, 18)
+        eventually(lambda: node.counters().get("clients_left") == 1)
+        node.hand_in("m2")
+        delivered(node, 1)
+        assert partner.calls_with("m1") == []
+        assert platform.notices == []
+
+
+def test_the_same_handing_in_once_more_is_not_taken_twice(tmp_path: Path) -> None:
+    partner = EndpointPeer()
+    with scene(tmp_path, partner) as (node, _):
+        assert node.hand_in("m1", "unsafe").status == 202
+        delivered(node, 1)
+        node.kill()
+        node.start()
+        assert node.hand_in("m1", "unsafe").status == 200
+        assert len(partner.calls_with("m1")) == 1
+
+
+def test_what_was_taken_on_outlives_a_kill(tmp_path: Path) -> None:
+    partner = EndpointPeer()
+    with scene(tmp_path) as (node, platform):
+        for number in range(5):  # no endpoint yet: they wait
+            assert node.hand_in(f"m{number}", "unsafe", bytes([number])).status == 202
+        node.kill()
+        platform.list(partner, 1)
+        node.raw["known"] = platform.document()
+        node.start()
+        delivered(node, 5)
+        assert sorted(bytes(call.body) for call in partner.requests) == [bytes([n]) for n in range(5)]
+        partner.close()
+
+
+def test_an_unsafe_message_with_a_call_out_at_a_kill_is_never_sent_again(tmp_path: Path) -> None:
+    partner = EndpointPeer(None)
+    with scene(tmp_path, partner) as (node, platform):
+        node.hand_in("m1", "unsafe")
+        eventually(lambda: partner.calls_with("m1"))
+        node.kill()
+        partner.script = [raw(200)]
+        node.start()
+        assert eventually(lambda: platform.notice("m1")) == {"ref": "m1", "result": "dead"}
+        node.hand_in("m2")
+        delivered(node, 1)
+        assert len(partner.calls_with("m1")) == 1
+
+
+def test_a_keyed_message_with_a_call_out_at_a_kill_goes_again_under_its_key(tmp_path: Path) -> None:
+    partner = EndpointPeer(None)
+    with scene(tmp_path, partner) as (node, platform):
+        node.hand_in("m1", "keyed")
+        eventually(lambda: partner.calls_with("m1"))
+        node.kill()
+        partner.script = [raw(200)]
+        node.start()
+        delivered(node, 1)
+        calls = partner.calls_with("m1")
+        assert [call.headers["idempotency-key"] for call in calls] == ["key-m1", "key-m1"]
+        assert platform.notices == []
+
+
+def test_a_message_whose_time_ran_out_while_the_node_was_down_ends_with_a_notice(tmp_path: Path) -> None:
+    with scene(tmp_path) as (node, platform):
+        node.hand_in("m1", "safe", X_Timeout="2.0")
+        node.kill()
+        time.sleep(2.1)
+        node.start()
+        assert eventually(lambda: platform.notice("m1"))["result"] == "bounced"
+
+
+def test_a_notice_that_nobody_took_outlives_a_kill(tmp_path: Path) -> None:
+    partner = EndpointPeer(raw(500))
+    with scene(tmp_path, partner) as (node, platform):
+        platform.refusals = 1_000_000
+        node.hand_in("m1", "unsafe")
+        eventually(lambda: node.counters().get("dead") == 1)
+        node.kill()
+        platform.refusals = 0
+        node.start()
+        assert eventually(lambda: platform.notice("m1"))["result"] == "dead"
+
+
+def test_a_body_that_no_longer_fits_the_folder_is_turned_away(tmp_path: Path) -> None:
+    with scene(tmp_path, disk_mb=1) as (node, _):
+        statuses = [node.hand_in(f"m{n}", body=os.urandom(http.MAX_BODY)).status for n in range(20)]
+        assert statuses[0] == 202
+        assert statuses[-1] == 503
+        assert sum(-(-path.stat().st_size // 512) * 512 for path in node.state.iterdir()) <= 1_000_000
+        assert node.hand_in("small").status == 202
+
+
+def test_sigterm_turns_away_what_is_new_and_brings_a_call_to_its_end(tmp_path: Path) -> None:
+    partner = EndpointPeer(None)
+    with scene(tmp_path, partner) as (node, _):
+        idle = node.connect()
+        idle.send(message("m1", "unsafe"))
+        assert idle.answer().status == 202
+        eventually(lambda: partner.calls_with("m1"))
+        node.process.terminate()
+        assert idle.ended()
+        assert node.hand_in("m2").status == 503
+        partner._open[0].sendall(raw(200))
+        assert node.process.wait(20) == 0
+        assert '"delivered": 1' in node.log.read_text()
+        node.start()
+        assert "recovered" in node.counters()
+        assert node.counters()["recovered"] == 0
+
+
+def test_what_is_still_owed_at_sigterm_is_left_to_the_next_life(tmp_path: Path) -> None:
+    with scene(tmp_path) as (node, _):
+        node.hand_in("m1")
+        assert node.terminate() == 0
+        node.start()
+        assert node.counters()["recovered"] == 1
--- /dev/null
+++ b/tests/test_node_parts.py
@@ -0,0 +1,303 @@
+"""The node's parts by themselves: configuration, buffer, HTTP, results, the lasting folder, the list."""
+
+import json
+import subprocess
+import sys
+import time
+from pathlib import Path
+from typing import Any
+
+import pytest
+
+from irisstack import interface as api
+from irisstack.node import http
+from irisstack.node.buffer import INITIAL, Buffer
+from irisstack.node.config import ConfigError, load
+from irisstack.node.discovery import ListReader
+from irisstack.node.results import Ending, Reached, answered, answered_each, unanswered
+from irisstack.node.store import Entry, Store
+from irisstack.settings import Reader, read
+from tests.node_support import SETTINGS
+
+
+class Source:
+    """A socket's stand-in that hands out bytes in pieces."""
+
+    def __init__(self, data: bytes, piece: int) -> None:
+        self._data, self._piece = data, piece
+
+    def recv_into(self, buffer: memoryview, /) -> int:
+        size = min(self._piece, len(buffer), len(self._data))
+        buffer[:size], self._data = self._data[:size], self._data[size:]
+        return size
+
+
+# ---- configuration ----
+
+LANE = SETTINGS["lanes"][0]
+
+
+def written(folder: Path, **changes: Any) -> dict[str, str]:
+    raw = {"name": "n", "listen": "127.0.0.1:1", "discovery": "127.0.0.1:2", "seed": "ff",
+           "limits": {"sockets": 100, "disk_mb": 3}, "known": {"revision": 1, "members": []},
+           "settings": SETTINGS, **changes}
+    (folder / "config.json").write_text(json.dumps(raw))
+    return {"RELAY_CONFIG": str(folder / "config.json"), "RELAY_STATE": str(folder)}
+
+
+def test_the_environment_stands_above_the_file(tmp_path: Path) -> None:
+    config = load({**written(tmp_path), "RELAY_LISTEN": "127.0.0.9:7070", "RELAY_NAME": "n9"})
+    assert (config.name, config.listen, config.discovery) == ("n9", ("127.0.0.9", 7070), ("127.0.0.1", 2))
+    assert (config.seed, config.sockets, config.disk_bytes) == (255, 100, 3_000_000)
+    assert config.settings.classes[1].effect is api.Effect.KEYED
+
+
+@pytest.mark.parametrize(("changes", "key"), [
+    ({"listen": "nowhere"}, "listen"),
+    ({"listen": 7}, "listen"),
+    ({"discovery": "127.0.0.1:99999"}, "discovery"),
+    ({"seed": "xyz"}, "seed"),
+    ({"limits": {"sockets": 5}}, "limits.sockets"),
+    ({"limits": {"disk_mb": 0.1}}, "limits.disk_mb"),
+    ({"limits": []}, "limits"),
+    ({"known": []}, "known"),
+    ({"settings": {**SETTINGS, "lanes": []}}, "settings.lanes"),
+    ({"settings": {**SETTINGS, "shapes": []}}, "settings.shapes"),
+    ({"settings": {**SETTINGS, "extra": {}}}, "settings.extra.maxCalls"),
+    ({"settings": {**SETTINGS, "lanes": [{**LANE, "slo": "x"}]}}, "settings.lanes[0].slo"),
+    ({"settings": {**SETTINGS, "lanes": [{**LANE, "repeat": "x"}]}}, "settings.lanes[0].repeat"),
+])
+def test_a_fault_is_named_by_its_key(tmp_path: Path, changes: dict[str, Any], key: str) -> None:
+    with pytest.raises(ConfigError) as told:
+        load(written(tmp_path, **changes))
+    assert str(told.value).startswith(f"{key}:")
+
+
+def test_a_bad_configuration_is_one_line_and_an_exit_code(tmp_path: Path) -> None:
+    ended = subprocess.run([sys.executable, "-m", "irisstack", "run"], env=written(tmp_path, seed="?"),
+                           capture_output=True, text=True, check=False)
+    assert ended.returncode != 0
+    assert ended.stderr == "irisstack: seed: a hexadecimal number is due, not '?'\n"
+
+
+@pytest.mark.parametrize("environment", [{}, {"RELAY_CONFIG": "/nowhere"}])
+def test_a_file_that_is_not_there_is_named(environment: dict[str, str]) -> None:
+    with pytest.raises(ConfigError, match="RELAY_CONFIG"):
+        load(environment)
+
+
+# ---- buffer and HTTP ----
+
+
+def test_a_buffer_grows_and_hands_out_what_came_in_order() -> None:
+    data = bytes(i % 251 for i in range(5 * INITIAL))
+    source, buffer, taken = Source(data, 1000), Buffer(), b""
+    while buffer.receive(source):
+        if len(buffer) > INITIAL:
+            taken += buffer.take(700)
+    assert taken + buffer.take(len(buffer)) == data
+
+
+@pytest.mark.parametrize("piece", [1, 7, 4096])
+def test_a_request_is_the_same_however_it_is_cut(piece: int) -> None:
+    data = http.request("POST", "/a?b=1", "node", [("X-One", "1")], b"\r\n\r\nbody")
+    source, buffer, reader = Source(data * 2, piece), Buffer(), http.RequestReader()
+    found = []
+    while buffer.receive(source):
+        while (message := reader.advance(buffer)) is not None:
+            found.append((message.method, message.path, message.headers["x-one"], bytes(message.body)))
+    assert found == [("POST", "/a?b=1", "1", b"\r\n\r\nbody")] * 2
+
+
+def answer_of(data: bytes) -> http.Message | None:
+    source, buffer, reader = Source(data, 5), Buffer(), http.AnswerReader()
+    while buffer.receive(source):
+        if (message := reader.advance(buffer)) is not None:
+            return message
+    return reader.ended()
+
+
+def test_answers_with_chunks_with_no_length_and_after_an_interim_one() -> None:
+    chunked = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\na\nb\n\r\n1\r\nc\r\n0\r\n\r\n"
+    assert (whole := answer_of(chunked)) is not None
+    assert bytes(whole.body) == b"a\nb\nc"
+    assert (whole := answer_of(b"HTTP/1.1 200 OK\r\n\r\nto the end")) is not None
+    assert bytes(whole.body) == b"to the end"
+    assert not whole.keep_alive
+    interim = b"HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 503 No\r\nContent-Length: 0\r\n\r\n"
+    assert (whole := answer_of(interim)) is not None
+    assert whole.status == 503
+    assert answer_of(chunked[:-3]) is None
+
+
+# ---- results ----
+
+
+@pytest.mark.parametrize(("reached", "ending", "outcome"), [
+    (Reached.NOTHING, Ending.GIVEN_UP, api.Outcome.CONNECT_FAILED),
+    (Reached.CONNECTED, Ending.BROKEN, api.Outcome.CONNECT_FAILED),
+    (Reached.CONNECTED, Ending.CALLED_OFF, api.Outcome.CONNECT_FAILED),
+    (Reached.CONNECTED, Ending.WITHHELD, api.Outcome.NOT_SENT),
+    (Reached.WRITTEN, Ending.BROKEN, api.Outcome.RESET),
+    (Reached.WRITTEN, Ending.GIVEN_UP, api.Outcome.TIMEOUT),
+    (Reached.WRITTEN, Ending.CALLED_OFF, api.Outcome.CANCELLED),
+])
+def test_whether_it_may_have_run_is_told_by_the_last_byte(reached: Reached, ending: Ending,
+                                                          outcome: api.Outcome) -> None:
+    assert unanswered(reached, ending).outcome is outcome
+
+
+def said(status: int, body: str = "", **headers: str) -> http.Message:
+    named = {name.replace("_", "-"): value for name, value in headers.items()}
+    return http.Message(named, bytearray(body.encode()), status=status)
+
+
+@pytest.mark.parametrize(("message", "outcome", "over", "wait"), [
+    (said(200), api.Outcome.OK, True, None),
+    (said(500), api.Outcome.ERROR, False, None),
+    (said(418), api.Outcome.ERROR, False, None),
+    (said(429, retry_after="1.25"), api.Outcome.FULL, False, 1.25),
+    (said(429, retry_after="later"), api.Outcome.FULL, False, None),
+    (said(503), api.Outcome.FULL, False, None),
+    (said(503, x_line_busy="1"), api.Outcome.NOT_SENT, False, None),
+    (said(504), api.Outcome.NOT_SENT, False, None),
+    (said(410), api.Outcome.NOT_SENT, True, None),
+])
+def test_the_outcome_of_an_answer(message: http.Message, outcome: api.Outcome, over: bool,
+                                  wait: float | None) -> None:
+    result = answered(message, ())
+    assert (result.outcome, result.over, result.retry_after) == (outcome, over, wait)
+
+
+def test_a_report_is_read_in_the_order_of_the_settings() -> None:
+    fields = ("x0", "x1")
+    assert answered(said(200, x_server_load="x1=25,x0=0.4"), fields).report == (0.4, 25.0)
+    assert answered(said(200, x_server_load="x1=25"), fields).report == (0.0, 25.0)
+    assert answered(said(200, x_server_load="nonsense"), fields).report == ()
+
+
+def test_each_message_of_a_shared_call_has_its_end() -> None:
+    body = "a accepted\r\nb fault\r\nc deferred\r\nd expired\r\ne no_more\r\nf nonsense\r\n"
+    results = answered_each(said(200, body, retry_after="2"), ["a", "b", "c", "d", "e", "f", "g"], ())
+    assert [(r.outcome.name, r.over) for r in results.values()] == [
+        ("OK", True), ("ERROR", False), ("FULL", False), ("NOT_SENT", True), ("NOT_SENT", False),
+        ("RESET", False), ("RESET", False)]
+    assert {r.retry_after for r in results.values()} == {2.0}
+    assert {r.outcome for r in answered_each(said(413), ["a", "b"], ()).values()} == {api.Outcome.NOT_SENT}
+    assert {r.outcome for r in answered_each(said(500), ["a", "b"], ()).values()} == {api.Outcome.ERROR}
+
+
+# ---- the lasting folder ----
+
+
+def entry(number: int, due: float, body: bytes = b"body") -> Entry:
+    return Entry(number, f"m{number}", "key", "safe", 0, 1, due, False, False, body)
+
+
+def take(store: Store, number: int, due: float = 2000.0, body: bytes = b"body") -> None:
+    store.take(entry(number, due, body))
+    store.write([store.taken(number)], 1000.0)
+
+
+def test_what_is_known_of_a_message_comes_back(tmp_path: Path) -> None:
+    store = Store(tmp_path, 3_000_000, 1000.0)
+    for number in range(1, 7):
+        take(store, number)
+    store.out([(1, 0), (2, 0), (3, 0)], 1001.0)
+    store.write([store.end(1, 0, ran=True), store.end(2, 0, ran=False), store.over(4, "delivered"),
+                 store.over(5, "bounced", 700), store.over(6, "dead")], 1002.0)
+    store.out([(1, 1)], 1003.0)
+    store.told([6], 1004.0)
+    again = Store(tmp_path, 3_000_000, 1005.0).entries
+    assert [(again[n].attempts, again[n].ran_at, again[n].owed) for n in (1, 2, 3)] == [
+        (2, 1001.0, True), (1, None, True), (1, 1001.0, True)]
+    assert [(again[n].result, again[n].wait_ms, again[n].to_tell) for n in (4, 5, 6)] == [
+        ("delivered", 0, False), ("bounced", 700, True), ("dead", 0, False)]
+    assert again[1].body == b"body"
+    assert again[4].body == b""
+
+
+@pytest.mark.parametrize("cut", [1, 10, 100])
+def test_a_torn_record_is_dropped_and_what_came_before_holds(tmp_path: Path, cut: int) -> None:
+    store = Store(tmp_path, 3_000_000, 1000.0)
+    take(store, 1)
+    take(store, 2)
+    store.close()
+    (path,) = tmp_path.iterdir()
+    path.write_bytes(path.read_bytes()[:-cut])
+    again = Store(tmp_path, 3_000_000, 1000.0)
+    assert list(again.entries) == [1]
+    take(again, 2)
+    assert list(Store(tmp_path, 3_000_000, 1000.0).entries) == [1, 2]
+
+
+def test_the_folder_stays_within_its_limit_and_loses_nothing_owed(tmp_path: Path) -> None:
+    disk = 1_000_000
+    store, now = Store(tmp_path, disk, 1000.0), 1000.0
+    keep = [1, 2, 3]
+    for number in keep:
+        take(store, number, due=1e9, body=bytes([number]) * 30_000)
+    for number in range(10, 400):
+        now += 1.0
+        store.take(entry(number, now + 5.0, bytes(9_000)))
+        store.write([store.taken(number)], now)
+        store.out([(number, 0)], now)
+        store.write([store.end(number, 0, ran=True), store.over(number, "delivered")], now)
+        assert sum(-(-path.stat().st_size // 512) * 512 for path in tmp_path.iterdir()) <= disk
+    assert len(store.entries) < 200
+    again = Store(tmp_path, disk, now)
+    assert {n: again.entries[n].body for n in keep} == {n: bytes([n]) * 30_000 for n in keep}
+    assert all(again.entries[n].owed for n in keep)
+
+
+def test_many_large_messages_at_once_stay_within_the_limit(tmp_path: Path) -> None:
+    disk = 3_000_000
+    store, taken = Store(tmp_path, disk, 1000.0), []
+    for number in range(1, 100):
+        new = entry(number, 2000.0, bytes(http.MAX_BODY))
+        if not store.fits(new):
+            break
+        store.take(new)
+        taken.append(number)
+    store.write([store.taken(number) for number in taken], 1000.0)
+    assert len(taken) > 10
+    assert sum(-(-path.stat().st_size // 512) * 512 for path in tmp_path.iterdir()) <= disk
+    assert list(Store(tmp_path, disk, 1000.0).entries) == taken
+
+
+def test_a_message_that_was_refused_leaves_no_trace(tmp_path: Path) -> None:
+    store = Store(tmp_path, 3_000_000, 1000.0)
+    store.take(entry(1, 2000.0))
+    store.refuse(1)
+    assert (store.entries, store.by_id) == ({}, {})
+    assert Store(tmp_path, 3_000_000, 1000.0).entries == {}
+
+
+# ---- the list ----
+
+
+def member(number: int, **changes: Any) -> dict[str, Any]:
+    return {"id": f"s{number}", "host_port": f"10.0.0.{number}:7070", "locality": "z", "flavor": "shared",
+            "cell": number, "phase": "SERVING", "size": 2.5, "up_since_ms": 0, **changes}
+
+
+def test_the_list_is_read_and_a_bad_line_costs_only_itself() -> None:
+    reader = ListReader(read(Reader(SETTINGS)))
+    update = reader.update({"revision": 7, "complete": True, "members": [
+        member(1), {"id": "x"}, member(2, flavor="unheard of"), 5, member(3, host_port="here"),
+        member(4, phase="DRAINING", up_since_ms=1000.0 * time.time())]})
+    assert (update.scope, update.version) == (api.UpdateScope.FULL, 7)
+    first, last = update.endpoints
+    assert first == api.Endpoint((bytes([10, 0, 0, 1]), 7070), api.EndpointState.READY, 1, 1, 0, 2.5, None)
+    assert last.state is api.EndpointState.DRAINING
+    assert last.added_at is not None
+
+
+def test_an_endpoint_that_moved_is_gone_from_its_old_address() -> None:
+    reader = ListReader(read(Reader(SETTINGS)))
+    reader.update({"revision": 1, "complete": True, "members": [member(1)]})
+    update = reader.update({"revision": 2, "complete": False, "members": [member(1, host_port="10.0.0.9:1")]})
+    assert [(e.address[0][3], e.state) for e in update.endpoints] == [
+        (1, api.EndpointState.GONE), (9, api.EndpointState.READY)]
+    gone = reader.update({"revision": 3, "complete": False, "members": [{"id": "s1", "phase": "DELETED"}]})
+    assert gone.endpoints == ()
