--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -1,6 +1,7 @@
 """The real program on real sockets: messages taken on, sent, ended, and what outlives a process."""
 
 import os
+import socket
 import time
 from pathlib import Path
 
@@ -50,24 +51,28 @@
         assert len(partner.calls_with("m2")) == 1
 
 
+class SharingPeer(EndpointPeer):
+    """Takes every message of a shared call but those whose id ends in `x`."""
+
+    def reply(self, connection: socket.socket, request: http.Message) -> None:
+        ids = [line.split()[0] for line in bytes(request.body).decode().splitlines()[::3]]
+        ends = (f"{id_} {'fault' if id_.endswith('x') else 'accepted'}\r\n" for id_ in ids)
+        connection.sendall(raw(200, body="".join(ends)))
+
+
 def test_messages_that_wait_for_one_endpoint_share_a_call(tmp_path: Path) -> None:
-    def answer_each(_: object = None) -> bytes:
-        ids = [line.split()[0] for line in bytes(partner.requests[-1].body).decode().splitlines()[::2]]
-        return raw(200, body="".join(f"{id_} accepted\r\n" for id_ in ids))
-
-    class Partner(EndpointPeer):
-        def reply(self, connection, request):  # type: ignore[no-untyped-def]
-            connection.sendall(answer_each() if request.path.endswith(":batch") else self.script.pop(0))
-
-    # The first call is turned away: what comes in meanwhile is spaced, and goes on together.
-    partner = Partner(raw(429, "Retry-After: 0.5"), raw(200), raw(200))
-    with scene(tmp_path, partner, flavor="shared") as (node, _):
-        for number in range(1, 6):
-            assert node.hand_in(f"m{number}", body=b"x\r\ny").status == 202
-        delivered(node, 5)
-        shared = [call for call in partner.requests if call.path == "/v1/messages:batch"]
-        assert shared
-        assert b" - 4\r\nx\r\ny\r\n" in bytes(shared[0].body)
+    partner = SharingPeer()
+    with scene(tmp_path) as (node, platform):
+        for id_ in ("m1", "m2", "m3", "m4", "m5x"):  # no endpoint yet: they wait
+            assert node.hand_in(id_, "unsafe", b"y\r\nz").status == 202
+        eventually(lambda: platform.watchers)
+        platform.change(platform.list(partner, 1, flavor="shared"))
+        delivered(node, 4)
+        assert eventually(lambda: platform.notice("m5x"))["result"] == "dead"
+        (call,) = partner.requests
+        assert call.path == "/v1/messages:batch"
+        assert b"m1 - 4\r\ny\r\nz\r\n" in bytes(call.body)
+        partner.close()
 
 
 def test_an_endpoint_that_is_told_to_drain_gets_nothing_more(tmp_path: Path) -> None:
