--- /dev/null
+++ b/examples/toy_server.py
@@ -0,0 +1,92 @@
+"""What a node talks to, as a toy: a platform with one destination, and that destination's endpoint.
+
+    python examples/toy_server.py [--fail N]
+
+The platform listens on 127.0.0.1:8500, the endpoint of destination 1 on 127.0.0.1:9001. With `--fail N` every
+N-th call ends with an error. Both print what they are sent.
+"""
+
+import argparse
+import json
+import threading
+import time
+from http.server import BaseHTTPRequestHandler, ThreadingHTTPServer
+from itertools import count
+
+PLATFORM = ("127.0.0.1", 8500)
+ENDPOINT = ("127.0.0.1", 9001)
+MEMBERS = [{"id": "toy-1", "host_port": "{}:{}".format(*ENDPOINT), "locality": "here", "flavor": "toy", "cell": 1,
+            "phase": "SERVING", "size": 20.0, "up_since_ms": 0}]
+LIST = json.dumps({"revision": 1, "complete": True, "members": MEMBERS}).encode()
+
+
+class Handler(BaseHTTPRequestHandler):
+    """What both parts share."""
+
+    protocol_version = "HTTP/1.1"
+
+    def body(self) -> bytes:
+        return self.rfile.read(int(self.headers.get("Content-Length", 0)))
+
+    def reply(self, status: int, body: bytes = b"") -> None:
+        self.send_response(status)
+        if status != 204:
+            self.send_header("Content-Length", str(len(body)))
+        self.end_headers()
+        self.wfile.write(body)
+
+    def log_message(self, format: str, *args: object) -> None:
+        """Quiet: each part prints what matters itself."""
+
+
+class Platform(Handler):
+    """Discovery and the ear for notices."""
+
+    def do_GET(self) -> None:
+        if "watch=1" not in self.path:
+            self.reply(200, LIST)
+            return
+        self.send_response(200)
+        self.send_header("Transfer-Encoding", "chunked")
+        self.end_headers()
+        line = LIST
+        while True:  # the list first, then an empty line every 2 s, until the node leaves
+            try:
+                self.wfile.write(b"%x\r\n%s\n\r\n" % (len(line) + 1, line))
+            except OSError:
+                self.close_connection = True
+                return
+            line = b""
+            time.sleep(2.0)
+
+    def do_POST(self) -> None:
+        for line in self.body().splitlines():
+            print("platform: notice", line.decode(), flush=True)
+        self.reply(204)
+
+
+class Endpoint(Handler):
+    """Takes each message, but for those that `--fail` picks."""
+
+    calls = count(1)
+    fail = 0
+
+    def do_POST(self) -> None:
+        body, number = self.body(), next(self.calls)
+        failed = self.fail > 0 and number % self.fail == 0
+        print(f"endpoint: call {number}, message {self.headers['X-Request-ID']}, {body!r}:",
+              "error" if failed else "taken", flush=True)
+        self.reply(500 if failed else 200)
+
+
+def main() -> None:
+    parser = argparse.ArgumentParser(description="a platform and an endpoint to try a node with")
+    parser.add_argument("--fail", type=int, default=0, metavar="N", help="every N-th call ends with an error")
+    Endpoint.fail = parser.parse_args().fail
+    threading.Thread(target=ThreadingHTTPServer(PLATFORM, Platform).serve_forever, daemon=True).start()
+    print("platform on {}:{}, endpoint of destination 1 on {}:{}".format(*PLATFORM, *ENDPOINT), flush=True)
+    ThreadingHTTPServer(ENDPOINT, Endpoint).serve_forever()
+
+
+if __name__ == "__main__":
+    main()
