Refusals of a shut destination no longer slow its return

Checked: a probe in _give_up; all ended by _expire at destinations closed for 8 to 22 s. Ruled out: holding room (136 of 309), open period (closed long before), attempts (mostly 0), the destination's limit (none). At fault: choice.py _learn counts each refusal of the outage as a strike, _space stretches the gap by 1.5 each, and _gate took that gap instead of the fail-back pace. Now the gap rests while the row looks like an outage and the first success forgets it. Guards as well against any pile of refusals that is not a limit's. Could harm where a limit that reports nothing refuses for over 3 s.

--- a/examples/toy_server.py
+++ b/examples/toy_server.py
@@ -15,8 +15,8 @@
 
 PLATFORM = ("127.0.0.1", 8500)
 ENDPOINT = ("127.0.0.1", 9001)
-MEMBERS = [{"id": "toy-1", "host_port": "{}:{}".format(*ENDPOINT), "locality": "here", "flavor": "toy", "cell": 1,
-            "phase": "SERVING", "size": 20.0, "up_since_ms": 0}]
+MEMBERS = [{"id": "toy-1", "host_port": "{}:{}".format(*ENDPOINT), "locality": "here", "flavor": "toy",
+            "cell": 1, "phase": "SERVING", "size": 20.0, "up_since_ms": 0}]
 LIST = json.dumps({"revision": 1, "complete": True, "members": MEMBERS}).encode()
 
 
--- a/irisstack/choice.py
+++ b/irisstack/choice.py
@@ -227,7 +227,7 @@
         row = self._rows.get(key) or _Row()
         row.served, row.dark = row.served + 1, NEVER
         if row.cold_until == NEVER and self._now >= row.open_until:
-            row.cold_until = self._now + self._set.cold_seconds
+            row.cold_until, row.strikes = self._now + self._set.cold_seconds, 0.0  # a shut one shows no limit
         if row.strikes:
             row.strikes = max(float(destination.number in self._waiting), row.strikes - RECOVER)
 
@@ -242,7 +242,7 @@
             del self._rows[key]
             return 0.0
         paced = row.spent_at + row.spent / self._budget(row, destination) if cold else 0.0
-        return max(row.open_until, row.next_at if row.strikes else 0.0, paced)
+        return max(row.open_until, row.next_at if row.strikes and row.cold_until < NEVER else 0.0, paced)
 
     def _first_gate(self, destination: _Destination) -> float:
         """The earliest time at which a call may go to any route of a destination."""
--- a/tests/test_found.py
+++ b/tests/test_found.py
@@ -342,3 +342,22 @@
         return len(driver.sent(1)) == 2
     assert sent_at_once(0.03)
     assert not sent_at_once(SETTINGS.connect_timeout)
+
+
+def test_refusals_of_a_shut_destination_do_not_slow_its_return() -> None:
+    """Each stretched the gap by half: after a few seconds shut, calls came tens of seconds apart."""
+    driver = Driver(endpoint(1, rate=20.0))
+    at = driver.serve(1, 4, 1.0, gap=0.05)
+    numbers = range(50, 110)
+    driver.turn(at, *(driver.received(n, at, due=at + 60.0) for n in numbers))
+    shut_until = at + DARK + 4.0
+    end = shut_until + SETTINGS.cold_seconds + 2.0
+    answered: set[tuple[int, int]] = set()
+    while driver.now < end:
+        driver.turn(driver.now + 0.05)
+        out = [(n, driver.attempts[n]) for n in numbers if n in driver.attempts]
+        for number, attempt in out:
+            if (number, attempt) not in answered:
+                answered.add((number, attempt))
+                driver.end(number, FULL if driver.now < shut_until else OK, driver.now)
+    assert sum(1 for n in numbers if driver.sent(n) and driver.sent(n)[-1] >= shut_until) > 40
