--- a/irisstack/node/decider.py
+++ b/irisstack/node/decider.py
@@ -18,7 +18,7 @@
 from irisstack import interface as api
 from irisstack.choice import Sender
 from irisstack.node.counters import Counters
-from irisstack.node.endpoint import Call, CallOff, CloseIdle, Ended, Outgoing
+from irisstack.node.endpoint import Call, CallOff, CloseIdle, Ended, Hold, Outgoing
 from irisstack.node.store import Entry, Store
 
 log = structlog.get_logger()
@@ -63,7 +63,7 @@
     """Turns what comes into events, and actions into what is done."""
 
     def __init__(self, settings: api.Settings, seed: int, store: Store, counters: Counters, *,
-                 call: Callable[[api.Address, Call | CallOff | CloseIdle], None],
+                 call: Callable[[api.Address, Call | CallOff | CloseIdle | Hold], None],
                  ask: Callable[[api.Action], None], notice: Callable[[Entry], None], room: int) -> None:
         self._settings = settings
         self._sender = Sender(settings, seed)
@@ -77,7 +77,7 @@
         self._timers: list[tuple[float, int]] = []
         self._where: dict[int, tuple[api.Address, float, int]] = {}  # calls out: endpoint, sent at, attempt
         self._attempts: dict[int, int] = {}
-        self._batches: dict[api.Address, int] = {}
+        self._listed: dict[api.Address, api.Endpoint] = {}
         self._turned = -1.0
         self.refusing = False  # nothing new is taken on
         self.holding = False  # nothing more is sent
@@ -191,6 +191,8 @@
             if result.over:
                 name = "delivered" if result.outcome is api.Outcome.OK else "withdrawn"
                 turn.records.append(self._over(ended.number, name))
+        if result.retry_after:
+            self._hold(ended.address, now + result.retry_after)
         events.append(api.AttemptEnded(
             ended.number, ended.address, ended.attempt, now - sent, result.over or not owed, result.outcome,
             result.retry_after, result.no_free_slot, result.report))
@@ -202,9 +204,19 @@
             return HTTPStatus.SERVICE_UNAVAILABLE
         return HTTPStatus.OK if entry.result else HTTPStatus.ACCEPTED
 
+    def _hold(self, address: api.Address, until: float) -> None:
+        """A wait was told: what is still connecting to the destination, or the route, must not leave."""
+        destination, apart = self._listed[address].destination, self._kind(address).separate_routes
+        for other in {place for place, _, _ in self._where.values()}:
+            if other == address or (not apart and self._listed[other].destination == destination):
+                self._call(other, Hold(until))
+
     def _learn(self, update: api.EndpointsUpdated) -> None:
-        for endpoint in update.endpoints:
-            self._batches[endpoint.address] = self._settings.kinds[endpoint.kind].max_batch
+        """Keep what a call needs to know of its endpoint, also of one that is gone: its calls still end."""
+        self._listed.update((endpoint.address, endpoint) for endpoint in update.endpoints)
+
+    def _kind(self, address: api.Address) -> api.DestinationKind:
+        return self._settings.kinds[self._listed[address].kind]
 
     # ---- actions ----
 
@@ -291,6 +303,6 @@
             by_endpoint.setdefault(send.endpoint, []).append(
                 Outgoing(entry.number, attempt, entry.id, entry.key, entry.body, give_up, due))
         for address, messages in by_endpoint.items():
-            most = self._batches.get(address, 1)
+            most = self._kind(address).max_batch
             for start in range(0, len(messages), most):
                 self._call(address, Call(messages[start:start + most], unix))
--- a/irisstack/node/discovery.py
+++ b/irisstack/node/discovery.py
@@ -12,7 +12,7 @@
 from gevent.queue import Queue
 
 from irisstack import interface as api
-from irisstack.node import http
+from irisstack.node import http, sockets
 from irisstack.node.buffer import Buffer
 from irisstack.node.config import HostPort, host_port, name_of
 
@@ -101,8 +101,7 @@
         """One call to discovery, to its end; a failure or the end of a watch is told."""
         connection = None
         try:
-            connection = socket.create_connection(self._peer, timeout=SILENCE)
-            connection.settimeout(SILENCE)
+            connection = sockets.connect(self._peer, SILENCE)
             connection.sendall(http.request("GET", f"/v1/servers{query}", name_of(self._peer)))
             if watch:
                 self._follow(connection)
--- a/irisstack/node/endpoint.py
+++ b/irisstack/node/endpoint.py
@@ -1,6 +1,5 @@
 """An actor for each endpoint: its connections, and the calls on them."""
 
-import select
 import time
 from collections import deque
 from collections.abc import Callable, Sequence
@@ -12,7 +11,7 @@
 from gevent.queue import Empty, Queue
 
 from irisstack.interface import Address
-from irisstack.node import http
+from irisstack.node import http, sockets
 from irisstack.node.buffer import Buffer
 from irisstack.node.config import HostPort, name_of
 from irisstack.node.counters import Counters
@@ -62,6 +61,13 @@
     """Close the connections that carry no call."""
 
 
+@dataclass(slots=True, frozen=True)
+class Hold:
+    """The destination told to wait: a call that has not left yet must not leave before this time."""
+
+    until: float
+
+
 @dataclass(slots=True, frozen=True)
 class Retire:
     """The endpoint drains or is gone: close each connection as its call ends."""
@@ -90,7 +96,7 @@
 
 
 class _Withheld(Exception):
-    """Nothing may go to the endpoint any more."""
+    """Nothing may go to the endpoint, or not yet."""
 
 
 class Connection:
@@ -107,11 +113,7 @@
 
     def usable(self) -> bool:
         """Whether nothing, not even an end, waits to be read on an idle connection."""
-        if self._socket is None:
-            return False
-        poll = select.poll()
-        poll.register(self._socket.fileno(), select.POLLIN | select.POLLHUP | select.POLLERR)
-        return not poll.poll(0)
+        return self._socket is not None and sockets.quiet(self._socket)
 
     def close(self) -> None:
         if self._socket is not None:
@@ -167,8 +169,7 @@
         left = give_up - time.monotonic()
         if left <= 0.0:
             raise TimeoutError
-        self._socket = socket.create_connection(self._peer, timeout=min(left, self._connect_timeout or left))
-        self._socket.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        self._socket = sockets.connect(self._peer, min(left, self._connect_timeout or left))
 
     def _write(self, call: Call) -> None:
         assert self._socket is not None
@@ -236,10 +237,11 @@
         self._most_idle = most_idle
         self._report_fields = report_fields
         # A call, its cancelling and its end for each slot, and what the list tells beside them.
-        self.mailbox: Queue[Call | CallOff | CloseIdle | Retire | _Back] = Queue(4 * most_calls + 16)
+        self.mailbox: Queue[Call | CallOff | CloseIdle | Hold | Retire | _Back] = Queue(4 * most_calls + 16)
         self._calls: list[Call] = []
         self._idle: deque[Connection] = deque()
         self._retired = False
+        self._held_until = 0.0
         self.worker: gevent.Greenlet[..., None] = gevent.Greenlet(self.run)
 
     def run(self) -> None:
@@ -262,7 +264,7 @@
         """The list names the endpoint again."""
         self._retired = False
 
-    def _handle(self, command: "Call | CallOff | CloseIdle | Retire | _Back") -> None:
+    def _handle(self, command: "Call | CallOff | CloseIdle | Hold | Retire | _Back") -> None:
         match command:
             case Call():
                 self._calls.append(command)
@@ -281,6 +283,8 @@
                     self._idle.append(connection)
                     if self._retired or len(self._idle) > self._most_idle:
                         self._idle.popleft().close()
+            case Hold(until):
+                self._held_until = max(self._held_until, until)
             case CloseIdle() | Retire():
                 self._retired = self._retired or isinstance(command, Retire)
                 while self._idle:
@@ -303,9 +307,10 @@
     def _leaving(self, call: Call) -> bool:
         """On record before the last byte leaves: from here on the call may have run.
 
-        A call that was still connecting when the endpoint began to drain does not leave.
+        A call that was still connecting when the endpoint began to drain, or the destination told to wait,
+        does not leave.
         """
-        if self._retired:
+        if self._retired or time.monotonic() < self._held_until:
             self._counters.add("calls_withheld")
             return False
         self._store.out([(m.number, m.attempt) for m in call.messages], call.sent_at)
--- a/irisstack/node/intake.py
+++ b/irisstack/node/intake.py
@@ -2,7 +2,6 @@
 
 import json
 import math
-import select
 import time
 from collections.abc import Callable
 from contextlib import suppress
@@ -14,7 +13,7 @@
 from gevent.server import StreamServer
 
 from irisstack import interface as api
-from irisstack.node import http
+from irisstack.node import http, sockets
 from irisstack.node.buffer import Buffer
 from irisstack.node.config import HostPort
 from irisstack.node.counters import Counters
@@ -64,7 +63,7 @@
         except http.BadMessage as error:
             self._intake.counters.add("unreadable")
             self._close = True
-            self._write(error.status, str(error).encode())
+            self._write(error.status, f"{error}\n".encode())
 
     def _next(self) -> http.Message | None:
         """The next request, or nothing if the connection ends between requests."""
@@ -106,7 +105,7 @@
             arrival = self._intake.arrival(request, path, self)
         except _Malformed as error:
             self._intake.counters.add("malformed")
-            self._write(HTTPStatus.BAD_REQUEST, str(error).encode())
+            self._write(HTTPStatus.BAD_REQUEST, f"{error}\n".encode())
             return
         self._answered.clear()
         self._intake.post(arrival)
@@ -117,7 +116,7 @@
 
         A client that has left gets a refusal all the same: should it still be listening, it may come again.
         """
-        here = not self._left()
+        here = not sockets.left(self._socket)
         try:
             self._write(status if here else HTTPStatus.SERVICE_UNAVAILABLE, retry_after=retry_after)
         except OSError:
@@ -127,12 +126,6 @@
         self._answered.set()
         return here
 
-    def _left(self) -> bool:
-        """Whether the client has ended its side."""
-        poll = select.poll()
-        poll.register(self._socket.fileno(), select.POLLRDHUP | select.POLLHUP | select.POLLERR)
-        return bool(poll.poll(0))
-
     def _write(self, status: HTTPStatus, body: bytes = b"", retry_after: float | None = None) -> None:
         headers = [("Retry-After", f"{retry_after:.3f}")] if retry_after else []
         data = http.answer(status, headers, body, self._close)
--- a/irisstack/node/notices.py
+++ b/irisstack/node/notices.py
@@ -9,13 +9,13 @@
 from gevent import socket
 from gevent.event import Event
 
-from irisstack.node import http
+from irisstack.node import http, sockets
 from irisstack.node.buffer import Buffer
 from irisstack.node.config import HostPort, name_of
 from irisstack.node.counters import Counters
 from irisstack.node.store import Entry, Store
 
-PATIENCE = 2.0
+PATIENCE = 1.0
 """Seconds for one try."""
 PAUSE = 0.1
 """Seconds between one try that failed and the next."""
@@ -74,9 +74,10 @@
         """The status of one POST; 0 if there was none."""
         buffer, reader = Buffer(), http.AnswerReader()
         try:
+            if self._socket is not None and not sockets.quiet(self._socket):
+                self._close()
             if self._socket is None:
-                self._socket = socket.create_connection(self._peer, timeout=PATIENCE)
-                self._socket.settimeout(PATIENCE)
+                self._socket = sockets.connect(self._peer, PATIENCE)
             self._socket.sendall(http.request("POST", "/reports", name_of(self._peer),
                                               [("Content-Type", "application/json")], body))
             while (answer := reader.advance(buffer)) is None:
--- a/irisstack/node/service.py
+++ b/irisstack/node/service.py
@@ -13,7 +13,7 @@
 from irisstack.node.counters import Counters
 from irisstack.node.decider import Arrival, Decider
 from irisstack.node.discovery import Discovery, ListReader
-from irisstack.node.endpoint import Call, CallOff, CloseIdle, Ended, Endpoint, Retire
+from irisstack.node.endpoint import Call, CallOff, CloseIdle, Ended, Endpoint, Hold, Retire
 from irisstack.node.intake import Intake
 from irisstack.node.notices import Notices
 from irisstack.node.store import Store
@@ -129,7 +129,7 @@
     def _ended(self, ended: Ended) -> None:
         self._decider.mailbox.put(ended)
 
-    def _to_endpoint(self, address: api.Address, command: Call | CallOff | CloseIdle) -> None:
+    def _to_endpoint(self, address: api.Address, command: Call | CallOff | CloseIdle | Hold) -> None:
         endpoint = self._endpoints.get(address)
         if endpoint is None:
             endpoint = self._start_endpoint(address)
--- a/tests/test_node_parts.py
+++ b/tests/test_node_parts.py
@@ -1,19 +1,23 @@
 """The node's parts by themselves: configuration, buffer, HTTP, results, the lasting folder, the list."""
 
 import json
+import socket
 import subprocess
 import sys
 import time
 from pathlib import Path
 from typing import Any
 
+import gevent
 import pytest
 
 from irisstack import interface as api
 from irisstack.node import http
 from irisstack.node.buffer import INITIAL, Buffer
 from irisstack.node.config import ConfigError, load
+from irisstack.node.counters import Counters
 from irisstack.node.discovery import ListReader
+from irisstack.node.endpoint import Call, CallOff, Ended, Endpoint, Hold, Outgoing, Retire
 from irisstack.node.results import Ending, Reached, answered, answered_each, unanswered
 from irisstack.node.store import Entry, Store
 from irisstack.settings import Reader, read
@@ -273,6 +277,48 @@
     assert Store(tmp_path, 3_000_000, 1000.0).entries == {}
 
 
+# ---- endpoints ----
+
+
+@pytest.mark.parametrize(("commands", "outcome", "reached"), [
+    ([], api.Outcome.TIMEOUT, Reached.WRITTEN),
+    ([Retire()], api.Outcome.NOT_SENT, Reached.CONNECTED),
+    ([Hold(time.monotonic() + 1e6)], api.Outcome.NOT_SENT, Reached.CONNECTED),
+    ([Hold(time.monotonic() - 1.0)], api.Outcome.TIMEOUT, Reached.WRITTEN),
+])
+def test_a_call_that_has_not_left_is_held_back_by_a_drain_and_by_a_wait(
+        tmp_path: Path, commands: list[Retire | Hold], outcome: api.Outcome, reached: Reached) -> None:
+    ended: list[Ended] = []
+    store = Store(tmp_path, 3_000_000, 1000.0)
+    take(store, 1)
+    with socket.create_server(("127.0.0.1", 0)) as server:
+        endpoint = Endpoint((bytes([127, 0, 0, 1]), 1), server.getsockname(), ended.append, store, Counters(),
+                            connect_timeout=5.0, idle_limit=5.0, most_idle=5, most_calls=5, report_fields=())
+        endpoint.worker.start()
+        for command in commands:
+            endpoint.mailbox.put(command)
+        give_up = time.monotonic() + 0.5
+        endpoint.mailbox.put(Call([Outgoing(1, 0, "m1", "", b"body", give_up, give_up)], 1001.0))
+        while not ended:
+            gevent.sleep(0.01)
+        endpoint.worker.kill()
+    assert (ended[0].result.outcome, ended[0].result.reached) == (outcome, reached)
+    assert (store.entries[1].out_at is None) == (reached is Reached.CONNECTED)
+
+
+def test_a_call_called_off_before_it_began_never_ran(tmp_path: Path) -> None:
+    ended: list[Ended] = []
+    store = Store(tmp_path, 3_000_000, 1000.0)
+    endpoint = Endpoint((bytes([127, 0, 0, 1]), 1), ("127.0.0.1", 1), ended.append, store, Counters(),
+                        connect_timeout=5.0, idle_limit=5.0, most_idle=5, most_calls=5, report_fields=())
+    endpoint.mailbox.put(Call([Outgoing(1, 0, "m1", "", b"", 1e9, 1e9)], 1001.0))
+    endpoint.mailbox.put(CallOff(1, 0))
+    endpoint.worker.start()
+    while not ended:
+        gevent.sleep(0.01)
+    assert ended[0].result == unanswered(Reached.NOTHING, Ending.CALLED_OFF)
+
+
 # ---- the list ----
 
 
