Keep a shared call until all of its messages are given up

Checked: outcomes by class in the log: unsafe messages ended with the early time-out of a keyed one in the same call. At fault: endpoint.py, _read, which ended a call at its first message's giving up. With it: the folder forgets ended messages when it is full, a list that comes unasked is watched, an address in use is one line, messages come back in the order in which they were taken on. Each has a test.

--- a/irisstack/node/decider.py
+++ b/irisstack/node/decider.py
@@ -94,7 +94,7 @@
         self._learn(known)
         self._next.append(known)
         names = {kind.name: i for i, kind in enumerate(self._settings.classes)}
-        for entry in list(self._store.entries.values()):
+        for _, entry in sorted(self._store.entries.items()):  # in the order in which they were taken on
             if entry.to_tell:
                 self._notice(entry)
             if not entry.owed:
@@ -168,7 +168,7 @@
         entry = Entry(store.next_number, arrival.id, arrival.key,
                       self._settings.classes[arrival.message_class].name, arrival.tenant, arrival.destination,
                       unix + arrival.due - now, arrival.is_retry, arrival.from_dead_sender, arrival.body)
-        if self.refusing or not store.fits(entry):
+        if self.refusing or not store.fits(entry, unix):
             self._counters.add("turned_away")
             turn.answers.append((arrival, HTTPStatus.SERVICE_UNAVAILABLE, None))
             return
--- a/irisstack/node/discovery.py
+++ b/irisstack/node/discovery.py
@@ -21,6 +21,8 @@
     "DRAINING": api.EndpointState.DRAINING,
     "DELETED": api.EndpointState.GONE,
 }
+PAUSE = 0.5
+"""Seconds until a watch that ended is held anew, where the list comes unasked."""
 SILENCE = 5.0
 """Seconds without a line, due every 2 s, after which a watch counts as broken; calls wait as long."""
 
@@ -72,19 +74,25 @@
 
 
 class Discovery:
-    """Holds at most one watch and one fetch."""
+    """Holds at most one watch and one fetch.
+
+    Where the list comes unasked (`pushed`) the module never subscribes, and the watch is held all along.
+    """
 
     def __init__(self, peer: HostPort, reader: ListReader, post: Callable[[api.EndpointsUpdated], None],
-                 revision: int) -> None:
+                 revision: int, pushed: bool) -> None:
         self._peer = peer
         self._reader = reader
         self._post = post
         self._revision = revision
+        self._pushed = pushed
         self._watch: gevent.Greenlet[..., None] | None = None
         self._fetch: gevent.Greenlet[..., None] | None = None
         self.mailbox: Queue[api.Action] = Queue(64)
 
     def run(self) -> None:
+        if self._pushed:
+            self.mailbox.put(api.Subscribe(True))
         while True:
             match self.mailbox.get():
                 case api.Subscribe(on):
@@ -117,6 +125,9 @@
             if connection is not None:
                 connection.close()
         self._post(api.EndpointsUpdated(api.UpdateScope.FAILED, self._revision, ()))
+        if watch and self._pushed:
+            gevent.sleep(PAUSE)
+            self.mailbox.put(api.Subscribe(True))
 
     def _whole(self, connection: socket.socket) -> http.Message:
         buffer, reader = Buffer(), http.AnswerReader(http.MAX_LIST)
--- a/irisstack/node/endpoint.py
+++ b/irisstack/node/endpoint.py
@@ -194,23 +194,25 @@
               end: Callable[[Outgoing, Result], None]) -> http.Message | None:
         """The answer, or nothing once no message waits for it.
 
-        A message whose own time is up ends alone. Any earlier giving up ends the call: with the connection
-        open, another attempt would be a second copy.
+        A shared call is given up when all of its messages are: ending it for one would cut the others off,
+        and ending one alone would make its next attempt a second copy. Only a message whose own time is up,
+        which has no next attempt, ends before its call.
         """
         assert self._socket is not None
+        last = max(message.give_up for message in pending.values())
         while True:
             answer = self._reader.advance(self._buffer)
             if answer is not None:
                 return answer
             now = time.monotonic()
-            for message in [m for m in pending.values() if m.give_up <= now]:
-                if message.give_up < message.due:
-                    return None
+            if now >= last:
+                return None
+            for message in [m for m in pending.values() if m.due <= now]:
                 del pending[message.id]
                 end(message, unanswered(Reached.WRITTEN, Ending.GIVEN_UP))
             if not pending:
                 return None
-            self._socket.settimeout(max(0.001, min(m.give_up for m in pending.values()) - now))
+            self._socket.settimeout(max(0.001, min(last, *(m.due for m in pending.values())) - now))
             try:
                 if not self._buffer.receive(self._socket):
                     answer = self._reader.ended()
--- a/irisstack/node/service.py
+++ b/irisstack/node/service.py
@@ -41,7 +41,8 @@
         self._notices = Notices(config.discovery, self._store, self.counters)
         reader = ListReader(settings)
         known = self._known(reader)
-        self._discovery = Discovery(config.discovery, reader, self._listed, known.version)
+        self._discovery = Discovery(config.discovery, reader, self._listed, known.version,
+                                    pushed=not settings.discovery_on_request)
         self._endpoints: dict[api.Address, Endpoint] = {}
         self._listed_now: set[api.Address] = set()
         # A quarter of the descriptors for clients, a half for endpoints, the rest for all else.
@@ -71,7 +72,10 @@
         parts = [gevent.spawn(part.run) for part in (self._decider, self._discovery, self._notices)]
         for part in parts:
             part.link_exception(self._broken)
-        self._intake.start()
+        try:
+            self._intake.start()
+        except OSError as error:
+            raise ConfigError(f"listen: {name_of(self._config.listen)}: {error.strerror}") from None
         log.info("serving", name=self._config.name, listen=name_of(self._config.listen),
                  **self.counters.snapshot())
         self._stop.wait()
@@ -168,8 +172,7 @@
     """Run a node from the environment; a configuration that cannot be used is one line and code 2."""
     _log_to_stdout()
     try:
-        service = Service(load())
+        return Service(load()).run()
     except ConfigError as error:
         print(f"irisstack: {error}", file=sys.stderr)
         return 2
-    return service.run()
--- a/irisstack/node/store.py
+++ b/irisstack/node/store.py
@@ -164,9 +164,12 @@
 
     # ---- what others note ----
 
-    def fits(self, entry: Entry) -> bool:
+    def fits(self, entry: Entry, now: float) -> bool:
         """Whether one more message finds room beside all that is owed."""
-        return self._room + entry.room <= self._disk - SPARE * self._segment_size
+        most = self._disk - SPARE * self._segment_size - entry.room
+        if self._room > most:
+            self._drop_ended(now)
+        return self._room <= most
 
     def take(self, entry: Entry) -> None:
         """A message comes in; it is on record once what `taken` returns is written."""
@@ -254,14 +257,7 @@
 
     def _make_room(self, now: float) -> None:
         """Drop what is no longer needed, then free the oldest segments while too few are free."""
-        while self._ended and self._ended[0][0] < now:
-            due, number = heappop(self._ended)
-            entry = self.entries.get(number)
-            if entry is not None and entry.to_tell:
-                heappush(self._ended, (due + 1.0, number))
-                break
-            if entry is not None:
-                self._forget(entry)
+        self._drop_ended(now)
         for segment in sorted(self._sizes)[:-1]:
             if self._used() + FREE * self._segment_size <= self._disk:
                 break
@@ -274,6 +270,20 @@
             self._path(segment).unlink()
             del self._sizes[segment]
 
+    def _drop_ended(self, now: float) -> None:
+        """Forget messages that are over, once their time is up and their notice was taken."""
+        untold: list[tuple[float, int]] = []
+        while self._ended and self._ended[0][0] < now:
+            due, number = heappop(self._ended)
+            if (entry := self.entries.get(number)) is None:
+                continue
+            if entry.to_tell:
+                untold.append((due, number))
+            else:
+                self._forget(entry)
+        for item in untold:
+            heappush(self._ended, item)
+
     def _forget(self, entry: Entry) -> None:
         del self.entries[entry.number]
         if self.by_id.get(entry.id) == entry.number:
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -6,7 +6,7 @@
 from pathlib import Path
 
 from irisstack.node import http
-from tests.node_support import EndpointPeer, Node, eventually, message, raw, scene
+from tests.node_support import SETTINGS, EndpointPeer, Node, eventually, message, raw, scene
 
 
 def delivered(node: Node, count: int) -> None:
@@ -287,3 +287,28 @@
         assert node.terminate() == 0
         node.start()
         assert node.counters()["recovered"] == 1
+
+
+def test_a_list_that_comes_unasked_is_watched_without_being_asked_for(tmp_path: Path) -> None:
+    partner = EndpointPeer()
+    with scene(tmp_path) as (node, platform):
+        node.kill()
+        node.raw["settings"] = {**SETTINGS, "discovery": "pushed"}
+        before = len(platform.watchers)
+        node.start()
+        node.hand_in("m1")
+        eventually(lambda: len(platform.watchers) > before, "a watch")
+        platform.watchers[-1].shutdown(socket.SHUT_RDWR)
+        eventually(lambda: len(platform.watchers) > before + 1, "a watch held anew")
+        platform.change(platform.list(partner, 1))
+        delivered(node, 1)
+        partner.close()
+
+
+def test_an_address_in_use_is_one_line_and_an_exit_code(tmp_path: Path) -> None:
+    with scene(tmp_path) as (node, platform):
+        (tmp_path / "second").mkdir()
+        second = Node(tmp_path / "second", platform)
+        second.raw["listen"] = node.raw["listen"]
+        assert second.launch().wait(20) == 2
+        assert f"irisstack: listen: {node.raw['listen']}: " in second.log.read_text()
--- a/tests/test_node_parts.py
+++ b/tests/test_node_parts.py
@@ -21,7 +21,7 @@
 from irisstack.node.results import Ending, Reached, answered, answered_each, unanswered
 from irisstack.node.store import Entry, Store
 from irisstack.settings import Reader, read
-from tests.node_support import SETTINGS
+from tests.node_support import SETTINGS, raw
 
 
 class Source:
@@ -259,7 +259,7 @@
     store, taken = Store(tmp_path, disk, 1000.0), []
     for number in range(1, 100):
         new = entry(number, 2000.0, bytes(http.MAX_BODY))
-        if not store.fits(new):
+        if not store.fits(new, 1000.0):
             break
         store.take(new)
         taken.append(number)
@@ -269,6 +269,17 @@
     assert list(Store(tmp_path, disk, 1000.0).entries) == taken
 
 
+def test_a_full_folder_has_room_again_once_its_messages_are_over(tmp_path: Path) -> None:
+    store, number = Store(tmp_path, 1_000_000, 1000.0), 1
+    while store.fits(entry(number, 1010.0, bytes(100)), 1000.0):
+        store.take(entry(number, 1010.0, bytes(100)))
+        store.over(number, "delivered")
+        number += 1
+    assert not store.fits(entry(number, 1010.0), 1009.0)
+    assert store.fits(entry(number, 1030.0), 1011.0)
+    assert store.entries == {}
+
+
 def test_a_message_that_was_refused_leaves_no_trace(tmp_path: Path) -> None:
     store = Store(tmp_path, 3_000_000, 1000.0)
     store.take(entry(1, 2000.0))
@@ -306,6 +317,31 @@
     assert (store.entries[1].out_at is None) == (reached is Reached.CONNECTED)
 
 
+def test_a_shared_call_is_not_cut_short_for_one_of_its_messages(tmp_path: Path) -> None:
+    """Given up for the first, it took the unsafe ones beside it down, whose answer was still to come."""
+    ended: list[Ended] = []
+    store = Store(tmp_path, 3_000_000, 1000.0)
+    with socket.create_server(("127.0.0.1", 0)) as server:
+        endpoint = Endpoint((bytes([127, 0, 0, 1]), 1), server.getsockname(), ended.append, store, Counters(),
+                            connect_timeout=5.0, idle_limit=5.0, most_idle=5, most_calls=5, report_fields=())
+        endpoint.worker.start()
+        now = time.monotonic()
+        times = {"hurried": (now + 0.1, now + 60.0), "patient": (now + 60.0, now + 60.0),
+                 "out-of-time": (now + 0.2, now + 0.2)}
+        endpoint.mailbox.put(Call([Outgoing(number, 0, id_, "", b"", *times[id_])
+                                   for number, id_ in enumerate(times)], 1001.0))
+        while not ended:
+            gevent.sleep(0.01)
+        assert [(end.number, end.result.outcome) for end in ended] == [(2, api.Outcome.TIMEOUT)]
+        connection, _ = server.accept()
+        with connection:
+            connection.sendall(raw(200, body="hurried accepted\r\npatient accepted\r\n"))
+            while len(ended) < 3:
+                gevent.sleep(0.01)
+        endpoint.worker.kill()
+    assert {end.number: end.result.outcome for end in ended[1:]} == {0: api.Outcome.OK, 1: api.Outcome.OK}
+
+
 def test_a_call_called_off_before_it_began_never_ran(tmp_path: Path) -> None:
     ended: list[Ended] = []
     store = Store(tmp_path, 3_000_000, 1000.0)
