Ends are told whatever fails in a call; nothing leaves after its time; list commands in order

Read in the code: an unforeseen exception in a call's greenlet would have kept its messages and slot for good (endpoint.py, carry); after a standstill a call could leave on a kept connection past its time; a drain and a return told in one go could be taken in the wrong order (service.py, _follow); a report of nan or inf reached the module.

--- a/irisstack/node/endpoint.py
+++ b/irisstack/node/endpoint.py
@@ -7,6 +7,7 @@
 from dataclasses import dataclass
 
 import gevent
+import structlog
 from gevent import socket
 from gevent.queue import Empty, Queue
 
@@ -23,6 +24,8 @@
 IDLE_MARGIN = 0.05
 """Part of the endpoint's idle limit in which a connection is no longer trusted."""
 
+log = structlog.get_logger()
+
 
 @dataclass(slots=True, frozen=True)
 class Outgoing:
@@ -69,8 +72,10 @@
 
 
 @dataclass(slots=True, frozen=True)
-class Retire:
-    """The endpoint drains or is gone: close each connection as its call ends."""
+class Offered:
+    """Whether the list offers the endpoint; one that drains or is gone gets nothing more."""
+
+    on: bool
 
 
 @dataclass(slots=True, frozen=True)
@@ -131,11 +136,14 @@
             if call.over:
                 raise _CalledOff
             call.begun = True
-            self._open(min(message.give_up for message in call.messages))
+            give_up = max(message.give_up for message in call.messages)
+            self._open(give_up)
             reached = Reached.CONNECTED
+            if time.monotonic() >= give_up:  # after a standstill of this node: nobody waits for it any more
+                raise TimeoutError
             if not leaving(call):
                 raise _Withheld
-            self._write(call)
+            self._write(call, give_up)
             reached = Reached.WRITTEN
             answer = self._read(pending, end)
             keep = answer is not None and answer.keep_alive and not len(self._buffer)
@@ -148,6 +156,8 @@
             ending = Ending.GIVEN_UP
         except (OSError, http.BadMessage):
             ending = Ending.BROKEN
+        except Exception as error:  # whatever it is, the messages' ends must be told
+            log.error("call_failed", peer=name_of(self._peer), error=repr(error))
         call.over = True
         if answer is None and reached is Reached.WRITTEN and len(call.messages) == 1:
             answer = self._reader.told()  # its first line may have told the end already
@@ -171,9 +181,8 @@
             raise TimeoutError
         self._socket = sockets.connect(self._peer, min(left, self._connect_timeout or left))
 
-    def _write(self, call: Call) -> None:
+    def _write(self, call: Call, give_up: float) -> None:
         assert self._socket is not None
-        give_up = max(message.give_up for message in call.messages)
         left = max(0.001, give_up - time.monotonic())
         headers = [("X-Timeout", f"{left:.3f}")]
         if len(call.messages) == 1:
@@ -239,7 +248,7 @@
         self._most_idle = most_idle
         self._report_fields = report_fields
         # A call, its cancelling and its end for each slot, and what the list tells beside them.
-        self.mailbox: Queue[Call | CallOff | CloseIdle | Hold | Retire | _Back] = Queue(4 * most_calls + 16)
+        self.mailbox: Queue[Call | CallOff | CloseIdle | Hold | Offered | _Back] = Queue(4 * most_calls + 16)
         self._calls: list[Call] = []
         self._idle: deque[Connection] = deque()
         self._retired = False
@@ -262,11 +271,7 @@
         """Retired, with nothing left to do."""
         return self._retired and not self._calls and self.mailbox.empty()
 
-    def revive(self) -> None:
-        """The list names the endpoint again."""
-        self._retired = False
-
-    def _handle(self, command: "Call | CallOff | CloseIdle | Hold | Retire | _Back") -> None:
+    def _handle(self, command: "Call | CallOff | CloseIdle | Hold | Offered | _Back") -> None:
         match command:
             case Call():
                 self._calls.append(command)
@@ -287,10 +292,16 @@
                         self._idle.popleft().close()
             case Hold(until):
                 self._held_until = max(self._held_until, until)
-            case CloseIdle() | Retire():
-                self._retired = self._retired or isinstance(command, Retire)
-                while self._idle:
-                    self._idle.pop().close()
+            case Offered(on):
+                self._retired = not on
+                if not on:
+                    self._close_idle()
+            case CloseIdle():
+                self._close_idle()
+
+    def _close_idle(self) -> None:
+        while self._idle:
+            self._idle.pop().close()
 
     def _connection(self) -> Connection:
         """The connection used last, or a new one."""
--- a/irisstack/node/intake.py
+++ b/irisstack/node/intake.py
@@ -8,6 +8,7 @@
 from http import HTTPStatus
 from typing import Any
 
+import structlog
 from gevent import socket
 from gevent.event import Event
 from gevent.server import StreamServer
@@ -26,6 +27,8 @@
 """Seconds a client may take over one request."""
 LONGEST_NAME = 256
 
+log = structlog.get_logger()
+
 
 class _Malformed(Exception):
     """A request that can be parsed but says what it may not."""
@@ -64,6 +67,12 @@
             self._intake.counters.add("unreadable")
             self._close = True
             self._write(error.status, f"{error}\n".encode())
+        except OSError:
+            raise
+        except Exception as error:  # whatever it is, a request that was read is answered
+            log.error("request_failed", error=repr(error))
+            self._close = True
+            self._write(HTTPStatus.INTERNAL_SERVER_ERROR)
 
     def _next(self) -> http.Message | None:
         """The next request, or nothing if the connection ends between requests."""
@@ -168,6 +177,11 @@
     def start(self) -> None:
         self._server.start()
 
+    @property
+    def address(self) -> HostPort:
+        """Where it listens."""
+        return str(self._server.server_host), int(self._server.server_port)
+
     def stop(self) -> None:
         """Go on accepting, but keep no connection beyond the request in hand."""
         self.stopping = True
@@ -177,10 +191,6 @@
     def close(self) -> None:
         self._server.stop(timeout=0)
 
-    @property
-    def busy(self) -> bool:
-        return bool(self._connections)
-
     def post(self, arrival: Arrival) -> None:
         self._post(arrival)
 
--- a/irisstack/node/results.py
+++ b/irisstack/node/results.py
@@ -1,5 +1,6 @@
 """How an attempt ended, as a value that carries how far it had come. Nothing here decides anything."""
 
+import math
 from collections.abc import Sequence
 from dataclasses import dataclass
 from enum import IntEnum, auto
@@ -78,6 +79,8 @@
         values = {name.strip(): float(value) for name, value in (item.split("=") for item in told.split(","))}
     except ValueError:
         return ()
+    if not all(math.isfinite(value) for value in values.values()):
+        return ()
     return tuple(values.get(name, 0.0) for name in fields)
 
 
--- a/irisstack/node/service.py
+++ b/irisstack/node/service.py
@@ -13,7 +13,7 @@
 from irisstack.node.counters import Counters
 from irisstack.node.decider import Arrival, Decider
 from irisstack.node.discovery import Discovery, ListReader
-from irisstack.node.endpoint import Call, CallOff, CloseIdle, Ended, Endpoint, Hold, Retire
+from irisstack.node.endpoint import Call, CallOff, CloseIdle, Ended, Endpoint, Hold, Offered
 from irisstack.node.intake import Intake
 from irisstack.node.notices import Notices
 from irisstack.node.store import Store
@@ -126,9 +126,9 @@
             gone = self._listed_now - offered
             self._listed_now = offered
         for address in gone & self._endpoints.keys():
-            self._endpoints[address].mailbox.put(Retire())
+            self._endpoints[address].mailbox.put(Offered(False))
         for address in offered & self._endpoints.keys():
-            self._endpoints[address].revive()
+            self._endpoints[address].mailbox.put(Offered(True))
 
     def _ended(self, ended: Ended) -> None:
         self._decider.mailbox.put(ended)
--- a/tests/test_node_parts.py
+++ b/tests/test_node_parts.py
@@ -10,6 +10,7 @@
 
 import gevent
 import pytest
+from gevent import socket as gevent_socket
 
 from irisstack import interface as api
 from irisstack.node import http
@@ -17,11 +18,12 @@
 from irisstack.node.config import ConfigError, load
 from irisstack.node.counters import Counters
 from irisstack.node.discovery import ListReader
-from irisstack.node.endpoint import Call, CallOff, Ended, Endpoint, Hold, Outgoing, Retire
+from irisstack.node.endpoint import Call, CallOff, Ended, Endpoint, Hold, Offered, Outgoing
+from irisstack.node.intake import Intake
 from irisstack.node.results import Ending, Reached, answered, answered_each, unanswered
 from irisstack.node.store import Entry, Store
 from irisstack.settings import Reader, read
-from tests.node_support import SETTINGS, raw
+from tests.node_support import SETTINGS, message, raw
 
 
 class Source:
@@ -108,16 +110,16 @@
     source, buffer, reader = Source(data * 2, piece), Buffer(), http.RequestReader()
     found = []
     while buffer.receive(source):
-        while (message := reader.advance(buffer)) is not None:
-            found.append((message.method, message.path, message.headers["x-one"], bytes(message.body)))
+        while (whole := reader.advance(buffer)) is not None:
+            found.append((whole.method, whole.path, whole.headers["x-one"], bytes(whole.body)))
     assert found == [("POST", "/a?b=1", "1", b"\r\n\r\nbody")] * 2
 
 
 def answer_of(data: bytes) -> http.Message | None:
     source, buffer, reader = Source(data, 5), Buffer(), http.AnswerReader()
     while buffer.receive(source):
-        if (message := reader.advance(buffer)) is not None:
-            return message
+        if (whole := reader.advance(buffer)) is not None:
+            return whole
     return reader.ended()
 
 
@@ -156,7 +158,7 @@
     return http.Message(named, bytearray(body.encode()), status=status)
 
 
-@pytest.mark.parametrize(("message", "outcome", "over", "wait"), [
+@pytest.mark.parametrize(("answer", "outcome", "over", "wait"), [
     (said(200), api.Outcome.OK, True, None),
     (said(500), api.Outcome.ERROR, False, None),
     (said(418), api.Outcome.ERROR, False, None),
@@ -167,9 +169,9 @@
     (said(504), api.Outcome.NOT_SENT, False, None),
     (said(410), api.Outcome.NOT_SENT, True, None),
 ])
-def test_the_outcome_of_an_answer(message: http.Message, outcome: api.Outcome, over: bool,
+def test_the_outcome_of_an_answer(answer: http.Message, outcome: api.Outcome, over: bool,
                                   wait: float | None) -> None:
-    result = answered(message, ())
+    result = answered(answer, ())
     assert (result.outcome, result.over, result.retry_after) == (outcome, over, wait)
 
 
@@ -178,6 +180,7 @@
     assert answered(said(200, x_server_load="x1=25,x0=0.4"), fields).report == (0.4, 25.0)
     assert answered(said(200, x_server_load="x1=25"), fields).report == (0.0, 25.0)
     assert answered(said(200, x_server_load="nonsense"), fields).report == ()
+    assert answered(said(200, x_server_load="x0=nan,x1=inf"), fields).report == ()
 
 
 def test_each_message_of_a_shared_call_has_its_end() -> None:
@@ -291,20 +294,25 @@
 # ---- endpoints ----
 
 
+def lone_endpoint(peer: tuple[str, int], ended: list[Ended], store: Store) -> Endpoint:
+    return Endpoint((bytes([127, 0, 0, 1]), 1), peer, ended.append, store, Counters(), connect_timeout=5.0,
+                    idle_limit=60.0, most_idle=5, most_calls=5, report_fields=())
+
+
 @pytest.mark.parametrize(("commands", "outcome", "reached"), [
     ([], api.Outcome.TIMEOUT, Reached.WRITTEN),
-    ([Retire()], api.Outcome.NOT_SENT, Reached.CONNECTED),
+    ([Offered(False), Offered(True)], api.Outcome.TIMEOUT, Reached.WRITTEN),
+    ([Offered(False)], api.Outcome.NOT_SENT, Reached.CONNECTED),
     ([Hold(time.monotonic() + 1e6)], api.Outcome.NOT_SENT, Reached.CONNECTED),
     ([Hold(time.monotonic() - 1.0)], api.Outcome.TIMEOUT, Reached.WRITTEN),
 ])
 def test_a_call_that_has_not_left_is_held_back_by_a_drain_and_by_a_wait(
-        tmp_path: Path, commands: list[Retire | Hold], outcome: api.Outcome, reached: Reached) -> None:
+        tmp_path: Path, commands: list[Offered | Hold], outcome: api.Outcome, reached: Reached) -> None:
     ended: list[Ended] = []
     store = Store(tmp_path, 3_000_000, 1000.0)
     take(store, 1)
     with socket.create_server(("127.0.0.1", 0)) as server:
-        endpoint = Endpoint((bytes([127, 0, 0, 1]), 1), server.getsockname(), ended.append, store, Counters(),
-                            connect_timeout=5.0, idle_limit=5.0, most_idle=5, most_calls=5, report_fields=())
+        endpoint = lone_endpoint(server.getsockname(), ended, store)
         endpoint.worker.start()
         for command in commands:
             endpoint.mailbox.put(command)
@@ -322,8 +330,7 @@
     ended: list[Ended] = []
     store = Store(tmp_path, 3_000_000, 1000.0)
     with socket.create_server(("127.0.0.1", 0)) as server:
-        endpoint = Endpoint((bytes([127, 0, 0, 1]), 1), server.getsockname(), ended.append, store, Counters(),
-                            connect_timeout=5.0, idle_limit=5.0, most_idle=5, most_calls=5, report_fields=())
+        endpoint = lone_endpoint(server.getsockname(), ended, store)
         endpoint.worker.start()
         now = time.monotonic()
         times = {"hurried": (now + 0.1, now + 60.0), "patient": (now + 60.0, now + 60.0),
@@ -342,11 +349,33 @@
     assert {end.number: end.result.outcome for end in ended[1:]} == {0: api.Outcome.OK, 1: api.Outcome.OK}
 
 
+def test_a_call_whose_time_has_passed_does_not_leave_on_a_kept_connection(tmp_path: Path) -> None:
+    """As after a standstill of the node between the decision and the write."""
+    ended: list[Ended] = []
+    with socket.create_server(("127.0.0.1", 0)) as server:
+        endpoint = lone_endpoint(server.getsockname(), ended, Store(tmp_path, 3_000_000, 1000.0))
+        endpoint.worker.start()
+        endpoint.mailbox.put(Call([Outgoing(1, 0, "m1", "", b"", 1e9, 1e9)], 1001.0))
+        while not endpoint._calls:
+            gevent.sleep(0.01)
+        connection, _ = server.accept()
+        with connection:
+            connection.sendall(raw(200))
+            while endpoint._calls:
+                gevent.sleep(0.01)
+            past = time.monotonic() - 1.0
+            endpoint.mailbox.put(Call([Outgoing(2, 0, "m2", "", b"", past, past)], 1001.0))
+            while len(ended) < 2:
+                gevent.sleep(0.01)
+            endpoint.worker.kill()
+            assert b"m2" not in connection.recv(65536)
+    assert ended[1].result == unanswered(Reached.CONNECTED, Ending.GIVEN_UP)
+
+
 def test_a_call_called_off_before_it_began_never_ran(tmp_path: Path) -> None:
     ended: list[Ended] = []
     store = Store(tmp_path, 3_000_000, 1000.0)
-    endpoint = Endpoint((bytes([127, 0, 0, 1]), 1), ("127.0.0.1", 1), ended.append, store, Counters(),
-                        connect_timeout=5.0, idle_limit=5.0, most_idle=5, most_calls=5, report_fields=())
+    endpoint = lone_endpoint(("127.0.0.1", 1), ended, store)
     endpoint.mailbox.put(Call([Outgoing(1, 0, "m1", "", b"", 1e9, 1e9)], 1001.0))
     endpoint.mailbox.put(CallOff(1, 0))
     endpoint.worker.start()
@@ -383,3 +412,16 @@
         (1, api.EndpointState.GONE), (9, api.EndpointState.READY)]
     gone = reader.update({"revision": 3, "complete": False, "members": [{"id": "s1", "phase": "DELETED"}]})
     assert gone.endpoints == ()
+
+
+# ---- clients ----
+
+
+def test_a_request_that_fails_inside_the_node_is_answered(monkeypatch: pytest.MonkeyPatch) -> None:
+    intake = Intake(("127.0.0.1", 0), read(Reader(SETTINGS)), lambda _: None, Counters(), 10)
+    monkeypatch.setattr(intake, "arrival", lambda *_: 1 / 0)
+    intake.start()
+    with gevent_socket.create_connection(intake.address) as client:
+        client.sendall(message("m1"))
+        assert client.recv(65536).startswith(b"HTTP/1.1 500 ")
+    intake.close()
