--- a/irisstack/node/intake.py
+++ b/irisstack/node/intake.py
@@ -180,7 +180,8 @@
     @property
     def address(self) -> HostPort:
         """Where it listens."""
-        return str(self._server.server_host), int(self._server.server_port)
+        assert self._server.server_port is not None
+        return str(self._server.server_host), self._server.server_port
 
     def stop(self) -> None:
         """Go on accepting, but keep no connection beyond the request in hand."""
