Drain test tells the drain before a new watch can list the endpoint as serving

Seen once: the platform's stand-in answered the second watch with a list made before the test had changed it.

--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -79,10 +79,10 @@
     first, second = EndpointPeer(), EndpointPeer()
     with scene(tmp_path, first, second) as (node, platform):
         eventually(lambda: platform.watchers)
-        platform.change({**platform.members[0], "phase": "DRAINING"})
+        platform.members[0]["phase"] = "DRAINING"
+        platform.change(platform.members[0])
         platform.tell("no JSON")
         eventually(lambda: len(platform.watchers) > 1, "a new watch after a line that cannot be read")
-        platform.members[0]["phase"] = "DRAINING"
         before = len(first.requests)
         for number in range(6):
             node.hand_in(f"m{number}")
