Derive the attempt counter from the record; one piece for what was written twice in the node

The decider kept its own count of attempts beside the one in the entry, which is the same at every send: it goes, with an attempt number that nobody read. A message is told to the module by one function, new or recovered; which outcomes prove that nothing ran is taken from the module; the path's class is split once; an address is written by inet_ntoa; wrappers that only passed on to the mailbox go; a taken record no longer deep-copies its entry; a parameter without callers goes; two tests share their kill.

--- a/irisstack/node/decider.py
+++ b/irisstack/node/decider.py
@@ -16,7 +16,7 @@
 from gevent.queue import Empty, Queue
 
 from irisstack import interface as api
-from irisstack.choice import Sender
+from irisstack.choice import NOT_RUN, Sender
 from irisstack.node.counters import Counters
 from irisstack.node.endpoint import Call, CallOff, CloseIdle, Ended, Hold, Outgoing
 from irisstack.node.store import Entry, Store
@@ -75,8 +75,8 @@
         self.mailbox: Queue[Arrival | Ended | api.EndpointsUpdated] = Queue(room)
         self._next: list[api.Event] = []  # known already, for the next turn
         self._timers: list[tuple[float, int]] = []
-        self._where: dict[int, tuple[api.Address, float, int]] = {}  # calls out: endpoint, sent at, attempt
-        self._attempts: dict[int, int] = {}
+        self._where: dict[int, tuple[api.Address, float]] = {}  # calls out: endpoint, sent at
+        self._classes = {kind.name: i for i, kind in enumerate(settings.classes)}
         self._listed: dict[api.Address, api.Endpoint] = {}
         self._turned = -1.0
         self.refusing = False  # nothing new is taken on
@@ -92,25 +92,28 @@
         """The list as it was last held, and what an earlier life of this node owes."""
         now, unix = time.monotonic(), time.time()
         self._learn(known)
-        self._next.append(known)
-        names = {kind.name: i for i, kind in enumerate(self._settings.classes)}
+        owed: list[api.Event] = []
         for _, entry in sorted(self._store.entries.items()):  # in the order in which they were taken on
             if entry.to_tell:
                 self._notice(entry)
             if not entry.owed:
                 continue
-            if entry.message_class not in names:  # the settings changed between two lives
+            if entry.message_class not in self._classes:  # the settings changed between two lives
                 log.error("class_gone", message_class=entry.message_class, id=entry.id)
                 self._store.write([self._over(entry.number, "dead")], unix)
                 self._notice(entry)
                 continue
-            self._attempts[entry.number] = entry.attempts
-            ran = None if entry.ran_at is None else now + entry.ran_at - unix
-            self._next.append(api.MessageReceived(
-                entry.number, names[entry.message_class], entry.destination, now + entry.due - unix,
-                entry.tenant, is_retry=entry.is_retry, from_dead_sender=entry.from_dead_sender,
-                attempts=entry.attempts, maybe_ran=ran))
-        self._counters.add("recovered", len(self._attempts))
+            owed.append(self._received(entry, now, unix))
+        self._next = [known, *owed]
+        self._counters.add("recovered", len(owed))
+
+    def _received(self, entry: Entry, now: float, unix: float) -> api.MessageReceived:
+        """What the module is told of a message, be it new or one that outlived a process."""
+        ran = None if entry.ran_at is None else now + entry.ran_at - unix
+        return api.MessageReceived(
+            entry.number, self._classes[entry.message_class], entry.destination, now + entry.due - unix,
+            entry.tenant, is_retry=entry.is_retry, from_dead_sender=entry.from_dead_sender,
+            attempts=entry.attempts, maybe_ran=ran)
 
     # ---- the loop ----
 
@@ -175,18 +178,15 @@
         store.next_number += 1
         store.take(entry)
         turn.arrivals[entry.number] = arrival
-        self._attempts[entry.number] = 0
-        events.append(api.MessageReceived(
-            entry.number, arrival.message_class, arrival.destination, arrival.due, arrival.tenant,
-            is_retry=arrival.is_retry, from_dead_sender=arrival.from_dead_sender))
+        events.append(self._received(entry, now, unix))
 
     def _ended(self, ended: Ended, turn: _Turn, events: list[api.Event], now: float) -> None:
-        _, sent, _ = self._where.pop(ended.number)
+        _, sent = self._where.pop(ended.number)
         result = ended.result
         entry = self._store.entries.get(ended.number)
         owed = entry is not None and entry.owed
         if owed:
-            ran = result.outcome not in (api.Outcome.FULL, api.Outcome.CONNECT_FAILED, api.Outcome.NOT_SENT)
+            ran = result.outcome not in NOT_RUN
             turn.records.append(self._store.end(ended.number, ended.attempt, ran))
             if result.over:
                 name = "delivered" if result.outcome is api.Outcome.OK else "withdrawn"
@@ -207,7 +207,7 @@
     def _hold(self, address: api.Address, until: float) -> None:
         """A wait was told: what is still connecting to the destination, or the route, must not leave."""
         destination, apart = self._listed[address].destination, self._kind(address).separate_routes
-        for other in {place for place, _, _ in self._where.values()}:
+        for other in {place for place, _ in self._where.values()}:
             if other == address or (not apart and self._listed[other].destination == destination):
                 self._call(other, Hold(until))
 
@@ -221,7 +221,6 @@
     # ---- actions ----
 
     def _over(self, number: int, result: str, wait_ms: int = 0) -> bytes:
-        self._attempts.pop(number, None)
         self._counters.add(result)
         return self._store.over(number, result, wait_ms)
 
@@ -244,7 +243,6 @@
         if arrival is not None:
             status = HTTPStatus.TOO_MANY_REQUESTS if result == "bounced" else HTTPStatus.INTERNAL_SERVER_ERROR
             turn.answers.append((arrival, status, wait))
-            self._attempts.pop(number)
             self._store.refuse(number)
             self._counters.add("refused" if result == "bounced" else "failed")
         else:
@@ -289,19 +287,17 @@
         by_endpoint: dict[api.Address, list[Outgoing]] = {}
         for send in sends:
             entry = self._store.entries.get(send.message)
-            attempt = self._attempts.get(send.message)
-            if entry is None or attempt is None:  # withdrawn in this very turn
+            if entry is None or not entry.owed:  # withdrawn in this very turn
                 self._next.append(api.AttemptEnded(
                     send.message, send.endpoint, 0, 0.0, True, api.Outcome.NOT_SENT))
                 continue
             if self.holding:
                 continue
-            self._attempts[send.message] = attempt + 1
-            self._where[send.message] = send.endpoint, now, attempt
+            self._where[send.message] = send.endpoint, now
             due = now + entry.due - unix
             give_up = min(due, send.give_up_at or due)
             by_endpoint.setdefault(send.endpoint, []).append(
-                Outgoing(entry.number, attempt, entry.id, entry.key, entry.body, give_up, due))
+                Outgoing(entry.number, entry.attempts, entry.id, entry.key, entry.body, give_up, due))
         for address, messages in by_endpoint.items():
             most = self._kind(address).max_batch
             for start in range(0, len(messages), most):
--- a/irisstack/node/intake.py
+++ b/irisstack/node/intake.py
@@ -104,14 +104,15 @@
             else:
                 self._write(HTTPStatus.OK, json.dumps(self._intake.counters.snapshot()).encode() + b"\n")
             return
-        if path[1:].partition("/")[0] not in self._intake.classes:
+        name = path[1:].partition("/")[0]
+        if name not in self._intake.classes:
             self._write(HTTPStatus.NOT_FOUND)
             return
         if request.method != "POST":
             self._write(HTTPStatus.METHOD_NOT_ALLOWED)
             return
         try:
-            arrival = self._intake.arrival(request, path, self)
+            arrival = self._intake.arrival(request, name, self)
         except _Malformed as error:
             self._intake.counters.add("malformed")
             self._write(HTTPStatus.BAD_REQUEST, f"{error}\n".encode())
@@ -164,7 +165,7 @@
 
     def __init__(self, listen: HostPort, settings: api.Settings, post: Callable[[Arrival], None],
                  counters: Counters, most: int) -> None:
-        self._post = post
+        self.post = post
         self.classes = {kind.name: i for i, kind in enumerate(settings.classes)}
         self._kinds = settings.classes
         self._tenants = {tenant.name: i for i, tenant in enumerate(settings.tenants)}
@@ -192,9 +193,6 @@
     def close(self) -> None:
         self._server.stop(timeout=0)
 
-    def post(self, arrival: Arrival) -> None:
-        self._post(arrival)
-
     def _serve(self, sock: socket.socket, _: Any) -> None:
         connection = _Connection(self, sock)
         self._connections[id(connection)] = connection
@@ -211,9 +209,8 @@
         if idle:
             min(idle, key=lambda c: c.idle_since or 0.0).stop()
 
-    def arrival(self, request: http.Message, path: str, client: _Connection) -> Arrival:
-        """The message that a request hands in."""
-        name = path[1:].partition("/")[0]
+    def arrival(self, request: http.Message, name: str, client: _Connection) -> Arrival:
+        """The message that a request hands in, of the class that its path names."""
         if request.headers.get("x-priority-class", name) != name:
             raise _Malformed("X-Priority-Class: not the class that the path names")
         index = self.classes[name]
--- a/irisstack/node/service.py
+++ b/irisstack/node/service.py
@@ -6,14 +6,15 @@
 
 import gevent
 import structlog
+from gevent import socket
 from gevent.event import Event
 
 from irisstack import interface as api
 from irisstack.node.config import Config, ConfigError, HostPort, load, name_of
 from irisstack.node.counters import Counters
-from irisstack.node.decider import Arrival, Decider
+from irisstack.node.decider import Decider
 from irisstack.node.discovery import Discovery, ListReader
-from irisstack.node.endpoint import Call, CallOff, CloseIdle, Ended, Endpoint, Hold, Offered
+from irisstack.node.endpoint import Call, CallOff, CloseIdle, Endpoint, Hold, Offered
 from irisstack.node.intake import Intake
 from irisstack.node.notices import Notices
 from irisstack.node.store import Store
@@ -53,7 +54,8 @@
             settings, config.seed, self._store, self.counters, call=self._to_endpoint,
             ask=self._discovery.mailbox.put, notice=self._notices.owe,
             room=self._most_clients + settings.max_calls * most_batch + 64)
-        self._intake = Intake(config.listen, settings, self._hand_in, self.counters, self._most_clients)
+        self._intake = Intake(config.listen, settings, self._decider.mailbox.put, self.counters,
+                              self._most_clients)
         self._follow(known)
         self._decider.recover(known)
         self._stop = Event()
@@ -107,9 +109,6 @@
 
     # ---- between the parts ----
 
-    def _hand_in(self, arrival: Arrival) -> None:
-        self._decider.mailbox.put(arrival)
-
     def _listed(self, update: api.EndpointsUpdated) -> None:
         self._follow(update)
         self._decider.mailbox.put(update)
@@ -130,9 +129,6 @@
         for address in offered & self._endpoints.keys():
             self._endpoints[address].mailbox.put(Offered(True))
 
-    def _ended(self, ended: Ended) -> None:
-        self._decider.mailbox.put(ended)
-
     def _to_endpoint(self, address: api.Address, command: Call | CallOff | CloseIdle | Hold) -> None:
         endpoint = self._endpoints.get(address)
         if endpoint is None:
@@ -144,7 +140,7 @@
         for old in [a for a, e in self._endpoints.items() if e.finished]:
             self._endpoints.pop(old).worker.kill(block=False)
         endpoint = self._endpoints[address] = Endpoint(
-            address, _peer(address), self._ended, self._store, self.counters,
+            address, _peer(address), self._decider.mailbox.put, self._store, self.counters,
             connect_timeout=settings.connect_timeout, idle_limit=settings.keepalive,
             most_idle=max(1, self._most_idle // max(1, len(self._listed_now))), most_calls=settings.max_calls,
             report_fields=settings.report_fields)
@@ -154,7 +150,7 @@
 
 def _peer(address: api.Address) -> HostPort:
     host, port = address
-    return ".".join(str(byte) for byte in host), port
+    return socket.inet_ntoa(host), port
 
 
 def _log_to_stdout() -> None:
--- a/irisstack/node/store.py
+++ b/irisstack/node/store.py
@@ -10,7 +10,7 @@
 import struct
 import zlib
 from collections.abc import Iterable, Iterator
-from dataclasses import asdict, dataclass, fields
+from dataclasses import dataclass, fields
 from heapq import heappop, heappush
 from pathlib import Path
 from typing import Any
@@ -234,8 +234,7 @@
 
     @staticmethod
     def _taken(entry: Entry) -> bytes:
-        note = asdict(entry)
-        return _record({"t": "taken", **{name: note[name] for name in NOTED}}, entry.body)
+        return _record({"t": "taken", **{name: getattr(entry, name) for name in NOTED}}, entry.body)
 
     def _append(self, data: bytes) -> None:
         self._sizes[self._current] += len(data)
--- a/irisstack/settings.py
+++ b/irisstack/settings.py
@@ -70,8 +70,8 @@
     def parts(self, key: str) -> "list[Reader]":
         return [Reader(item, f"{self.path(key)}[{i}]") for i, item in enumerate(self.items(key))]
 
-    def one_of(self, key: str, table: Mapping[str, Any], default: str | None = None) -> Any:
-        name = self.text(key, default)
+    def one_of(self, key: str, table: Mapping[str, Any]) -> Any:
+        name = self.text(key)
         if name not in table:
             raise SettingsError(f"{self.path(key)}: one of {', '.join(table)} is due, not {name!r}")
         return table[name]
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -205,14 +205,19 @@
         partner.close()
 
 
+def kill_with_a_call_out(node: Node, partner: EndpointPeer, kind: str) -> None:
+    """Kill the node while the endpoint holds `m1` unanswered; in its next life the endpoint answers."""
+    node.hand_in("m1", kind)
+    eventually(lambda: partner.calls_with("m1"))
+    node.kill()
+    partner.script = [raw(200)]
+    node.start()
+
+
 def test_an_unsafe_message_with_a_call_out_at_a_kill_is_never_sent_again(tmp_path: Path) -> None:
     partner = EndpointPeer(None)
     with scene(tmp_path, partner) as (node, platform):
-        node.hand_in("m1", "unsafe")
-        eventually(lambda: partner.calls_with("m1"))
-        node.kill()
-        partner.script = [raw(200)]
-        node.start()
+        kill_with_a_call_out(node, partner, "unsafe")
         assert eventually(lambda: platform.notice("m1")) == {"ref": "m1", "result": "dead"}
         node.hand_in("m2")
         delivered(node, 1)
@@ -222,11 +227,7 @@
 def test_a_keyed_message_with_a_call_out_at_a_kill_goes_again_under_its_key(tmp_path: Path) -> None:
     partner = EndpointPeer(None)
     with scene(tmp_path, partner) as (node, platform):
-        node.hand_in("m1", "keyed")
-        eventually(lambda: partner.calls_with("m1"))
-        node.kill()
-        partner.script = [raw(200)]
-        node.start()
+        kill_with_a_call_out(node, partner, "keyed")
         delivered(node, 1)
         calls = partner.calls_with("m1")
         assert [call.headers["idempotency-key"] for call in calls] == ["key-m1", "key-m1"]
