SIGHUP re-reads the file: discovery and notices move, a bad file changes nothing

Checked: no SIGHUP handler anywhere; the default action ends the process, also while it starts. At fault: service.run (handlers for SIGTERM and SIGINT alone), config.load (read once), discovery and notices (one peer for life).

The list is asked for whole at the new address and the old one stays until it comes; a notice under way is broken off and goes to the new address. A setting of the wrong type names its key instead of ending in a traceback.

--- a/irisstack/node/config.py
+++ b/irisstack/node/config.py
@@ -49,8 +49,12 @@
     return f"{host}:{port}"
 
 
-def load(environment: Mapping[str, str] = os.environ) -> Config:
-    """The configuration from `RELAY_CONFIG` and the variables that stand above the file."""
+def load(environment: Mapping[str, str] = os.environ, *, anew: bool = False) -> Config:
+    """The configuration from `RELAY_CONFIG` and the variables that stand above the file.
+
+    Read anew by a running node, the file stands above `RELAY_DISCOVERY`: a process keeps the variables
+    that it was started with, so only the file can tell it of another address.
+    """
     path = environment.get("RELAY_CONFIG", "")
     if not path:
         raise ConfigError("RELAY_CONFIG: the path of the configuration file is due")
@@ -66,7 +70,8 @@
         config = Config(
             name=told("RELAY_NAME", "name", "node"),
             listen=host_port(told("RELAY_LISTEN", "listen"), "listen"),
-            discovery=host_port(told("RELAY_DISCOVERY", "discovery"), "discovery"),
+            discovery=host_port(raw.text("discovery") if anew and raw.value("discovery") is not None
+                                else told("RELAY_DISCOVERY", "discovery"), "discovery"),
             state=Path(told("RELAY_STATE", "state")),
             seed=_seed(raw.text("seed", "0")),
             sockets=limits.whole("sockets", DEFAULT_SOCKETS),
@@ -76,7 +81,7 @@
         )
     except OSError as error:
         raise ConfigError(f"RELAY_CONFIG: {path} cannot be read: {error.strerror}") from None
-    except ValueError as error:
+    except (ValueError, RecursionError) as error:
         raise ConfigError(f"RELAY_CONFIG: {path} holds no JSON: {error}") from None
     except SettingsError as error:
         raise ConfigError(str(error)) from None
--- a/irisstack/node/discovery.py
+++ b/irisstack/node/discovery.py
@@ -3,7 +3,7 @@
 import json
 import time
 from collections.abc import Callable, Mapping
-from dataclasses import replace
+from dataclasses import dataclass, replace
 from typing import Any
 
 import gevent
@@ -73,6 +73,13 @@
         return [endpoint]
 
 
+@dataclass(slots=True, frozen=True)
+class Moved:
+    """Discovery is at another address from now on."""
+
+    peer: HostPort
+
+
 class Discovery:
     """Holds at most one watch and one fetch.
 
@@ -88,7 +95,8 @@
         self._pushed = pushed
         self._watch: gevent.Greenlet[..., None] | None = None
         self._fetch: gevent.Greenlet[..., None] | None = None
-        self.mailbox: Queue[api.Action] = Queue(64)
+        self._wanted = False  # the module's last word on the watch
+        self.mailbox: Queue[api.Action | Moved] = Queue(64)
 
     def run(self) -> None:
         if self._pushed:
@@ -96,14 +104,32 @@
         while True:
             match self.mailbox.get():
                 case api.Subscribe(on):
-                    if self._watch is not None:
-                        self._watch.kill()
-                        self._watch = None
-                    if on:
-                        self._watch = gevent.spawn(self._ask, f"?watch=1&from={self._revision}", True)
+                    self._wanted = on
+                    self._hold_watch()
                 case api.FetchEndpoints():
                     if self._fetch is None or self._fetch.dead:
                         self._fetch = gevent.spawn(self._ask, "", False)
+                case Moved(peer):
+                    self._move(peer)
+
+    def _hold_watch(self) -> None:
+        """End the watch that is held, and hold a new one if one is wanted."""
+        if self._watch is not None:
+            self._watch.kill()
+            self._watch = None
+        if self._wanted:
+            self._watch = gevent.spawn(self._ask, f"?watch=1&from={self._revision}", True)
+
+    def _move(self, peer: HostPort) -> None:
+        """Ask at another address at once; the list that is held stays until the new one comes.
+
+        Revisions may be counted otherwise there, so the whole list is asked for.
+        """
+        self._peer, self._revision = peer, 0
+        self._hold_watch()
+        if self._fetch is not None and not self._fetch.dead:
+            self._fetch.kill()
+            self._fetch = gevent.spawn(self._ask, "", False)
 
     def _ask(self, query: str, watch: bool) -> None:
         """One call to discovery, to its end; a failure or the end of a watch is told."""
--- a/irisstack/node/notices.py
+++ b/irisstack/node/notices.py
@@ -40,6 +40,14 @@
         self._owed[entry.number] = entry
         self._news.set()
 
+    def move(self, peer: HostPort) -> None:
+        """Tell another address from now on; a request under way is broken off and goes there instead.
+
+        Should the old address have taken it, hearing of the same ends once more does no harm.
+        """
+        self._peer = peer
+        self._close()
+
     @property
     def idle(self) -> bool:
         return not self._owed
@@ -76,12 +84,14 @@
         try:
             if self._socket is not None and not sockets.quiet(self._socket):
                 self._close()
-            if self._socket is None:
-                self._socket = sockets.connect(self._peer, PATIENCE)
-            self._socket.sendall(http.request("POST", "/reports", name_of(self._peer),
-                                              [("Content-Type", "application/json")], body))
+            peer = self._peer
+            connection = self._socket = self._socket or sockets.connect(peer, PATIENCE)
+            if peer != self._peer:
+                raise ConnectionAbortedError("the platform has moved")
+            connection.sendall(http.request("POST", "/reports", name_of(peer),
+                                            [("Content-Type", "application/json")], body))
             while (answer := reader.advance(buffer)) is None:
-                if not buffer.receive(self._socket):
+                if not buffer.receive(connection):
                     raise ConnectionResetError("the answer ended early")
         except (OSError, http.BadMessage) as error:
             log.info("notice_connection_lost", error=repr(error))
--- a/irisstack/node/service.py
+++ b/irisstack/node/service.py
@@ -3,6 +3,7 @@
 import signal
 import sys
 import time
+from dataclasses import fields, replace
 
 import gevent
 import structlog
@@ -13,7 +14,7 @@
 from irisstack.node.config import Config, ConfigError, HostPort, load, name_of
 from irisstack.node.counters import Counters
 from irisstack.node.decider import Decider
-from irisstack.node.discovery import Discovery, ListReader
+from irisstack.node.discovery import Discovery, ListReader, Moved
 from irisstack.node.endpoint import Call, CallOff, CloseIdle, Endpoint, Hold, Offered
 from irisstack.node.intake import Intake
 from irisstack.node.notices import Notices
@@ -27,6 +28,8 @@
 """Seconds after SIGTERM in which clients may still come."""
 LOOK = 0.05
 """Seconds between two looks at what is left to end."""
+FOLLOWED = ("discovery", "known", "seed")
+"""What a running node follows when the file changes, or needs at its start alone; the rest waits."""
 
 log = structlog.get_logger()
 
@@ -34,8 +37,10 @@
 class Service:
     """One node."""
 
-    def __init__(self, config: Config) -> None:
+    def __init__(self, config: Config, stop: Event, reread: Event) -> None:
         self._config = config
+        self._stop = stop
+        self._reread = reread
         settings = config.settings
         self.counters = Counters()
         self._store = Store(config.state, config.disk_bytes, time.time())
@@ -58,7 +63,6 @@
                               self._most_clients)
         self._follow(known)
         self._decider.recover(known)
-        self._stop = Event()
 
     def _known(self, reader: ListReader) -> api.EndpointsUpdated:
         empty = {"revision": 0, "members": []}
@@ -68,10 +72,9 @@
             raise ConfigError("known: no list of endpoints") from None
 
     def run(self) -> int:
-        """Serve until SIGTERM or SIGINT; returns the exit code."""
-        for number in (signal.SIGTERM, signal.SIGINT):
-            gevent.signal_handler(number, self._stop.set)
-        parts = [gevent.spawn(part.run) for part in (self._decider, self._discovery, self._notices)]
+        """Serve until asked to stop; returns the exit code."""
+        parts = [gevent.spawn(run) for run in (
+            self._decider.run, self._discovery.run, self._notices.run, self._read_anew)]
         for part in parts:
             part.link_exception(self._broken)
         try:
@@ -79,13 +82,31 @@
         except OSError as error:
             raise ConfigError(f"listen: {name_of(self._config.listen)}: {error.strerror}") from None
         log.info("serving", name=self._config.name, listen=name_of(self._config.listen),
-                 **self.counters.snapshot())
+                 discovery=name_of(self._config.discovery), **self.counters.snapshot())
         self._stop.wait()
         if any(part.dead for part in parts):
             return 1
         self._end(time.monotonic())
         return 0
 
+    def _read_anew(self) -> None:
+        """At each SIGHUP, follow what the file says now; one that cannot be used changes nothing."""
+        while True:
+            self._reread.wait()
+            self._reread.clear()
+            try:
+                new = load(anew=True)
+            except ConfigError as error:
+                log.error("configuration_not_taken", error=str(error))
+                continue
+            if new.discovery != self._config.discovery:
+                self._discovery.mailbox.put(Moved(new.discovery))
+                self._notices.move(new.discovery)
+            waiting = [field.name for field in fields(Config) if field.name not in FOLLOWED
+                       and getattr(new, field.name) != getattr(self._config, field.name)]
+            log.info("configuration_taken", discovery=name_of(new.discovery), await_restart=waiting)
+            self._config = replace(self._config, discovery=new.discovery)
+
     def _broken(self, part: "gevent.Greenlet[..., None]") -> None:
         """A part that fails takes the node with it: the folder knows all that is owed."""
         log.critical("part_failed", error=repr(part.exception))
@@ -167,8 +188,11 @@
 def main() -> int:
     """Run a node from the environment; a configuration that cannot be used is one line and code 2."""
     _log_to_stdout()
+    stop, reread = Event(), Event()
+    for number, asked in ((signal.SIGTERM, stop), (signal.SIGINT, stop), (signal.SIGHUP, reread)):
+        gevent.signal_handler(number, asked.set)
     try:
-        return Service(load()).run()
+        return Service(load(), stop, reread).run()
     except ConfigError as error:
         print(f"irisstack: {error}", file=sys.stderr)
         return 2
--- a/irisstack/settings.py
+++ b/irisstack/settings.py
@@ -64,6 +64,12 @@
             raise SettingsError(f"{self.path(key)}: a list is due, not {type(value).__name__}")
         return value
 
+    def texts(self, key: str) -> list[str]:
+        for i, value in enumerate(self.items(key)):
+            if not isinstance(value, str):
+                raise SettingsError(f"{self.path(key)}[{i}]: a text is due, not {value!r}")
+        return self.items(key)
+
     def part(self, key: str) -> "Reader":
         return Reader(self._raw.get(key, {}), self.path(key))
 
@@ -81,9 +87,12 @@
     """The settings from the object that an instance is handed."""
     allowed, extra, rules, report = (raw.part(key) for key in ("allowed", "extra", "invariants", "report"))
     batches, apart = extra.items("batchByKind"), extra.items("separateRoutes")
+    for i, most in enumerate(batches):
+        if isinstance(most, bool) or not isinstance(most, int) or most < 1:
+            raise SettingsError(f"{extra.path('batchByKind')}[{i}]: 1 or more is due, not {most!r}")
     kinds = tuple(
-        DestinationKind(name, int(batches[i]) if i < len(batches) else 1, i < len(apart) and bool(apart[i]))
-        for i, name in enumerate(raw.items("shapes")))
+        DestinationKind(name, batches[i] if i < len(batches) else 1, i < len(apart) and bool(apart[i]))
+        for i, name in enumerate(raw.texts("shapes")))
     classes = tuple(_message_class(lane) for lane in raw.parts("lanes"))
     if not classes:
         raise SettingsError(f"{raw.path('lanes')}: at least one class is due")
@@ -92,7 +101,7 @@
         kinds=kinds,
         tenants=tuple(Tenant(t.text("name"), t.number("allowancePerS", 0.0), t.number("share", 0.0))
                       for t in raw.parts("tenants")),
-        zones=tuple(raw.items("failureDomains")),
+        zones=tuple(raw.texts("failureDomains")),
         senders=raw.whole("balancers", 1),
         ordinal=raw.whole("ordinal", 0),
         max_calls=extra.whole("maxCalls"),
@@ -111,7 +120,7 @@
         ask_within=rules.number("askWithin") if rules.value("askWithin") is not None else None,
         listed_rates=raw.text("weights", "off") in ("nominal", "rough"),
         rates_are_rough=raw.text("weights", "off") == "rough",
-        report_fields=tuple(report.items("names")) if report.text("how", "off") != "off" else (),
+        report_fields=tuple(report.texts("names")) if report.text("how", "off") != "off" else (),
         decay=FADES.get(extra.text("fades", "even"), Decay.LINEAR),
         over_share_worth=raw.number("overShareWorth", 1.0),
         answer_slack=rules.number("answerSlack", 0.0),
--- a/tests/node_support.py
+++ b/tests/node_support.py
@@ -182,6 +182,14 @@
             "settings": SETTINGS}
         self.process: subprocess.Popen[bytes] | None = None
 
+    def reread(self) -> None:
+        """Have the running node read its configuration as it stands now."""
+        assert self.process is not None
+        before = self.log.read_text().count('"event": "configuration_')
+        self.config.write_text(json.dumps(self.raw))
+        self.process.send_signal(signal.SIGHUP)
+        eventually(lambda: self.log.read_text().count('"event": "configuration_') > before, "a new reading")
+
     def launch(self) -> "subprocess.Popen[bytes]":
         self.config.write_text(json.dumps(self.raw))
         environment = {**os.environ, "RELAY_CONFIG": str(self.config), "RELAY_STATE": str(self.state)}
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -1,12 +1,13 @@
 """The real program on real sockets: messages taken on, sent, ended, and what outlives a process."""
 
 import os
+import signal
 import socket
 import time
 from pathlib import Path
 
 from irisstack.node import http
-from tests.node_support import SETTINGS, EndpointPeer, Node, eventually, message, raw, scene
+from tests.node_support import SETTINGS, EndpointPeer, Node, PlatformPeer, eventually, message, raw, scene
 
 
 def delivered(node: Node, count: int) -> None:
@@ -313,3 +314,73 @@
         second.raw["listen"] = node.raw["listen"]
         assert second.launch().wait(20) == 2
         assert f"irisstack: listen: {node.raw['listen']}: " in second.log.read_text()
+
+
+def test_sighup_moves_the_list_and_the_notices_to_the_address_in_the_file(tmp_path: Path) -> None:
+    old_partner, partner, moved = EndpointPeer(), EndpointPeer(raw(500)), PlatformPeer()
+    with scene(tmp_path, old_partner) as (node, platform):
+        client = node.connect()
+        client.send(message("m1"))
+        assert client.answer().status == 202
+        eventually(lambda: platform.watchers, "a watch")
+        moved.list(partner, 2, cell=2)
+        node.raw["discovery"] = f"127.0.0.1:{moved.port}"
+        node.reread()
+        eventually(lambda: moved.watchers, "a watch at the new address")
+        client.send(message("m2", "unsafe", X_Consignee="dest=2"))  # its connection is kept
+        assert client.answer().status == 202
+        assert eventually(lambda: moved.notice("m2"))["result"] == "dead"
+        assert platform.notices == []
+        assert len(partner.calls_with("m2")) == 1
+        client.close()
+    moved.close()
+    partner.close()
+
+
+def test_a_notice_that_the_old_address_leaves_unanswered_goes_to_the_new_one(tmp_path: Path) -> None:
+    class Silent(PlatformPeer):
+        def reply(self, connection: socket.socket, request: http.Message) -> None:
+            if request.path != "/reports":
+                super().reply(connection, request)
+
+    partner, silent, moved = EndpointPeer(raw(500)), Silent(), PlatformPeer()
+    silent.list(partner, 1)
+    with scene(tmp_path, partner) as (node, _):
+        node.raw["discovery"] = f"127.0.0.1:{silent.port}"
+        node.reread()
+        node.hand_in("m1", "unsafe")
+        eventually(lambda: [request for request in silent.requests if request.path == "/reports"])
+        node.raw["discovery"] = f"127.0.0.1:{moved.port}"
+        node.reread()
+        assert eventually(lambda: moved.notice("m1"))["result"] == "dead"
+    silent.close()
+    moved.close()
+
+
+def test_a_file_that_cannot_be_used_changes_nothing(tmp_path: Path) -> None:
+    partner = EndpointPeer()
+    with scene(tmp_path, partner) as (node, _):
+        sound = dict(node.raw)
+        node.raw["discovery"] = "nowhere"
+        node.reread()
+        (line,) = [line for line in node.log.read_text().splitlines() if "configuration_not_taken" in line]
+        assert "discovery: host:port is due" in line
+        assert node.hand_in("m1").status == 202
+        delivered(node, 1)
+        node.raw = sound
+
+
+def test_sighup_before_the_node_is_ready_does_not_end_it(tmp_path: Path) -> None:
+    with scene(tmp_path) as (node, _):
+        node.kill()
+        process = node.launch()
+        status = Path(f"/proc/{process.pid}/status")
+
+        def minded() -> bool:
+            masks = dict(line.split(":", 1) for line in status.read_text().splitlines())
+            return bool((int(masks["SigIgn"], 16) | int(masks["SigCgt"], 16)) >> (signal.SIGHUP - 1) & 1)
+
+        eventually(minded, "a node that minds SIGHUP")
+        while not node.healthy():
+            process.send_signal(signal.SIGHUP)
+        assert process.poll() is None
--- a/tests/test_node_parts.py
+++ b/tests/test_node_parts.py
@@ -58,6 +58,12 @@
     assert config.settings.classes[1].effect is api.Effect.KEYED
 
 
+def test_read_anew_the_file_tells_where_discovery_is(tmp_path: Path) -> None:
+    environment = {**written(tmp_path), "RELAY_DISCOVERY": "127.0.0.1:3"}
+    assert load(environment).discovery == ("127.0.0.1", 3)
+    assert load(environment, anew=True).discovery == ("127.0.0.1", 2)
+
+
 @pytest.mark.parametrize(("changes", "key"), [
     ({"listen": "nowhere"}, "listen"),
     ({"listen": 7}, "listen"),
@@ -70,6 +76,9 @@
     ({"settings": {**SETTINGS, "lanes": []}}, "settings.lanes"),
     ({"settings": {**SETTINGS, "shapes": []}}, "settings.shapes"),
     ({"settings": {**SETTINGS, "extra": {}}}, "settings.extra.maxCalls"),
+    ({"settings": {**SETTINGS, "extra": {"maxCalls": 4, "batchByKind": [1, None]}}},
+     "settings.extra.batchByKind[1]"),
+    ({"settings": {**SETTINGS, "shapes": ["plain", []]}}, "settings.shapes[1]"),
     ({"settings": {**SETTINGS, "lanes": [{**LANE, "slo": "x"}]}}, "settings.lanes[0].slo"),
     ({"settings": {**SETTINGS, "lanes": [{**LANE, "repeat": "x"}]}}, "settings.lanes[0].repeat"),
 ])
