--- a/irisstack/node/decider.py
+++ b/irisstack/node/decider.py
@@ -18,12 +18,20 @@
 from irisstack import interface as api
 from irisstack.choice import NOT_RUN, Sender
 from irisstack.node.counters import Counters
-from irisstack.node.endpoint import Call, CallOff, CloseIdle, Ended, Hold, Outgoing
+from irisstack.node.endpoint import Call, CallOff, CloseIdle, Command, Ended, Hold, Outgoing
 from irisstack.node.store import Entry, Store
 
+COME_AGAIN = 1.0
+"""Seconds after which one that finds no room here may come again, where the settings allow such advice."""
+
 log = structlog.get_logger()
 
 
+def come_again(settings: api.Settings) -> float | None:
+    """The advice for one that finds no room here."""
+    return min(COME_AGAIN, settings.max_retry_after) if settings.advises_retry_after else None
+
+
 class Client(Protocol):
     """Who handed a message in and waits for the answer."""
 
@@ -63,7 +71,7 @@
     """Turns what comes into events, and actions into what is done."""
 
     def __init__(self, settings: api.Settings, seed: int, store: Store, counters: Counters, *,
-                 call: Callable[[api.Address, Call | CallOff | CloseIdle | Hold], None],
+                 call: Callable[[api.Address, Command], None],
                  ask: Callable[[api.Action], None], notice: Callable[[Entry], None], room: int) -> None:
         self._settings = settings
         self._sender = Sender(settings, seed)
@@ -78,7 +86,11 @@
         self._where: dict[int, tuple[api.Address, float]] = {}  # calls out: endpoint, sent at
         self._classes = {kind.name: i for i, kind in enumerate(settings.classes)}
         self._listed: dict[api.Address, api.Endpoint] = {}
+        self._gone: dict[api.Address, float] = {}  # of these, the ones no longer listed, and since when
+        self._remembered = max(kind.deadline for kind in settings.classes)
+        self._destinations: set[int] = set()
         self._turned = -1.0
+        self._come_again = come_again(settings)
         self.refusing = False  # nothing new is taken on
         self.holding = False  # nothing more is sent
 
@@ -91,7 +103,7 @@
     def recover(self, known: api.EndpointsUpdated) -> None:
         """The list as it was last held, and what an earlier life of this node owes."""
         now, unix = time.monotonic(), time.time()
-        self._learn(known)
+        self._learn(known, now)
         owed: list[api.Event] = []
         for _, entry in sorted(self._store.entries.items()):  # in the order in which they were taken on
             if entry.to_tell:
@@ -150,7 +162,7 @@
                 case Ended():
                     self._ended(item, turn, events, now)
                 case api.EndpointsUpdated():
-                    self._learn(item)
+                    self._learn(item, now)
                     events.append(item)
         while self._timers and self._timers[0][0] <= now:
             events.append(api.TimerFired(heappop(self._timers)[1]))
@@ -158,6 +170,7 @@
             for action in self._sender.turn(now, events):
                 self._note(action, turn, now)
         self._carry_out(turn, now, unix)
+        self._store.drop_ended(unix)
 
     # ---- events ----
 
@@ -165,6 +178,10 @@
                  unix: float) -> None:
         store = self._store
         self._counters.add("received")
+        if self._destinations and arrival.destination not in self._destinations:
+            self._counters.add("destination_unknown")
+            turn.answers.append((arrival, HTTPStatus.NOT_FOUND, None))
+            return
         if (number := store.by_id.get(arrival.id)) is not None:
             turn.again.append((arrival, number))
             return
@@ -173,7 +190,7 @@
                       unix + arrival.due - now, arrival.is_retry, arrival.from_dead_sender, arrival.body)
         if self.refusing or not store.fits(entry, unix):
             self._counters.add("turned_away")
-            turn.answers.append((arrival, HTTPStatus.SERVICE_UNAVAILABLE, None))
+            turn.answers.append((arrival, HTTPStatus.SERVICE_UNAVAILABLE, self._come_again))
             return
         store.next_number += 1
         store.take(entry)
@@ -211,9 +228,28 @@
             if other == address or (not apart and self._listed[other].destination == destination):
                 self._call(other, Hold(until))
 
-    def _learn(self, update: api.EndpointsUpdated) -> None:
-        """Keep what a call needs to know of its endpoint, also of one that is gone: its calls still end."""
+    def _learn(self, update: api.EndpointsUpdated, now: float) -> None:
+        """Keep what a call needs to know of its endpoint, and for whom messages may be.
+
+        Both outlast an endpoint by the time that a message may wait: its calls still end, and its destination
+        may be between one endpoint and the next.
+        """
+        if update.scope is api.UpdateScope.FAILED:
+            return
         self._listed.update((endpoint.address, endpoint) for endpoint in update.endpoints)
+        here = {e.address for e in update.endpoints if e.state is not api.EndpointState.GONE}
+        gone = self._listed if update.scope is not api.UpdateScope.DELTA else {
+            e.address for e in update.endpoints}
+        for address in set(gone) - here:
+            self._gone.setdefault(address, now)
+        for address in here & self._gone.keys():
+            del self._gone[address]
+        out = {address for address, _ in self._where.values()}
+        forgotten = [address for address, since in self._gone.items()
+                     if since + self._remembered < now and address not in out]
+        for address in forgotten:
+            del self._gone[address], self._listed[address]
+        self._destinations = {endpoint.destination for endpoint in self._listed.values()}
 
     def _kind(self, address: api.Address) -> api.DestinationKind:
         return self._settings.kinds[self._listed[address].kind]
--- a/irisstack/node/discovery.py
+++ b/irisstack/node/discovery.py
@@ -35,7 +35,8 @@
     def __init__(self, settings: api.Settings) -> None:
         self._kinds = {kind.name: i for i, kind in enumerate(settings.kinds)}
         self._zones = {name: i for i, name in enumerate(settings.zones)}
-        self._addresses: dict[str, tuple[bytes, int]] = {}
+        self._addresses: dict[str, api.Address] = {}
+        self._owners: dict[api.Address, str] = {}  # the id that stands for each address
 
     def update(self, raw: Mapping[str, Any], scope: api.UpdateScope | None = None) -> api.EndpointsUpdated:
         """One object of discovery's; raises `ValueError` or `KeyError` if it is none."""
@@ -48,9 +49,17 @@
                 endpoints.extend(self._endpoints(member))
             except Exception as error:  # a single bad line must not cost the rest of the list
                 log.warning("list_line_unread", line=str(member)[:200], error=repr(error))
+        if scope is not api.UpdateScope.DELTA:  # what the whole list leaves out is forgotten
+            here = {endpoint.address for endpoint in endpoints}
+            self._addresses = {id_: address for id_, address in self._addresses.items() if address in here}
+            self._owners = {address: id_ for address, id_ in self._owners.items() if address in here}
         return api.EndpointsUpdated(scope, revision, tuple(endpoints))
 
     def _endpoints(self, member: Mapping[str, Any]) -> list[api.Endpoint]:
+        """What a line says, place by place: an address under another id is another endpoint.
+
+        The one there before is gone then, and what the list may still say of it means that place no more.
+        """
         id_ = str(member["id"])
         state = STATES[member["phase"]]
         before = self._addresses.get(id_)
@@ -64,13 +73,24 @@
             address, state, self._kinds[member["flavor"]], int(member["cell"]),
             self._zones.get(member.get("locality", ""), 0), float(member.get("size", 1.0)),
             since - time.time() + time.monotonic() if since else None)
+        owner = self._owners.get(address)
+        lines: list[api.Endpoint] = []
+        if before is not None and before != address and self._owners.get(before) == id_:
+            del self._owners[before]
+            lines.append(replace(endpoint, address=before, state=api.EndpointState.GONE))
         if state is api.EndpointState.GONE:
             self._addresses.pop(id_, None)
         else:
             self._addresses[id_] = address
-        if before is not None and before != address:
-            return [replace(endpoint, address=before, state=api.EndpointState.GONE), endpoint]
-        return [endpoint]
+        if owner is not None and owner != id_:
+            if state is not api.EndpointState.READY:
+                return lines
+            lines.append(replace(endpoint, state=api.EndpointState.GONE))
+        if state is api.EndpointState.GONE:
+            self._owners.pop(address, None)
+        else:
+            self._owners[address] = id_
+        return [*lines, endpoint]
 
 
 @dataclass(slots=True, frozen=True)
--- a/irisstack/node/endpoint.py
+++ b/irisstack/node/endpoint.py
@@ -16,7 +16,7 @@
 from irisstack.node.buffer import Buffer
 from irisstack.node.config import HostPort, name_of
 from irisstack.node.counters import Counters
-from irisstack.node.results import Ending, Reached, Result, answered, answered_each, unanswered
+from irisstack.node.results import DELIVERED, Ending, Reached, Result, answered, answered_each, unanswered
 from irisstack.node.store import Store
 
 LONG = 3600.0
@@ -24,6 +24,9 @@
 IDLE_MARGIN = 0.05
 """Part of the endpoint's idle limit in which a connection is no longer trusted."""
 
+REST = 2.0
+"""Seconds from the first byte of an answer until it must be whole."""
+
 log = structlog.get_logger()
 
 
@@ -72,10 +75,11 @@
 
 
 @dataclass(slots=True, frozen=True)
-class Offered:
-    """Whether the list offers the endpoint; one that drains or is gone gets nothing more."""
+class Retire:
+    """The list no longer offers the endpoint: it gets nothing more, and the actor ends with its last call."""
+
 
-    on: bool
+Command = Call | CallOff | CloseIdle | Hold | Retire
 
 
 @dataclass(slots=True, frozen=True)
@@ -159,9 +163,9 @@
         except Exception as error:  # whatever it is, the messages' ends must be told
             log.error("call_failed", peer=name_of(self._peer), error=repr(error))
         call.over = True
-        if answer is None and reached is Reached.WRITTEN and len(call.messages) == 1:
-            answer = self._reader.told()  # its first line may have told the end already
-        if answer is None:
+        if answer is None and reached is Reached.WRITTEN and len(call.messages) == 1 and self._reader.says_ok:
+            results = dict.fromkeys(pending, DELIVERED)
+        elif answer is None:
             results = dict.fromkeys(pending, unanswered(reached, ending))
         elif len(call.messages) == 1:
             results = dict.fromkeys(pending, answered(answer, self._fields))
@@ -209,11 +213,14 @@
         """
         assert self._socket is not None
         last = max(message.give_up for message in pending.values())
+        begun = False
         while True:
             answer = self._reader.advance(self._buffer)
             if answer is not None:
                 return answer
             now = time.monotonic()
+            if not begun and (begun := self._reader.started or len(self._buffer) > 0):
+                last = min(last, now + REST)
             if now >= last:
                 return None
             for message in [m for m in pending.values() if m.due <= now]:
@@ -222,6 +229,8 @@
             if not pending:
                 return None
             self._socket.settimeout(max(0.001, min(last, *(m.due for m in pending.values())) - now))
+            if begun:
+                gevent.sleep(0)  # an answer that keeps coming must not keep the others from their turn
             try:
                 if not self._buffer.receive(self._socket):
                     answer = self._reader.ended()
@@ -248,7 +257,7 @@
         self._most_idle = most_idle
         self._report_fields = report_fields
         # A call, its cancelling and its end for each slot, and what the list tells beside them.
-        self.mailbox: Queue[Call | CallOff | CloseIdle | Hold | Offered | _Back] = Queue(4 * most_calls + 16)
+        self.mailbox: Queue[Command | _Back] = Queue(4 * most_calls + 16)
         self._calls: list[Call] = []
         self._idle: deque[Connection] = deque()
         self._retired = False
@@ -256,8 +265,8 @@
         self.worker: gevent.Greenlet[..., None] = gevent.Greenlet(self.run)
 
     def run(self) -> None:
-        """Take what is in the mailbox until the node ends."""
-        while True:
+        """Take what is in the mailbox until the endpoint is retired and nothing is left to do."""
+        while not (self._retired and not self._calls and self.mailbox.empty()):
             wait = None
             if self._idle:
                 wait = max(0.0, self._idle[0].idle_since + self._trusted - time.monotonic())
@@ -266,12 +275,7 @@
             while self._idle and self._idle[0].idle_since + self._trusted <= time.monotonic():
                 self._idle.popleft().close()
 
-    @property
-    def finished(self) -> bool:
-        """Retired, with nothing left to do."""
-        return self._retired and not self._calls and self.mailbox.empty()
-
-    def _handle(self, command: "Call | CallOff | CloseIdle | Hold | Offered | _Back") -> None:
+    def _handle(self, command: "Command | _Back") -> None:
         match command:
             case Call():
                 self._calls.append(command)
@@ -292,10 +296,9 @@
                         self._idle.popleft().close()
             case Hold(until):
                 self._held_until = max(self._held_until, until)
-            case Offered(on):
-                self._retired = not on
-                if not on:
-                    self._close_idle()
+            case Retire():
+                self._retired = True
+                self._close_idle()
             case CloseIdle():
                 self._close_idle()
 
--- a/irisstack/node/http.py
+++ b/irisstack/node/http.py
@@ -12,6 +12,8 @@
 MAX_HEAD = 16 * 1024
 MAX_BODY = 64 * 1024
 """A body's limit on this protocol, either way."""
+MAX_INTERIM = 16
+"""Interim answers ahead of one that counts."""
 MAX_LIST = 16 * 1024 * 1024
 """The limit for an endpoint list, which grows with the fleet."""
 
@@ -51,6 +53,7 @@
         self.message = Message()
         self.head_done = self._complete = False
         self._head_size = 0
+        self._fed = False  # a first line was read
         self._left: int | None = None  # of a body whose length was told
         self._chunked = False
         self._parser: P = self._make_parser(self)
@@ -69,6 +72,7 @@
                     raise BadMessage(HTTPStatus.REQUEST_HEADER_FIELDS_TOO_LARGE, "the head is too long")
             try:
                 self._parser.feed_data(buffer.take(size))
+                self._fed = True
             except httptools.HttpParserUpgrade:
                 raise BadMessage(HTTPStatus.BAD_REQUEST, "no other protocol is spoken here") from None
             except httptools.HttpParserCallbackError as error:
@@ -96,7 +100,11 @@
     # What httptools calls:
 
     def on_header(self, name: bytes, value: bytes) -> None:
-        self.message.headers[name.decode("latin-1").lower()] = value.decode("latin-1")
+        """A header that comes twice is one with both values; what follows a body says nothing anew."""
+        if not self.head_done:
+            key, text = name.decode("latin-1").lower(), value.decode("latin-1")
+            told = self.message.headers.get(key)
+            self.message.headers[key] = text if told is None else f"{told}, {text}"
 
     def on_headers_complete(self) -> None:
         self.head_done = True
@@ -139,6 +147,7 @@
 
     def __init__(self, max_body: int = MAX_BODY) -> None:
         super().__init__(httptools.HttpResponseParser, max_body)
+        self._interim = 0  # answers ahead of the one that counts
 
     def on_headers_complete(self) -> None:
         self.message.status = self._parser.get_status_code()
@@ -148,7 +157,11 @@
         """As for any message; an interim answer is passed over."""
         while (message := super().advance(buffer)) is not None:
             if message.status >= HTTPStatus.OK:
+                self._interim = 0
                 return message
+            self._interim += 1
+            if self._interim > MAX_INTERIM:
+                raise BadMessage(HTTPStatus.BAD_REQUEST, "too many answers ahead")
         return None
 
     def ended(self) -> Message | None:
@@ -157,9 +170,10 @@
             return self.message
         return None
 
-    def told(self) -> Message | None:
-        """What has been read of an answer that broke off, once its status is known."""
-        return self.message if self.head_done and self.message.status >= HTTPStatus.OK else None
+    @property
+    def says_ok(self) -> bool:
+        """Whether the first line of an answer under way says 200: true, whatever becomes of the rest."""
+        return self._fed and self._parser.get_status_code() == HTTPStatus.OK
 
     def take_body(self) -> bytes:
         """What has come so far of a body that is used as it comes."""
--- a/irisstack/node/intake.py
+++ b/irisstack/node/intake.py
@@ -2,12 +2,15 @@
 
 import json
 import math
+import re
 import time
 from collections.abc import Callable
 from contextlib import suppress
+from enum import Enum
 from http import HTTPStatus
 from typing import Any
 
+import gevent
 import structlog
 from gevent import socket
 from gevent.event import Event
@@ -18,22 +21,44 @@
 from irisstack.node.buffer import Buffer
 from irisstack.node.config import HostPort
 from irisstack.node.counters import Counters
-from irisstack.node.decider import Arrival
+from irisstack.node.decider import Arrival, come_again
 
 BACKLOG = 512
-LINGER = 1.0
+ACCEPTS = 16
+"""Connections accepted in one step, so that a flood of them leaves the others their turn."""
+WHOLE_BY = 2.5
+"""Seconds in which a request must be whole: the first from connecting, a later one from its first byte."""
+PAUSE = 0.1
+"""Seconds until a connection that brought what cannot be taken is read from again."""
+LINGER = 3.0
 """Seconds in which a connection that is being closed may still bring what was under way."""
-SLOW = 30.0
-"""Seconds a client may take over one request."""
+LINGER_BYTES = 64 * 1024 * 1024
+"""How much of that is read and thrown away, so that no reset eats the answer."""
 LONGEST_NAME = 256
+SECONDS = re.compile(r"[0-9]{1,6}(\.[0-9]{0,9})?")
+NUMBER = re.compile(r"[0-9]{1,9}")
 
 log = structlog.get_logger()
+_thrown_away = bytearray(256 * 1024)
 
 
 class _Malformed(Exception):
     """A request that can be parsed but says what it may not."""
 
 
+class _Phase(Enum):
+    """What a connection is at; the value tells for how long before it may be closed to make room.
+
+    In the order in which they go. A client whose request is with the decider is never cut off.
+    """
+
+    LEAVING = 0.0  # answered, and read from for the last time
+    IDLE = 2.0  # between two requests
+    FRESH = 0.2  # connected and silent
+    READING = 1.0  # a part of a request has come
+    WAITING = math.inf  # a whole request has come
+
+
 class _Connection:
     """One client's connection: a request at a time, each answered before the next is read."""
 
@@ -44,7 +69,13 @@
         self._reader = http.RequestReader()
         self._answered = Event()
         self._close = False
-        self.idle_since: float | None = None  # None while a request is in hand
+        self.phase = _Phase.FRESH
+        self.stopped = False
+        self.since = time.monotonic()
+
+    def _enter(self, phase: _Phase) -> None:
+        if phase is not self.phase:
+            self.phase, self.since = phase, time.monotonic()
 
     def serve(self) -> None:
         try:
@@ -60,9 +91,11 @@
         """Answer one request after another until the connection is to be closed."""
         try:
             while not self._close and (request := self._next()) is not None:
+                self._enter(_Phase.WAITING)
                 self._close = not request.keep_alive or self._intake.stopping
                 self._handle(request)
                 self._close = self._close or self._intake.stopping
+                gevent.sleep(0)  # requests that lie ready must not keep the others from their turn
         except http.BadMessage as error:
             self._intake.counters.add("unreadable")
             self._close = True
@@ -75,30 +108,43 @@
             self._write(HTTPStatus.INTERNAL_SERVER_ERROR)
 
     def _next(self) -> http.Message | None:
-        """The next request, or nothing if the connection ends between requests."""
-        try:
-            while (request := self._reader.advance(self._buffer)) is None:
-                expects = self._reader.message.headers.pop("expect", "") if self._reader.head_done else ""
-                if expects == "100-continue":
-                    self._socket.sendall(b"HTTP/1.1 100 Continue\r\n\r\n")
-                begun = self._reader.started or len(self._buffer) > 0
-                self._socket.settimeout(SLOW if begun else None)
-                self.idle_since = None if begun else time.monotonic()
-                if not self._buffer.receive(self._socket):
-                    if begun:
-                        raise http.BadMessage(HTTPStatus.BAD_REQUEST, "the request ended early")
+        """The next request, or nothing if the connection ends, or stays silent, before it begins."""
+        fresh = self.phase is _Phase.FRESH
+        whole_by = self.since + WHOLE_BY if fresh else None
+        while (request := self._reader.advance(self._buffer)) is None:
+            begun = self._reader.started or len(self._buffer) > 0
+            if begun:
+                self._enter(_Phase.READING)
+                whole_by = whole_by or self.since + WHOLE_BY
+                self._continue()
+                gevent.sleep(0)
+            elif not fresh:
+                self._enter(_Phase.IDLE)
+            try:
+                self._socket.settimeout(whole_by and max(0.001, whole_by - time.monotonic()))
+                come = self._buffer.receive(self._socket)
+            except TimeoutError:
+                if not begun:
                     return None
-        except TimeoutError:
-            raise http.BadMessage(HTTPStatus.REQUEST_TIMEOUT, "the request took too long") from None
-        finally:
-            self.idle_since = None
+                raise http.BadMessage(HTTPStatus.REQUEST_TIMEOUT, "the request took too long") from None
+            if not come:
+                if not begun:
+                    return None
+                raise http.BadMessage(HTTPStatus.BAD_REQUEST, "the request ended early")
+            if whole_by is not None and time.monotonic() > whole_by:
+                raise http.BadMessage(HTTPStatus.REQUEST_TIMEOUT, "the request took too long")
         return request
 
+    def _continue(self) -> None:
+        """Ask for the body where the client waits to be asked."""
+        if self._reader.head_done and self._reader.message.headers.pop("expect", "") == "100-continue":
+            self._socket.sendall(b"HTTP/1.1 100 Continue\r\n\r\n")
+
     def _handle(self, request: http.Message) -> None:
         path, _, _ = request.path.partition("?")
         if path in ("/healthz", "/counters"):
             if request.method != "GET":
-                self._write(HTTPStatus.METHOD_NOT_ALLOWED)
+                self._turn_down(HTTPStatus.METHOD_NOT_ALLOWED)
             elif path == "/healthz":
                 self._write(HTTPStatus.OK, b"ok\n")
             else:
@@ -106,21 +152,27 @@
             return
         name = path[1:].partition("/")[0]
         if name not in self._intake.classes:
-            self._write(HTTPStatus.NOT_FOUND)
+            self._turn_down(HTTPStatus.NOT_FOUND)
             return
         if request.method != "POST":
-            self._write(HTTPStatus.METHOD_NOT_ALLOWED)
+            self._turn_down(HTTPStatus.METHOD_NOT_ALLOWED)
             return
         try:
             arrival = self._intake.arrival(request, name, self)
         except _Malformed as error:
-            self._intake.counters.add("malformed")
-            self._write(HTTPStatus.BAD_REQUEST, f"{error}\n".encode())
+            self._turn_down(HTTPStatus.BAD_REQUEST, f"{error}\n".encode())
             return
         self._answered.clear()
         self._intake.post(arrival)
         self._answered.wait()
 
+    def _turn_down(self, status: HTTPStatus, reason: bytes = b"") -> None:
+        """Answer what cannot be taken on, and give the others time before the next of it."""
+        self._intake.counters.add("malformed")
+        self._write(status, reason)
+        if not self._close:
+            gevent.sleep(PAUSE)
+
     def answer(self, status: HTTPStatus, retry_after: float | None = None) -> bool:
         """Write the answer to the message in hand; returns whether the client was there to hear it.
 
@@ -145,19 +197,37 @@
             raise BlockingIOError
         self._socket.settimeout(None)
 
+    def turn_away(self) -> None:
+        """No room for another client: one that sent its request at once may still read why."""
+        try:
+            self._close = True
+            self._write(HTTPStatus.SERVICE_UNAVAILABLE, retry_after=self._intake.come_again)
+            self._socket.shutdown(socket.SHUT_WR)
+            self._socket.settimeout(0.0)
+            self._socket.recv_into(_thrown_away)
+        except OSError:
+            pass  # nothing has come, or the client is gone
+        finally:
+            self._socket.close()
+
     def _finish(self) -> None:
         """End our side first and read what is under way, so that no answer is lost to a reset."""
+        self._enter(_Phase.LEAVING)
         self._socket.shutdown(socket.SHUT_WR)
-        self._socket.settimeout(LINGER)
-        end = time.monotonic() + LINGER
-        while time.monotonic() < end and self._socket.recv(65536):
-            pass
+        end, left = self.since + LINGER, LINGER_BYTES
+        while left > 0 and (wait := end - time.monotonic()) > 0.0:
+            self._socket.settimeout(wait)
+            come = self._socket.recv_into(_thrown_away)
+            if not come:
+                break
+            left -= come
+            gevent.sleep(0)
 
     def stop(self) -> None:
-        """Close the connection if it waits for a request; one that has just come is still answered."""
-        if self.idle_since is not None:
-            with suppress(OSError):
-                self._socket.shutdown(socket.SHUT_RD)
+        """Read no more from the client: a request not yet whole is answered so."""
+        self.stopped = True
+        with suppress(OSError):
+            self._socket.shutdown(socket.SHUT_RD)
 
 
 class Intake:
@@ -171,7 +241,9 @@
         self._tenants = {tenant.name: i for i, tenant in enumerate(settings.tenants)}
         self._most = most
         self._connections: dict[int, _Connection] = {}
-        self._server = StreamServer(listen, self._serve, backlog=BACKLOG, spawn=most)
+        self._server = StreamServer(listen, self._serve, backlog=BACKLOG)
+        self._server.max_accept = ACCEPTS
+        self.come_again = come_again(settings)
         self.counters = counters
         self.stopping = False
 
@@ -188,26 +260,34 @@
         """Go on accepting, but keep no connection beyond the request in hand."""
         self.stopping = True
         for connection in list(self._connections.values()):
-            connection.stop()
+            if connection.phase in (_Phase.IDLE, _Phase.FRESH):
+                connection.stop()
 
     def close(self) -> None:
         self._server.stop(timeout=0)
 
     def _serve(self, sock: socket.socket, _: Any) -> None:
         connection = _Connection(self, sock)
+        if len(self._connections) >= self._most and not self._make_room():
+            self.counters.add("clients_turned_away")
+            connection.turn_away()
+            return
         self._connections[id(connection)] = connection
-        if len(self._connections) >= self._most:
-            self._close_idle()
         try:
             connection.serve()
         finally:
             del self._connections[id(connection)]
 
-    def _close_idle(self) -> None:
-        """Make room for the next client: the connection idle longest goes."""
-        idle = [c for c in self._connections.values() if c.idle_since is not None]
-        if idle:
-            min(idle, key=lambda c: c.idle_since or 0.0).stop()
+    def _make_room(self) -> bool:
+        """For the next client, let the one go that is missed least; returns whether there is one."""
+        now = time.monotonic()
+        for phase in _Phase:
+            ready = [c for c in self._connections.values()
+                     if c.phase is phase and not c.stopped and c.since + phase.value <= now]
+            if ready:
+                min(ready, key=lambda c: c.since).stop()
+                return True
+        return False
 
     def arrival(self, request: http.Message, name: str, client: _Connection) -> Arrival:
         """The message that a request hands in, of the class that its path names."""
@@ -224,9 +304,9 @@
         if tenant and self._tenants and tenant not in self._tenants:
             raise _Malformed("X-Tenant-Id: unknown")
         retried = request.headers.get("x-retried", "")
+        left = min(_seconds(request), self._kinds[index].deadline)
         return Arrival(client, id_, key, index, self._tenants.get(tenant, 0), _destination(request),
-                       time.monotonic() + _seconds(request), retried == "1", retried == "again",
-                       bytes(request.body))
+                       time.monotonic() + left, retried == "1", retried == "again", bytes(request.body))
 
 
 def _word(request: http.Message, name: str) -> str:
@@ -238,18 +318,15 @@
 
 
 def _seconds(request: http.Message) -> float:
-    try:
-        left = float(request.headers.get("x-timeout", ""))
-    except ValueError:
-        left = math.nan
-    if not 0.0 <= left < 1e6:
+    text = request.headers.get("x-timeout", "")
+    if not SECONDS.fullmatch(text):
         raise _Malformed("X-Timeout: seconds are due")
-    return left
+    return float(text)
 
 
 def _destination(request: http.Message) -> int:
     for item in request.headers.get("x-consignee", "").split(","):
         name, _, value = item.strip().partition("=")
-        if name == "dest" and value.isascii() and value.isdigit():
+        if name == "dest" and NUMBER.fullmatch(value):
             return int(value)
     raise _Malformed("X-Consignee: dest=NUMBER is due")
--- a/irisstack/node/results.py
+++ b/irisstack/node/results.py
@@ -39,6 +39,7 @@
     report: tuple[float, ...] = ()
 
 
+DELIVERED = Result(Outcome.OK, Reached.ANSWERED, over=True)
 MAY_HAVE_RUN = {
     Ending.BROKEN: Outcome.RESET,
     Ending.GIVEN_UP: Outcome.TIMEOUT,
--- a/irisstack/node/service.py
+++ b/irisstack/node/service.py
@@ -15,7 +15,7 @@
 from irisstack.node.counters import Counters
 from irisstack.node.decider import Decider
 from irisstack.node.discovery import Discovery, ListReader, Moved
-from irisstack.node.endpoint import Call, CallOff, CloseIdle, Endpoint, Hold, Offered
+from irisstack.node.endpoint import Call, Command, Endpoint, Retire
 from irisstack.node.intake import Intake
 from irisstack.node.notices import Notices
 from irisstack.node.store import Store
@@ -26,6 +26,8 @@
 """Seconds after SIGTERM at which the node ends, whatever is still out."""
 ACCEPT_FOR = 0.9
 """Seconds after SIGTERM in which clients may still come."""
+OWN_DESCRIPTORS = 48
+"""Kept for the listening socket, clients in the doorway, the list, notices and the folder."""
 LOOK = 0.05
 """Seconds between two looks at what is left to end."""
 FOLLOWED = ("discovery", "known", "seed")
@@ -50,10 +52,12 @@
         self._discovery = Discovery(config.discovery, reader, self._listed, known.version,
                                     pushed=not settings.discovery_on_request)
         self._endpoints: dict[api.Address, Endpoint] = {}
+        self._retired: list[Endpoint] = []  # no longer offered, their last calls still out
         self._listed_now: set[api.Address] = set()
-        # A quarter of the descriptors for clients, a half for endpoints, the rest for all else.
-        self._most_clients = config.sockets // 4
-        self._most_idle = config.sockets // 2
+        # A third of the descriptors for clients; of the rest, what calls and the node itself do not need may
+        # hold connections that are kept.
+        self._most_clients = config.sockets // 3
+        self._most_idle = config.sockets - self._most_clients - settings.max_calls - OWN_DESCRIPTORS
         most_batch = max((kind.max_batch for kind in settings.kinds), default=1)
         self._decider = Decider(
             settings, config.seed, self._store, self.counters, call=self._to_endpoint,
@@ -135,37 +139,44 @@
         self._decider.mailbox.put(update)
 
     def _follow(self, update: api.EndpointsUpdated) -> None:
-        """Close what leads to endpoints that the list no longer offers."""
-        offered = {e.address for e in update.endpoints if e.state is api.EndpointState.READY}
+        """Retire the actors of endpoints that the list no longer offers, or has replaced at their address."""
         if update.scope is api.UpdateScope.FAILED:
             return
+        offered = {e.address for e in update.endpoints if e.state is api.EndpointState.READY}
+        ended = {e.address for e in update.endpoints if e.state is not api.EndpointState.READY}
         if update.scope is api.UpdateScope.DELTA:
-            gone = {e.address for e in update.endpoints} - offered
-            self._listed_now = (self._listed_now | offered) - gone
+            self._listed_now = (self._listed_now - ended) | offered
         else:
-            gone = self._listed_now - offered
+            ended |= self._listed_now - offered
             self._listed_now = offered
-        for address in gone & self._endpoints.keys():
-            self._endpoints[address].mailbox.put(Offered(False))
-        for address in offered & self._endpoints.keys():
-            self._endpoints[address].mailbox.put(Offered(True))
+        for address in ended & self._endpoints.keys():
+            self._retire(self._endpoints.pop(address))
 
-    def _to_endpoint(self, address: api.Address, command: Call | CallOff | CloseIdle | Hold) -> None:
+    def _retire(self, endpoint: Endpoint) -> None:
+        endpoint.mailbox.put(Retire())
+        self._retired = [*(old for old in self._retired if not old.worker.dead), endpoint]
+
+    def _to_endpoint(self, address: api.Address, command: Command) -> None:
         endpoint = self._endpoints.get(address)
-        if endpoint is None:
-            endpoint = self._start_endpoint(address)
-        endpoint.mailbox.put(command)
+        if isinstance(command, Call):
+            (endpoint or self._start_endpoint(address)).mailbox.put(command)
+            return
+        for old in (endpoint, *self._retired):
+            if old is not None and old.address == address and not old.worker.dead:
+                old.mailbox.put(command)
 
     def _start_endpoint(self, address: api.Address) -> Endpoint:
         settings = self._config.settings
-        for old in [a for a, e in self._endpoints.items() if e.finished]:
-            self._endpoints.pop(old).worker.kill(block=False)
-        endpoint = self._endpoints[address] = Endpoint(
+        endpoint = Endpoint(
             address, _peer(address), self._decider.mailbox.put, self._store, self.counters,
             connect_timeout=settings.connect_timeout, idle_limit=settings.keepalive,
             most_idle=max(1, self._most_idle // max(1, len(self._listed_now))), most_calls=settings.max_calls,
             report_fields=settings.report_fields)
         endpoint.worker.start()
+        if address in self._listed_now:
+            self._endpoints[address] = endpoint
+        else:  # the module has yet to hear that it is no longer offered
+            self._retire(endpoint)
         return endpoint
 
 
--- a/irisstack/node/store.py
+++ b/irisstack/node/store.py
@@ -145,7 +145,7 @@
             case "told":
                 for number in note["n"]:
                     if told := self.entries.get(number):
-                        told.told = True
+                        self._told(told)
 
     # ---- what happens to an entry, first and when read again ----
 
@@ -162,13 +162,17 @@
         self._room += entry.room
         heappush(self._ended, (entry.due, entry.number))
 
+    def _told(self, entry: Entry) -> None:
+        entry.told = True
+        heappush(self._ended, (entry.due, entry.number))  # the first time, its notice was still owed
+
     # ---- what others note ----
 
     def fits(self, entry: Entry, now: float) -> bool:
         """Whether one more message finds room beside all that is owed."""
         most = self._disk - SPARE * self._segment_size - entry.room
         if self._room > most:
-            self._drop_ended(now)
+            self.drop_ended(now)
         return self._room <= most
 
     def take(self, entry: Entry) -> None:
@@ -209,9 +213,16 @@
         """The platform has taken these notices."""
         known = [number for number in numbers if number in self.entries]
         for number in known:
-            self.entries[number].told = True
+            self._told(self.entries[number])
         self.write([_record({"t": "told", "n": known})], now)
 
+    def drop_ended(self, now: float) -> None:
+        """Forget messages that are over, once their time is up and their notice was taken."""
+        while self._ended and self._ended[0][0] < now:
+            entry = self.entries.get(heappop(self._ended)[1])
+            if entry is not None and not entry.to_tell:
+                self._forget(entry)
+
     def write(self, records: list[bytes], now: float) -> None:
         """Append records with one write, unless they run over the end of a segment."""
         left = self._segment_size - self._sizes[self._current]
@@ -256,7 +267,7 @@
 
     def _make_room(self, now: float) -> None:
         """Drop what is no longer needed, then free the oldest segments while too few are free."""
-        self._drop_ended(now)
+        self.drop_ended(now)
         for segment in sorted(self._sizes)[:-1]:
             if self._used() + FREE * self._segment_size <= self._disk:
                 break
@@ -269,20 +280,6 @@
             self._path(segment).unlink()
             del self._sizes[segment]
 
-    def _drop_ended(self, now: float) -> None:
-        """Forget messages that are over, once their time is up and their notice was taken."""
-        untold: list[tuple[float, int]] = []
-        while self._ended and self._ended[0][0] < now:
-            due, number = heappop(self._ended)
-            if (entry := self.entries.get(number)) is None:
-                continue
-            if entry.to_tell:
-                untold.append((due, number))
-            else:
-                self._forget(entry)
-        for item in untold:
-            heappush(self._ended, item)
-
     def _forget(self, entry: Entry) -> None:
         del self.entries[entry.number]
         if self.by_id.get(entry.id) == entry.number:
