--- a/irisstack/choice.py
+++ b/irisstack/choice.py
@@ -35,7 +35,6 @@
 STALE_BACK = 0.4  # of a lost call is made good by one that succeeded on an idle connection
 IDLE_PART = 0.1  # of the keep-alive time; a connection idle for less says nothing
 SLOT_PART = 3  # a destination holds at most one part in so many of the slots, two at least
-LIVELY = 1.0  # seconds: one that has answered a call sent since then may hold twice as many
 RESUBSCRIBE = 0.2  # seconds before the first renewed subscription after a failure; doubles
 
 NEVER = float("inf")
@@ -527,7 +526,7 @@
         most = max(2, self._set.max_calls // SLOT_PART)
         while order and self._calls < self._set.max_calls:
             destination = self._destinations[heappop(order)[1]]
-            if destination.calls < most * (1 + (self._now - destination.ok_sent < LIVELY)):
+            if destination.calls < most:
                 self._send(destination)
                 wake = min(wake, self._line_up(order, destination))
         if order and self._set.may_cancel and self._calls >= self._set.max_calls:
