--- a/irisstack/choice.py
+++ b/irisstack/choice.py
@@ -55,7 +55,6 @@
     spent_at: float = 0.0
     dark: float = NEVER  # since when calls were turned away with none taken
     cold_until: float = 0.0  # until when it may be cold from an outage; NEVER before a call has succeeded
-    trust: float = NEVER  # unsafe messages a call may risk: one after a failure, twice as many a success
 
 
 @dataclass(slots=True, eq=False)
@@ -200,11 +199,11 @@
         # Few errors among many successes (a lossy path, one failing class) must not shut the rest out.
         few = reason is not Outcome.FULL and row.count < row.served * TOLERATED
         # One of many senders has too few calls in a window to see the third: what may have run opens sooner.
-        row.trust = row.trust if few or reason in NOT_RUN else 1.0
         most = THRESHOLD if reason in NOT_RUN else max(1.0, self._rate(destination) * WINDOW // 1.0)
         if row.count >= min(THRESHOLD, most) and not few:
             row.count = 0
-            row.cold_until = row.cold_until if reason in NOT_RUN else NEVER
+            if reason not in NOT_RUN:
+                row.cold_until = NEVER
             self._open(row, destination, now + OPEN_FOR)
             why = reason.name if reason else "SILENCE"
             self._out.append(api.Log(f"destination {destination.number} open for {OPEN_FOR:g} s after {why}"))
@@ -226,7 +225,7 @@
     def _success(self, key: object, destination: _Destination) -> None:
         """A call that ended well takes back part of the slowing; the spacing lapses once nothing waits."""
         row = self._rows.get(key) or _Row()
-        row.served, row.dark, row.trust = row.served + 1, NEVER, row.trust * 2.0
+        row.served, row.dark = row.served + 1, NEVER
         if row.cold_until == NEVER and self._now >= row.open_until:
             row.cold_until, row.strikes = self._now + self._set.cold_seconds, 0.0  # a shut one shows no limit
         if row.strikes:
@@ -524,9 +523,10 @@
         order: list[tuple[tuple[bool, float], int]] = []
         for number in list(self._waiting):
             wake = min(wake, self._line_up(order, self._destinations[number]))
+        most = max(2, self._set.max_calls // SLOT_PART)
         while order and self._calls < self._set.max_calls:
             destination = self._destinations[heappop(order)[1]]
-            if destination.calls < max(2, self._set.max_calls // SLOT_PART):
+            if destination.calls < most:
                 self._send(destination)
                 wake = min(wake, self._line_up(order, destination))
         if order and self._set.may_cancel and self._calls >= self._set.max_calls:
@@ -575,8 +575,8 @@
         route = min(routes, key=lambda r: (r.failed, r.calls + (0.0 if self._connected(r) else 0.75)))
         key = self._row_key(destination, route)
         row = self._rows.get(key) or _Row()
-        size = 1 if row.cold_until == row.dark == NEVER else destination.kind.max_batch
-        risk = min(row.trust, size if row.cold_until == NEVER else NEVER)
+        unproven = row.cold_until == NEVER
+        size = 1 if unproven and row.dark == NEVER else destination.kind.max_batch
         call = _Call(destination, route, now)
         if not self._connected(route):
             route.connections += 1
@@ -590,11 +590,11 @@
         if route.calls > (route.connections - 1) * per:
             route.all_used = now
         overdue = 0.0
-        while call.left < size and (message := self._take(destination, risk)):
+        while call.left < size and (message := self._take(destination, unproven)):
             message.call = call
             call.messages.append(message)
             message.attempts += 1
-            call.left, risk = call.left + 1, risk - (message.kind.effect is Effect.UNSAFE)
+            call.left += 1
             silent = OVERDUE * self._usual(message) + OVERDUE_REST
             overdue = max(overdue, silent)
             patient = message.kind.effect is Effect.UNSAFE or message.kind.streamed
@@ -613,14 +613,14 @@
             route.connections = -(-route.calls // self._set.calls_per_connection)
         return route.calls < route.connections * self._set.calls_per_connection
 
-    def _take(self, destination: _Destination, risk: float) -> _Message | None:
-        """The next message to send. Where few unsafe ones are risked, those that may be repeated go first."""
+    def _take(self, destination: _Destination, unproven: bool) -> _Message | None:
+        """The next message to send. On an unproven destination one that may be repeated goes first."""
         if self._head(destination) is None:
             return None
-        for message in destination.waiting() if risk < NEVER else ():
+        for message in destination.waiting() if unproven else ():
             if message.kind.effect is not Effect.UNSAFE:
                 return message
-        return heappop(destination.fresh or destination.late)[-1] if risk >= 1.0 else None
+        return heappop(destination.fresh or destination.late)[-1]
 
     def _set_timer(self, wake: float) -> None:
         for line, late in ((self._overdue, 0.0), (self._resting, 0.0), (self._expiry, self._set.tick)):
