Give idle connections back only after a failed connect at a live destination

Checked by a probe of every connect: all failures are refusals by the three endpoints of one destination, down from 10 to 20 s; tables were not full. At fault: _learn took any failed connect for a full table, and for 30 s every call to every destination paid a handshake, just when slots were scarce. Ruled out: the pool (no connection closed as idle), the endpoints' idle limit.

Now a success of a call sent since the failure is asked for, and the first one after an outage does not count.

--- a/irisstack/choice.py
+++ b/irisstack/choice.py
@@ -28,7 +28,7 @@
 OVERDUE = 4.0  # a call is overdue after this many usual times
 OVERDUE_REST = 0.5  # and these seconds, so that jitter on quick calls does not count
 PATIENCE = 3.0  # a repeatable call is given up after this many times the overdue time
-CROWDED = 30.0  # seconds after a failed connect in which connections are given back as soon as they are idle
+CROWDED = 30.0  # seconds after a failed connect at a live destination in which idle connections go back
 LEARN = 0.1  # weight of a new call in the usual time
 FIRST_USUAL = 0.2  # share of a class's aim taken for its usual time before any call was seen
 STALE = 3.0  # this many calls lost on idle connections: those idle as long are closed before a call
@@ -84,6 +84,7 @@
     flow_at: float = 0.0
     calls: int = 0
     ok_sent: float = -NEVER  # when the newest call that succeeded was sent
+    refused_at: float = NEVER  # when a connect last failed there, unless in an outage
 
     def waiting(self) -> "list[_Message]":
         """The messages in line, the most pressing ones first, if not quite in order."""
@@ -202,8 +203,7 @@
         most = THRESHOLD if reason in NOT_RUN else max(1.0, self._rate(destination) * WINDOW // 1.0)
         if row.count >= min(THRESHOLD, most) and not few:
             row.count = 0
-            if reason not in NOT_RUN:
-                row.cold_until = NEVER
+            row.cold_until = row.cold_until if reason in NOT_RUN else NEVER
             self._open(row, destination, now + OPEN_FOR)
             why = reason.name if reason else "SILENCE"
             self._out.append(api.Log(f"destination {destination.number} open for {OPEN_FOR:g} s after {why}"))
@@ -228,6 +228,7 @@
         row.served, row.dark = row.served + 1, NEVER
         if row.cold_until == NEVER and self._now >= row.open_until:
             row.cold_until, row.strikes = self._now + self._set.cold_seconds, 0.0  # a shut one shows no limit
+            destination.refused_at = NEVER  # and one that was down no full table
         if row.strikes:
             row.strikes = max(float(destination.number in self._waiting), row.strikes - RECOVER)
 
@@ -382,8 +383,7 @@
         while self._expiry and self._expiry[0][0] < self._now:
             message = self._messages.get(heappop(self._expiry)[1])
             if message is not None and message.in_line:
-                latest = self._latest_start(message)
-                if latest < self._now:
+                if (latest := self._latest_start(message)) < self._now:
                     self._give_up(message)
                 else:
                     heappush(self._expiry, (latest, message.id))
@@ -437,10 +437,12 @@
                 self._judge_idle(call, -STALE_BACK if outcome is Outcome.OK else 1.0)
             if outcome is Outcome.OK:
                 self._success(key, destination)
+                if call.sent >= destination.refused_at:
+                    self._crowded_until = max(self._crowded_until, destination.refused_at + CROWDED)
             elif outcome not in (Outcome.CANCELLED, Outcome.NOT_SENT):
                 route.failed = outcome is not Outcome.FULL
                 if outcome is Outcome.CONNECT_FAILED:
-                    self._crowded_until = now + CROWDED
+                    destination.refused_at = now
                 if outcome in NOT_RUN:
                     row = self._rows.setdefault(key, _Row())
                     # One of many senders sees few calls taken. A limit that reports itself used up counts
@@ -523,10 +525,9 @@
         order: list[tuple[tuple[bool, float], int]] = []
         for number in list(self._waiting):
             wake = min(wake, self._line_up(order, self._destinations[number]))
-        most = max(2, self._set.max_calls // SLOT_PART)
         while order and self._calls < self._set.max_calls:
             destination = self._destinations[heappop(order)[1]]
-            if destination.calls < most:
+            if destination.calls < max(2, self._set.max_calls // SLOT_PART):
                 self._send(destination)
                 wake = min(wake, self._line_up(order, destination))
         if order and self._set.may_cancel and self._calls >= self._set.max_calls:
@@ -577,7 +578,7 @@
         row = self._rows.get(key) or _Row()
         unproven = row.cold_until == NEVER
         size = 1 if unproven and row.dark == NEVER else destination.kind.max_batch
-        call = _Call(destination, route, now)
+        call, overdue = _Call(destination, route, now), 0.0
         if not self._connected(route):
             route.connections += 1
         elif self._stale >= STALE and now - route.all_used >= self._idle_limit:
@@ -589,7 +590,6 @@
         route.calls += 1
         if route.calls > (route.connections - 1) * per:
             route.all_used = now
-        overdue = 0.0
         while call.left < size and (message := self._take(destination, unproven)):
             message.call = call
             call.messages.append(message)
--- a/tests/test_found.py
+++ b/tests/test_found.py
@@ -3,7 +3,7 @@
 import pytest
 
 from irisstack import interface as api
-from irisstack.choice import CROWDED, DARK, OPEN_FOR, STALE, TOLERATED
+from irisstack.choice import CROWDED, DARK, OPEN_FOR, STALE, THRESHOLD, TOLERATED
 from tests.support import KEYED_INDEX, SETTINGS, UNSAFE_INDEX, Driver, address, endpoint
 
 OK, FULL, ERROR, RESET = api.Outcome.OK, api.Outcome.FULL, api.Outcome.ERROR, api.Outcome.RESET
@@ -289,9 +289,13 @@
     driver.serve(10, 3, 1.0, destination=2)
     assert driver.closed_idle == []
     driver.message(1, 3.0)
-    driver.end(1, api.Outcome.CONNECT_FAILED, 3.1)
+    driver.end(1, api.Outcome.CONNECT_FAILED, 3.1)  # and goes again at once
     driver.message(2, 3.2, destination=2)
     driver.end(2, OK, 3.3)
+    assert driver.closed_idle == []  # it may be down as well
+    driver.end(1, OK, 3.3)
+    driver.message(4, 3.3, destination=2)
+    driver.end(4, OK, 3.3)
     assert (3.3, address(2)) in driver.closed_idle
     before = len(driver.closed_idle)
     driver.message(3, 3.3 + CROWDED, destination=2)
@@ -299,6 +303,17 @@
     assert len(driver.closed_idle) == before
 
 
+def test_a_destination_back_from_an_outage_is_no_sign_of_full_tables() -> None:
+    driver = Driver(endpoint(1), endpoint(2, destination=2), max_attempts=10)
+    driver.message(1, 1.0)
+    for attempt in range(1, 2 * THRESHOLD + 1):  # two closes, no call taken: longer than a full table refuses
+        driver.end(1, api.Outcome.CONNECT_FAILED, driver.wait_for(1, attempt))
+    driver.end(1, OK, driver.wait_for(1, 2 * THRESHOLD + 1))
+    driver.message(50, driver.now + 0.1, destination=2)
+    driver.end(50, OK, driver.now + 0.1)
+    assert driver.closed_idle == []
+
+
 def test_a_wait_told_while_the_limit_is_unused_tells_of_a_shut_destination() -> None:
     def calls(left: float, served: bool) -> int:
         driver = Driver(senders=100, max_calls=1)
