--- a/irisstack/choice.py
+++ b/irisstack/choice.py
@@ -47,7 +47,6 @@
 
     count: int = 0
     served: int = 0  # calls that succeeded in the same window
-    streak: int = 0  # failures since the last of them
     window_end: float = 0.0
     open_until: float = 0.0
     strikes: float = 0.0  # refusals as full not yet made good by successes: how far calls are slowed
@@ -197,9 +196,9 @@
             return  # landing while open: neither counts nor extends
         if now >= row.window_end:
             row.count, row.served, row.window_end = 0, 0, now + WINDOW
-        row.count, row.streak = row.count + 1, row.streak + 1
+        row.count += 1
         # Few errors among many successes (a lossy path, one failing class) must not shut the rest out.
-        few = reason is not Outcome.FULL and row.count < row.served * TOLERATED and row.streak < THRESHOLD
+        few = reason is not Outcome.FULL and row.count < row.served * TOLERATED
         # One of many senders has too few calls in a window to see the third: what may have run opens sooner.
         most = THRESHOLD if reason in NOT_RUN else max(1.0, self._rate(destination) * WINDOW // 1.0)
         if row.count >= min(THRESHOLD, most) and not few:
@@ -226,7 +225,7 @@
     def _success(self, key: object, destination: _Destination) -> None:
         """A call that ended well takes back part of the slowing; the spacing lapses once nothing waits."""
         row = self._rows.get(key) or _Row()
-        row.served, row.dark, row.streak = row.served + 1, NEVER, 0
+        row.served, row.dark = row.served + 1, NEVER
         if row.cold_until == NEVER and self._now >= row.open_until:
             row.cold_until, row.strikes = self._now + self._set.cold_seconds, 0.0  # a shut one shows no limit
             destination.refused_at = NEVER  # and one that was down no full table
