Messages that are over make room on disk for new ones

Checked by a probe: no refusal came from the module. At fault: Store.fits counted messages that are over, kept to their due time to be known again, against the room of those owed; at 360 messages a second and 12 s they alone fill it. Ruled out: CPU (0.3 s in the busiest second), descriptors, the holding room.

Now the oldest that are over and told make room.

--- a/irisstack/node/store.py
+++ b/irisstack/node/store.py
@@ -169,10 +169,15 @@
     # ---- what others note ----
 
     def fits(self, entry: Entry, now: float) -> bool:
-        """Whether one more message finds room beside all that is owed."""
+        """Whether one more message finds room beside all that is owed.
+
+        Those that are over are kept, so as to know them again, as long as nobody needs their room.
+        """
         most = self._disk - SPARE * self._segment_size - entry.room
         if self._room > most:
             self.drop_ended(now)
+        while self._room > most and self._ended:
+            self._drop_first()
         return self._room <= most
 
     def take(self, entry: Entry) -> None:
@@ -219,9 +224,13 @@
     def drop_ended(self, now: float) -> None:
         """Forget messages that are over, once their time is up and their notice was taken."""
         while self._ended and self._ended[0][0] < now:
-            entry = self.entries.get(heappop(self._ended)[1])
-            if entry is not None and not entry.to_tell:
-                self._forget(entry)
+            self._drop_first()
+
+    def _drop_first(self) -> None:
+        """Forget the message whose time is up first; one whose notice is owed comes back when it is told."""
+        entry = self.entries.get(heappop(self._ended)[1])
+        if entry is not None and not entry.to_tell:
+            self._forget(entry)
 
     def write(self, records: list[bytes], now: float) -> None:
         """Append records with one write, unless they run over the end of a segment."""
