--- a/irisstack/choice.py
+++ b/irisstack/choice.py
@@ -16,7 +16,7 @@
 
 WINDOW = 10.0  # seconds in which failures are counted together
 THRESHOLD = 3  # the failure that opens
-TOLERATED = 1.0  # failures for each success in the window that do not open yet
+TOLERATED = 0.25  # failures for each success in the window that do not open yet
 OPEN_FOR = 2.0  # seconds an opened row stays open: longer parks fill the holding room of a small sender
 DARK = 3.0  # seconds of refusals with no call taken after which a destination counts as shut
 UNEVEN = 1.5  # times the even part of a told rate that one sender may take of a destination not back yet
@@ -83,7 +83,6 @@
     flow: float = 0.0  # messages a second of late for it that came to this sender
     flow_at: float = 0.0
     calls: int = 0
-    share: float = NEVER  # messages that a call may hold: half of those in one unanswered, then doubling
     ok_sent: float = -NEVER  # when the newest call that succeeded was sent
     refused_at: float = NEVER  # when a connect last failed there, unless in an outage
 
@@ -99,6 +98,7 @@
     destination: _Destination
     route: _Route
     sent: float
+    lost_at: float = NEVER  # when a repeatable message's time-out comes
     idle: float = 0.0  # how long the connection may have been idle
     left: int = 0
     messages: "list[_Message]" = field(default_factory=list)
@@ -225,7 +225,7 @@
     def _success(self, key: object, destination: _Destination) -> None:
         """A call that ended well takes back part of the slowing; the spacing lapses once nothing waits."""
         row = self._rows.get(key) or _Row()
-        row.served, row.dark, destination.share = row.served + 1, NEVER, destination.share * 2.0
+        row.served, row.dark = row.served + 1, NEVER
         if row.cold_until == NEVER and self._now >= row.open_until:
             row.cold_until, row.strikes = self._now + self._set.cold_seconds, 0.0  # a shut one shows no limit
             destination.refused_at = NEVER  # and one that was down no full table
@@ -462,8 +462,6 @@
 
     def _judge_idle(self, call: _Call, weight: float) -> None:
         """Learn after how long the path drops idle connections, losing calls; a mistake costs handshakes."""
-        if weight > 0.0:  # lost for one of its messages, perhaps: the next ones hold fewer
-            call.destination.share = min(call.destination.share, max(1.0, len(call.messages) / 2.0))
         if call.idle > self._set.keepalive * IDLE_PART and self._stale < STALE:
             self._stale = max(0.0, self._stale + weight)
             if weight > 0.0:
@@ -554,7 +552,7 @@
         """
         for call in sorted(self._stuck, key=lambda call: sum(
                 message.kind.effect is Effect.UNSAFE for message in call.messages)):
-            if wanted and call.left:
+            if wanted and call.left and (call.destination.ok_sent < call.sent or self._now > call.lost_at):
                 wanted -= 1
                 self._out.extend(api.Cancel(m.id, m.attempts - 1) for m in call.messages if m.call is call)
 
@@ -579,7 +577,7 @@
         key = self._row_key(destination, route)
         row = self._rows.get(key) or _Row()
         unproven = row.cold_until == NEVER
-        size = 1 if unproven and row.dark == NEVER else min(destination.share, destination.kind.max_batch)
+        size = 1 if unproven and row.dark == NEVER else destination.kind.max_batch
         call, overdue = _Call(destination, route, now), 0.0
         if not self._connected(route):
             route.connections += 1
@@ -605,6 +603,7 @@
         destination.calls += 1
         self._calls += 1
         self._sequence += 1
+        call.lost_at = now + overdue * PATIENCE
         heappush(self._overdue, (now + overdue, self._sequence, call))
         self._space(key, destination, call.left)
 
