--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -360,14 +360,12 @@
 def test_a_file_that_cannot_be_used_changes_nothing(tmp_path: Path) -> None:
     partner = EndpointPeer()
     with scene(tmp_path, partner) as (node, _):
-        sound = dict(node.raw)
         node.raw["discovery"] = "nowhere"
         node.reread()
         (line,) = [line for line in node.log.read_text().splitlines() if "configuration_not_taken" in line]
         assert "discovery: host:port is due" in line
         assert node.hand_in("m1").status == 202
         delivered(node, 1)
-        node.raw = sound
 
 
 def test_sighup_before_the_node_is_ready_does_not_end_it(tmp_path: Path) -> None:
