Many senders close what they hardly use: idle connections no longer fill endpoints' tables

Lines at fault: Sender._ended gave idle connections back only for 30 s after a failed connect of its own. Ruled out: the limit (these hosts report none), slow calls (taken in 50 ms), start-up (the same in every five seconds).

--- a/irisstack/choice.py
+++ b/irisstack/choice.py
@@ -29,6 +29,8 @@
 OVERDUE = 4.0  # a call is overdue after this many usual times
 OVERDUE_REST = 0.5  # and these seconds, so that jitter on quick calls does not count
 PATIENCE = 3.0  # a repeatable call is given up after this many times the overdue time
+BUSY_PART = 0.25  # of its time that a connection is in use, to be worth a place in an endpoint's table
+HANDFUL = 4  # idle connections for which any such table has room
 CROWDED = 30.0  # seconds after a failed connect at a live destination in which idle connections go back
 LEARN = 0.1  # weight of a new call in the usual time
 FIRST_USUAL = 0.2  # share of a class's aim taken for its usual time before any call was seen
@@ -420,7 +422,7 @@
         else:
             heappush(self._expiry, (self._latest_start(message), message.id))
             self._queue(message)
-        if self._now < self._crowded_until and not call.left:
+        if not call.left and (self._now < self._crowded_until or not self._worth_keeping(message)):
             # Guards against tables full of many senders' idle connections; at an outage it costs handshakes.
             self._out.append(api.CloseIdle(call.route.address))
             call.route.connections = call.route.calls
@@ -616,6 +618,18 @@
         heappush(self._overdue, (now + overdue, self._sequence, call))
         self._space(key, destination, call.left)
 
+    def _worth_keeping(self, message: _Message) -> bool:
+        """Whether its next call comes so soon that a connection earns its place in the endpoint's table.
+
+        Guards against tables full of idle connections: what each of many senders keeps and hardly uses takes
+        the places of the others' calls, and those that hold one are never turned away and never learn of it.
+        """
+        destination, senders = self._destination(message.destination), self._set.senders
+        if destination.number in self._waiting and self._first_gate(destination) <= self._now:
+            return True
+        in_use = destination.flow * self._usual(message) / BUSY_PART
+        return senders * (1.0 - in_use) <= HANDFUL
+
     def _connected(self, route: _Route) -> bool:
         """Whether a connection is believed free there: a new one costs time and has a price."""
         if self._now - route.all_used > self._set.keepalive:
--- a/irisstack/node/config.py
+++ b/irisstack/node/config.py
@@ -2,12 +2,13 @@
 
 import json
 import os
+import socket
 from collections.abc import Mapping
 from dataclasses import dataclass
 from pathlib import Path
 from typing import Any
 
-from irisstack.interface import Settings
+from irisstack.interface import Address, Settings
 from irisstack.settings import Reader, SettingsError, read
 
 HostPort = tuple[str, int]
@@ -49,6 +50,12 @@
     return f"{host}:{port}"
 
 
+def peer_of(address: Address) -> HostPort:
+    """An endpoint's address as one connects to it."""
+    host, port = address
+    return socket.inet_ntoa(host), port
+
+
 def form(path: Path) -> str:
     """How a configuration file is written: people write TOML, the platform JSON."""
     return "TOML" if path.suffix == ".toml" else "JSON"
--- a/irisstack/node/decider.py
+++ b/irisstack/node/decider.py
@@ -17,6 +17,7 @@
 
 from irisstack import interface as api
 from irisstack.choice import NOT_RUN, Sender
+from irisstack.node.config import name_of, peer_of
 from irisstack.node.counters import Counters
 from irisstack.node.endpoint import Call, CallOff, CloseIdle, Command, Ended, Hold, Outgoing
 from irisstack.node.store import Entry, Store
@@ -195,6 +196,8 @@
         store.next_number += 1
         store.take(entry)
         turn.arrivals[entry.number] = arrival
+        log.debug("message_received", id=entry.id, message_class=entry.message_class,
+                  destination=entry.destination, due_s=round(arrival.due - now, 3))
         events.append(self._received(entry, now, unix))
 
     def _ended(self, ended: Ended, turn: _Turn, events: list[api.Event], now: float) -> None:
@@ -202,6 +205,10 @@
         result = ended.result
         entry = self._store.entries.get(ended.number)
         owed = entry is not None and entry.owed
+        if entry is not None:
+            log.debug("attempt_ended", id=entry.id, endpoint=name_of(peer_of(ended.address)),
+                      attempt=ended.attempt, outcome=result.outcome.name, reached=result.reached.name,
+                      elapsed_s=round(now - sent, 3), wait_s=result.retry_after, report=result.report)
         if owed:
             ran = result.outcome not in NOT_RUN
             turn.records.append(self._store.end(ended.number, ended.attempt, ran))
@@ -276,6 +283,8 @@
     def _final(self, number: int, result: str, wait: float | None, turn: _Turn) -> None:
         """An end that is not delivery: the answer itself where the client still waits, else a notice."""
         arrival = turn.arrivals.pop(number, None)
+        log.debug("message_given_up", id=self._store.entries[number].id, result=result, wait_s=wait,
+                  taken_on=arrival is None)
         if arrival is not None:
             status = HTTPStatus.TOO_MANY_REQUESTS if result == "bounced" else HTTPStatus.INTERNAL_SERVER_ERROR
             turn.answers.append((arrival, status, wait))
@@ -330,6 +339,8 @@
             if self.holding:
                 continue
             self._where[send.message] = send.endpoint, now
+            log.debug("attempt_decided", id=entry.id, endpoint=name_of(peer_of(send.endpoint)),
+                      attempt=entry.attempts)
             due = now + entry.due - unix
             give_up = min(due, send.give_up_at or due)
             by_endpoint.setdefault(send.endpoint, []).append(
--- a/irisstack/node/service.py
+++ b/irisstack/node/service.py
@@ -7,12 +7,11 @@
 
 import gevent
 import structlog
-from gevent import socket
 from gevent.event import Event
 
 from irisstack import interface as api
 from irisstack.common import logs
-from irisstack.node.config import Config, ConfigError, HostPort, load, name_of
+from irisstack.node.config import Config, ConfigError, load, name_of, peer_of
 from irisstack.node.counters import Counters
 from irisstack.node.decider import Decider
 from irisstack.node.discovery import Discovery, ListReader, Moved
@@ -169,7 +168,7 @@
     def _start_endpoint(self, address: api.Address) -> Endpoint:
         settings = self._config.settings
         endpoint = Endpoint(
-            address, _peer(address), self._decider.mailbox.put, self._store, self.counters,
+            address, peer_of(address), self._decider.mailbox.put, self._store, self.counters,
             connect_timeout=settings.connect_timeout, idle_limit=settings.keepalive,
             most_idle=max(1, self._most_idle // max(1, len(self._listed_now))), most_calls=settings.max_calls,
             report_fields=settings.report_fields)
@@ -181,11 +180,6 @@
         return endpoint
 
 
-def _peer(address: api.Address) -> HostPort:
-    host, port = address
-    return socket.inet_ntoa(host), port
-
-
 def main(log_format: str = "json", log_level: str = "info") -> int:
     """Run a node from the environment; a configuration that cannot be used is one line and code 2."""
     logs.configure("console" if log_format == "console" else "json", log_level)
--- a/tests/test_found.py
+++ b/tests/test_found.py
@@ -384,3 +384,22 @@
                 answered.add((number, attempt))
                 driver.end(number, FULL if driver.now < shut_until else OK, driver.now)
     assert sum(1 for n in numbers if driver.sent(n) and driver.sent(n)[-1] >= shut_until) > 40
+
+
+@pytest.mark.parametrize(("senders", "gap", "kept"), [(200, 2.0, False), (200, 0.3, True), (3, 2.0, True)])
+def test_one_of_many_senders_keeps_no_connection_that_it_hardly_uses(
+        senders: int, gap: float, kept: bool) -> None:
+    driver = Driver(senders=senders)
+    for number in range(60):  # long enough to learn the flow and how long a call takes
+        driver.message(number, 1.0 + number * gap)
+        driver.end(number, OK, driver.now + 0.1)
+    assert ((driver.now, address(1)) not in driver.closed_idle) is kept
+
+
+def test_messages_that_may_not_go_yet_keep_no_connection() -> None:
+    driver = Driver(senders=200)
+    driver.turn(1.0, *(driver.received(number, 1.0) for number in range(4)))
+    for number in range(1, 4):
+        driver.end(number, FULL, 1.1)
+    driver.end(0, OK, 1.2)  # the others wait for the close
+    assert (1.2, address(1)) in driver.closed_idle
