--- a/irisstack/choice.py
+++ b/irisstack/choice.py
@@ -584,7 +584,9 @@
         """Make one call."""
         now, per = self._now, self._set.calls_per_connection
         routes = [route for route in destination.routes.values() if self._gate(destination, route) <= now]
-        route = min(routes, key=lambda r: (r.failed, r.calls + (0.0 if self._connected(r) else 0.75)))
+        # Of equals any: every sender has the list in one order, and all would take the first.
+        route = min(routes, key=lambda r: (r.failed, r.calls + (0.0 if self._connected(r) else 0.75),
+                                           self._random.random()))
         key = self._row_key(destination, route)
         row = self._rows.get(key) or _Row()
         unproven = row.cold_until == NEVER
--- a/irisstack/lab/virtual/listing.py
+++ b/irisstack/lab/virtual/listing.py
@@ -64,7 +64,11 @@
             return
         if watch:
             self._watching.add(node)
-        self._clock.after(0.05, self._give, node, self.snapshot(api.UpdateScope.FULL))
+        self._clock.after(0.05, self._give_whole, node)
+
+    def _give_whole(self, now: float, node: int) -> None:
+        """The list as it stands when it leaves: never older than a change that went before it."""
+        self._give(now, node, self.snapshot(api.UpdateScope.FULL))
 
     def _give(self, now: float, node: int, update: api.EndpointsUpdated) -> None:
         if node in self._nodes:
--- a/tests/test_found.py
+++ b/tests/test_found.py
@@ -403,3 +403,12 @@
         driver.end(number, FULL, 1.1)
     driver.end(0, OK, 1.2)  # the others wait for the close
     assert (1.2, address(1)) in driver.closed_idle
+
+
+def test_senders_with_one_list_do_not_all_call_its_first_endpoint() -> None:
+    first = []
+    for seed in range(40):
+        driver = Driver(endpoint(1), endpoint(2), seed=seed, senders=40)
+        driver.message(1, 1.0)
+        first.append(driver.where[1])
+    assert min(first.count(address(1)), first.count(address(2))) >= 10
