--- a/irisstack/node/endpoint.py
+++ b/irisstack/node/endpoint.py
@@ -154,6 +154,7 @@
             ending = Ending.BROKEN if answer is not None else Ending.GIVEN_UP
         except _CalledOff:
             ending = Ending.CALLED_OFF
+            answer = self._come_already() if reached is Reached.WRITTEN else None
         except _Withheld:
             ending = Ending.WITHHELD
         except TimeoutError:
@@ -203,6 +204,16 @@
         self._socket.settimeout(left)
         self._socket.sendall(http.request("POST", path, name_of(self._peer), headers, body))
 
+    def _come_already(self) -> http.Message | None:
+        """The answer of a call that is called off, if it lies there unread."""
+        assert self._socket is not None
+        try:
+            if not sockets.quiet(self._socket):
+                self._buffer.receive(self._socket)
+            return self._reader.advance(self._buffer)
+        except (OSError, http.BadMessage):
+            return None
+
     def _read(self, pending: dict[str, Outgoing],
               end: Callable[[Outgoing, Result], None]) -> http.Message | None:
         """The answer, or nothing once no message waits for it.
@@ -221,14 +232,19 @@
             now = time.monotonic()
             if not begun and (begun := self._reader.started or len(self._buffer) > 0):
                 last = min(last, now + REST)
-            if now >= last:
-                return None
-            for message in [m for m in pending.values() if m.due <= now]:
-                del pending[message.id]
-                end(message, unanswered(Reached.WRITTEN, Ending.GIVEN_UP))
-            if not pending:
-                return None
-            self._socket.settimeout(max(0.001, min(last, *(m.due for m in pending.values())) - now))
+            next_end = min(last, *(m.due for m in pending.values()))
+            late = now >= next_end
+            if late and sockets.quiet(self._socket):
+                if now >= last:
+                    return None
+                for message in [m for m in pending.values() if m.due <= now]:
+                    del pending[message.id]
+                    end(message, unanswered(Reached.WRITTEN, Ending.GIVEN_UP))
+                if not pending:
+                    return None
+                continue
+            # What has come counts, however late this node looks: after a standstill time-outs fire first.
+            self._socket.settimeout(next_end - now if not late else 0.001)
             if begun:
                 gevent.sleep(0)  # an answer that keeps coming must not keep the others from their turn
             try:
--- a/tests/test_node_parts.py
+++ b/tests/test_node_parts.py
@@ -392,6 +392,37 @@
     assert ended[1].result == unanswered(Reached.CONNECTED, Ending.GIVEN_UP)
 
 
+@pytest.mark.parametrize("call_off", [False, True])
+def test_an_answer_that_came_during_a_standstill_counts(
+        tmp_path: Path, monkeypatch: pytest.MonkeyPatch, call_off: bool) -> None:
+    """Time-outs and commands that fell due meanwhile come first, and must not hide what has come."""
+    ended: list[Ended] = []
+    receive, end = Buffer.receive, time.monotonic() + 0.3
+    with socket.create_server(("127.0.0.1", 0)) as server:
+        endpoint = lone_endpoint(server.getsockname(), ended, Store(tmp_path, 3_000_000, 1000.0))
+
+        def stand_still(buffer: Buffer, source: Any) -> int:
+            """The answer comes and the time passes before this process looks, at its clock first."""
+            monkeypatch.setattr(Buffer, "receive", receive)
+            connection, _ = server.accept()
+            with connection:
+                connection.recv(65536)
+                connection.sendall(raw(200))
+            if call_off:
+                endpoint.mailbox.put(CallOff(1, 0))
+                gevent.sleep(1e9)
+            time.sleep(max(0.0, end - time.monotonic()))
+            raise TimeoutError
+
+        monkeypatch.setattr(Buffer, "receive", stand_still)
+        endpoint.worker.start()
+        endpoint.mailbox.put(Call([Outgoing(1, 0, "m1", "", b"", 1e9 if call_off else end, 1e9)], 1001.0))
+        while not ended:
+            gevent.sleep(0.01)
+        endpoint.worker.kill()
+    assert ended[0].result.outcome is api.Outcome.OK
+
+
 def test_a_call_called_off_before_it_began_never_ran(tmp_path: Path) -> None:
     ended: list[Ended] = []
     store = Store(tmp_path, 3_000_000, 1000.0)
