Calls for the list are spread and come again after a pause that grows with the fleet

Lines at fault: Sender._updated (RESUBSCRIBE doubled from 0.2 s to 4.8 s whatever the fleet) and the first Subscribe in turn(). Ruled out: SILENCE (5 s, the service gives up first), a service that is down (15 nodes were answered in the first 2 s).

--- a/irisstack/choice.py
+++ b/irisstack/choice.py
@@ -38,7 +38,8 @@
 STALE_BACK = 0.4  # of a lost call is made good by one that succeeded on an idle connection
 IDLE_PART = 0.1  # of the keep-alive time; a connection idle for less says nothing
 SLOT_PART = 3  # a destination holds at most one part in so many of the slots, two at least
-RESUBSCRIBE = 0.2  # seconds before the first renewed subscription after a failure; doubles
+RESUBSCRIBE = 0.2  # seconds for each sender before the first renewed subscription after a failure; doubles
+SPREAD = 0.25  # of that time in which the senders first subscribe
 
 NEVER = float("inf")
 NOT_RUN = frozenset((Outcome.FULL, Outcome.CONNECT_FAILED, Outcome.NOT_SENT))
@@ -503,11 +504,12 @@
     def _updated(self, event: api.EndpointsUpdated) -> None:
         if event.scope is api.UpdateScope.FAILED:
             if self._set.discovery_on_request:
-                wait = RESUBSCRIBE * 2.0 ** min(self._failed_asks, 4) * self._random.uniform(1.0, 1.5)
-                self._subscribe_at = self._now + min(wait, (self._set.ask_within or NEVER) / 2.0)
+                self._subscribe_at = self._now + self._ask_pause() * self._random.uniform(0.5, 1.5)
                 self._failed_asks += 1
             return
         self._failed_asks = 0
+        if event.scope is api.UpdateScope.CACHED and self._set.discovery_on_request:  # a start
+            self._subscribe_at = self._now + self._ask_pause() * self._random.uniform(0.0, SPREAD)
         if event.scope is not api.UpdateScope.DELTA:
             for address in set(self._where) - {endpoint.address for endpoint in event.endpoints}:
                 self._remove(address)
@@ -522,6 +524,15 @@
                 destination.routes[endpoint.address] = _Route(endpoint.address)
                 self._where[endpoint.address] = endpoint.destination
 
+    def _ask_pause(self) -> float:
+        """Seconds between two calls for the list of this sender while they fail.
+
+        Guards the list's service: it works through calls in turn, those given up too, so that senders which
+        all come again within seconds keep it behind, and none of them is ever answered in time.
+        """
+        wait = RESUBSCRIBE * self._set.senders * 2.0 ** min(self._failed_asks, 4)
+        return min(wait, self._set.ask_within or NEVER)
+
     def _remove(self, address: api.Address) -> None:
         """Draining or gone: nothing new goes there from this turn on."""
         if address in self._where:
