A sender's part of a limit on calls counts its flow in calls, not in messages

Cause: limits and listed rates are calls a second, a sender's flow was counted in messages, and the greater of the two paced it. Change: the flow is divided by what a call may carry. Calls then take along what has come meanwhile.

--- a/irisstack/choice.py
+++ b/irisstack/choice.py
@@ -257,9 +257,13 @@
         return min((self._gate(destination, route) for route in routes), default=NEVER)
 
     def _rate(self, destination: _Destination) -> float:
-        """This sender's part of the rate told for all: its own flow, the even part at least."""
-        whole = destination.limit or destination.listed or destination.flow
-        return min(whole, max(destination.flow, whole / self._set.senders))
+        """This sender's part of the calls a second told for all: its own flow's, the even part at least.
+
+        Guards a limit on calls: a flow of messages that are told one by one would take it many times over.
+        """
+        own = destination.flow / destination.kind.max_batch
+        whole = destination.limit or destination.listed or own
+        return min(whole, max(own, whole / self._set.senders))
 
     def _space(self, key: object, destination: _Destination, size: int) -> None:
         """Note a call: evenly spaced after refusals, charged to the budget while cold."""
--- a/tests/test_found.py
+++ b/tests/test_found.py
@@ -412,3 +412,20 @@
         driver.message(1, 1.0)
         first.append(driver.where[1])
     assert min(first.count(address(1)), first.count(address(2))) >= 10
+
+
+def test_a_limit_on_calls_is_not_shared_by_the_flow_of_messages() -> None:
+    """40 senders that each spaced calls by five messages a second would send five times the limit of 40."""
+    driver = Driver(endpoint(1, kind=1, rate=40.0), senders=40)
+    for number in range(40):
+        driver.message(number, 1.0 + number * 0.2)
+        driver.end(number, OK, driver.now + 0.1, report=(0.5, 40.0))
+    driver.message(40, 10.0)
+    driver.end(40, FULL, 10.1, report=(0.0, 40.0))
+    open_calls = set(range(40, 56))
+    for number in range(41, 56):
+        driver.message(number, 10.1 + (number - 40) * 0.2)
+        for sent in [n for n in open_calls if driver.sent_at.get(n, 0.0) > 10.1]:
+            open_calls.remove(sent)
+            driver.end(sent, OK, driver.now, report=(0.5, 40.0))
+    assert 2 <= len({at for at, _ in driver.sends if at > 10.1}) <= 4  # one a second takes along what has come
