--- a/tests/test_found.py
+++ b/tests/test_found.py
@@ -428,4 +428,4 @@
         for sent in [n for n in open_calls if driver.sent_at.get(n, 0.0) > 10.1]:
             open_calls.remove(sent)
             driver.end(sent, OK, driver.now, report=(0.5, 40.0))
-    assert 2 <= len({at for at, _ in driver.sends if at > 10.1}) <= 4  # one a second takes along what has come
+    assert 2 <= len({at for at, _ in driver.sends if at > 10.1}) <= 4  # each takes along what has come
