Answers that report little of a limit left have calls spaced before any is refused

Line at fault: Sender._success, which took back spacing whatever the answer reported. Change: a call taken that reports less than half left begins the spacing as one refusal would and takes none of it back. Half, since reports are up to a second old and the other half may be gone by then.

--- a/tests/test_found.py
+++ b/tests/test_found.py
@@ -429,3 +429,16 @@
             open_calls.remove(sent)
             driver.end(sent, OK, driver.now, report=(0.5, 40.0))
     assert 2 <= len({at for at, _ in driver.sends if at > 10.1}) <= 4  # each takes along what has come
+
+
+@pytest.mark.parametrize(("left", "spaced"), [(0.2, True), (0.9, False)])
+def test_an_answer_that_reports_little_of_the_limit_left_has_calls_spaced(left: float, spaced: bool) -> None:
+    """Each of many senders sees few calls: all would run into the limit together and be refused at once."""
+    driver = Driver(endpoint(1, rate=40.0), senders=40)
+    driver.message(1, 1.0)
+    driver.end(1, OK, 1.1, report=(left, 40.0))
+    driver.message(2, 1.2)
+    driver.end(2, OK, 1.3, report=(left, 40.0))
+    driver.message(3, 1.4)
+    assert (driver.sent(3) == []) is spaced
+    assert driver.wait_for(3) < 3.0
