Room is made in the longest line at the pace that holds there, not at the told rate

Change: the line is reckoned at the pace of the fail-back budget, of the spacing, or of the calls themselves.

--- a/irisstack/choice.py
+++ b/irisstack/choice.py
@@ -148,6 +148,7 @@
         self._where: dict[api.Address, int] = {}
         self._messages: dict[int, _Message] = {}
         self._held = self._calls = 0
+        self._slots = max(2, settings.max_calls // SLOT_PART)  # that one destination may hold
         self._crowded_until = 0.0  # until when idle connections are given back
         self._stale = 0.0  # calls lost on idle connections, less a part of such calls that succeeded
         self._idle_limit = NEVER  # the shortest idle time before such a loss
@@ -276,9 +277,13 @@
         """Note a call: evenly spaced after refusals, charged to the budget while cold."""
         row = self._rows.get(key) or _Row()
         jitter = self._random.uniform(1.0, 1.1)
-        row.next_at = self._now + jitter * SLOWER ** max(0.0, row.strikes - 1.0) / self._rate(destination)
+        row.next_at = self._now + jitter * self._gap(row, destination)
         row.spent, row.spent_at = jitter * (1.0 + ITEM_WEIGHT * (size - 1)), self._now
 
+    def _gap(self, row: _Row, destination: _Destination) -> float:
+        """Seconds between two calls of this sender while refusals have them spaced."""
+        return SLOWER ** max(0.0, row.strikes - 1.0) / self._rate(destination)
+
     def _budget(self, row: _Row, destination: _Destination) -> float:
         """This sender's part of the calls a second that a destination coming back can bear by now."""
         warm = max(0.0, 1.0 - (row.cold_until - self._now) / (self._set.cold_seconds or 1.0))
@@ -389,14 +394,29 @@
     def _make_room(self) -> None:
         """At the holding limit, refuse the unsent message with least at stake before one is turned away."""
         unsent = [m for m in self._messages.values() if m.in_line]
-        waits: dict[int, float] = {}
-        for number, count in Counter(m.destination for m in unsent).items():
-            destination = self._destination(number)
-            line = count / destination.kind.max_batch / self._rate(destination)
-            waits[number] = max(0.0, self._first_gate(destination) - self._now) + line
+        waits = {number: self._line_time(self._destination(number), count)
+                 for number, count in Counter(m.destination for m in unsent).items()}
         if unsent:
             self._give_up(max(unsent, key=lambda m: (waits[m.destination], -m.kind.worth, m.aim_at, m.id)))
 
+    def _line_time(self, destination: _Destination, count: int) -> float:
+        """How long so many messages for it will be in line, at the pace that holds there now.
+
+        Guards a healthy destination with small calls: nothing paces it, so that its line, however long by the
+        rate told for it, is over before that of one that is shut.
+        """
+        gate, calls = self._first_gate(destination), -(-count // destination.kind.max_batch)
+        if gate == NEVER:
+            return NEVER
+        route = min(destination.routes.values(), key=lambda r: self._gate(destination, r))
+        row = self._rows.get(self._row_key(destination, route)) or _Row()
+        each = max(destination.usual.values(), default=0.0) / self._slots
+        if self._now < row.cold_until:
+            line = (calls + ITEM_WEIGHT * (count - calls)) / self._budget(row, destination)
+        else:
+            line = calls * (self._gap(row, destination) if row.strikes else 0.0)
+        return max(0.0, gate - self._now) + max(line, calls * each)
+
     def _expire(self) -> None:
         """Give up messages for which a usual call no longer fits."""
         while self._expiry and self._expiry[0][0] < self._now:
@@ -561,7 +581,7 @@
             wake = min(wake, self._line_up(order, self._destinations[number]))
         while order and self._calls < self._set.max_calls:
             destination = self._destinations[heappop(order)[1]]
-            if destination.calls < max(2, self._set.max_calls // SLOT_PART):
+            if destination.calls < self._slots:
                 self._send(destination)
                 wake = min(wake, self._line_up(order, destination))
         if order and self._set.may_cancel and self._calls >= self._set.max_calls:
--- a/tests/test_found.py
+++ b/tests/test_found.py
@@ -447,3 +447,16 @@
     driver.message(3, 1.4)
     assert (driver.sent(3) == []) is spaced
     assert driver.wait_for(3) < 3.0
+
+
+def test_room_is_made_in_the_line_of_the_shut_destination_not_of_a_healthy_one() -> None:
+    """Nothing paces the healthy one's small calls, though the rate told for all makes their line long."""
+    driver = Driver(endpoint(1, rate=8.0), endpoint(2, destination=2, kind=1, rate=80.0), senders=40,
+                    max_held=16, max_calls=4)
+    for number in range(1, 4):
+        driver.message(number, 1.0 + number * 0.01, UNSAFE_INDEX, destination=2)
+        driver.end(number, ERROR, driver.now + 0.005)
+    driver.turn(1.2, *(driver.received(n, 1.2, destination=2) for n in range(10, 22)))
+    driver.turn(1.3, *(driver.received(n, 1.3) for n in range(30, 40)))
+    assert len(driver.refused) >= 3
+    assert all(number < 30 for number in driver.refused)
