--- a/irisstack/choice.py
+++ b/irisstack/choice.py
@@ -282,7 +282,7 @@
 
     def _gap(self, row: _Row, destination: _Destination) -> float:
         """Seconds between two calls of this sender while refusals have them spaced."""
-        return SLOWER ** max(0.0, row.strikes - 1.0) / self._rate(destination)
+        return float(SLOWER ** max(0.0, row.strikes - 1.0)) / self._rate(destination)
 
     def _budget(self, row: _Row, destination: _Destination) -> float:
         """This sender's part of the calls a second that a destination coming back can bear by now."""
