The pause between calls for the list is bounded where no ask_within is told

Need: read over once more, 5,000 senders without that setting would have waited for hours after a few failures (0.2 s for each sender, doubled four times). The bound is the window then.

--- a/irisstack/choice.py
+++ b/irisstack/choice.py
@@ -564,7 +564,7 @@
         all come again within seconds keep it behind, and none of them is ever answered in time.
         """
         wait = RESUBSCRIBE * self._set.senders * 2.0 ** min(self._failed_asks, 4)
-        return min(wait, self._set.ask_within or NEVER)
+        return min(wait, self._set.ask_within or WINDOW)
 
     def _remove(self, address: api.Address) -> None:
         """Draining or gone: nothing new goes there from this turn on."""
--- a/tests/test_design.py
+++ b/tests/test_design.py
@@ -343,6 +343,14 @@
     assert max(waits) <= 1.5 * 6.0 + 0.01  # long before a failed call stops counting, at four times that
 
 
+def test_no_fleet_is_so_large_that_a_sender_does_not_ask_for_the_list_again() -> None:
+    driver = Driver(discovery_on_request=True, ask_within=None, senders=5000)
+    driver.turn(20.0)
+    driver.turn(20.0, api.EndpointsUpdated(api.UpdateScope.FAILED, 1, ()))
+    driver.turn(60.0)
+    assert len(driver.subscribed) == 2
+
+
 def test_many_senders_that_start_together_all_get_the_list_from_a_slow_service() -> None:
     """It works through calls in turn, given up ones too: asked again soon, it never catches up."""
     senders, each, patience = 40, 0.2, 2.0
