Repeat zone-keyed messages in their zone; hold limits and silence by route

A destination's `listed`, `limit` and `ok_sent` stood for all its routes, also where they are apart: the last route of the list gave the rate of all, and an answer from one hid the silence of another. A failed endpoint stayed second choice until it succeeded, and any class cleared the mark. Change: what shares a limit is one _Limit; a message that may have run waits in the line of its zone and is never refused then; an endpoint that failed is second choice for a window.

--- a/irisstack/choice.py
+++ b/irisstack/choice.py
@@ -9,7 +9,6 @@
 from collections.abc import Iterable
 from dataclasses import dataclass, field
 from heapq import heappop, heappush
-from itertools import islice
 from random import Random
 
 from irisstack import interface as api
@@ -62,15 +61,28 @@
     cold_until: float = 0.0  # until when it may be cold from an outage; NEVER before a call has succeeded
 
 
+@dataclass(slots=True, eq=False)
+class _Limit:
+    """What calls to a destination, or to one of its routes apart, have in common: row, limit, outages."""
+
+    key: object  # the destination's number, or the route's address
+    listed: float = 0.0
+    told: float = 0.0  # calls a second, as it reports them
+    ok_sent: float = -NEVER  # when the newest call that succeeded was sent
+    refused_at: float = NEVER  # when a connect last failed there, unless in an outage
+
+
 @dataclass(slots=True, eq=False)
 class _Route:
     """One endpoint of a destination, and what this sender has there."""
 
     address: api.Address
+    zone: int
+    limit: _Limit
     calls: int = 0
     connections: int = 0  # believed open
     all_used: float = 0.0  # when all of its connections were last in use
-    failed: bool = False  # its last outcome was a failure
+    failed: dict[int, float] = field(default_factory=dict)  # until when it is second choice, by class
 
 
 @dataclass(slots=True, eq=False)
@@ -79,22 +91,36 @@
 
     number: int
     kind: api.DestinationKind = field(default_factory=lambda: api.DestinationKind("unknown"))
-    listed: float = 0.0
-    limit: float = 0.0  # calls a second, as it reports them
     routes: dict[api.Address, _Route] = field(default_factory=dict)
-    fresh: "list[_Entry]" = field(default_factory=list)  # by end of the aim
-    late: "list[_Entry]" = field(default_factory=list)  # by worth, newest first
+    lines: "dict[int | None, _Line]" = field(default_factory=dict)  # by the zone that they are held to
     usual: dict[int, float] = field(default_factory=dict)
     flow: float = 0.0  # messages a second of late for it that came to this sender
     flow_at: float = 0.0
     calls: int = 0
-    ok_sent: float = -NEVER  # when the newest call that succeeded was sent
-    refused_at: float = NEVER  # when a connect last failed there, unless in an outage
+
+    def line(self, zone: int | None) -> "_Line":
+        return self.lines.get(zone) or self.lines.setdefault(zone, _Line(self, zone))
 
     def waiting(self) -> "list[_Message]":
         """The messages in line, the most pressing ones first, if not quite in order."""
+        return [message for line in self.lines.values() for message in line.waiting()]
+
+
+@dataclass(slots=True, eq=False)
+class _Line:
+    """Messages that wait for any route of a destination, or for one in the zone that drops their repeats."""
+
+    destination: _Destination
+    zone: int | None
+    fresh: "list[_Entry]" = field(default_factory=list)  # by end of the aim
+    late: "list[_Entry]" = field(default_factory=list)  # by worth, newest first
+
+    def waiting(self) -> "list[_Message]":
         return [entry[-1] for entry in (*self.fresh, *self.late) if entry[-1].in_line]
 
+    def routes(self) -> "list[_Route]":
+        return [route for route in self.destination.routes.values() if self.zone in (None, route.zone)]
+
 
 @dataclass(slots=True, eq=False)
 class _Call:
@@ -123,10 +149,16 @@
     key: int | None
     attempts: int = 0
     maybe_ran: float | None = None  # when the first attempt that may have run was sent
+    ran_in: int | None = None  # and in which zone
     rest_until: float = 0.0  # order: when the last attempt that may run on has surely ended
     call: "_Call | None" = None
     over: bool = False
 
+    @property
+    def zoned(self) -> bool:
+        """Whether its repeats are dropped by the endpoints of one zone alone."""
+        return self.kind.effect is Effect.KEYED and self.kind.dedup_scope is api.DedupScope.ZONE
+
     @property
     def in_line(self) -> bool:
         return not self.over and self.call is None  # owed an answer, with no attempt out
@@ -143,7 +175,7 @@
         self._random = Random(seed)
         self._now = 0.0
         self._out: list[api.Action] = []
-        self._rows: dict[object, _Row] = {}
+        self._rows: dict[_Limit, _Row] = {}
         self._destinations: dict[int, _Destination] = {}
         self._where: dict[api.Address, int] = {}
         self._messages: dict[int, _Message] = {}
@@ -152,7 +184,7 @@
         self._crowded_until = 0.0  # until when idle connections are given back
         self._stale = 0.0  # calls lost on idle connections, less a part of such calls that succeeded
         self._idle_limit = NEVER  # the shortest idle time before such a loss
-        self._waiting: dict[int, None] = {}  # destinations with messages waiting, in order of arrival
+        self._waiting: dict[_Line, None] = {}  # lines with messages in them, in order of arrival
         self._expiry: list[tuple[float, int]] = []
         self._overdue: list[tuple[float, int, _Call]] = []
         self._stuck: list[_Call] = []  # overdue at a silent destination, oldest first
@@ -176,7 +208,7 @@
                 case api.StreamStarted():
                     message = self._messages.get(event.message)
                     if message is not None and message.call is not None:  # answered: neither silent nor stuck
-                        message.call.judged, message.call.destination.ok_sent = True, now
+                        message.call.judged, message.call.route.limit.ok_sent = True, now
                 case api.MessageWithdrawn():
                     message = self._messages.get(event.message)
                     if message is not None and not message.over:
@@ -195,9 +227,9 @@
 
     # ---- the row ----
 
-    def _failure(self, key: object, destination: _Destination, reason: Outcome | None) -> None:
+    def _failure(self, destination: _Destination, limit: _Limit, reason: Outcome | None) -> None:
         """Count a refusal or an error; the third within the window opens the row."""
-        now, row = self._now, self._rows.setdefault(key, _Row())
+        now, row = self._now, self._rows.setdefault(limit, _Row())
         if now < row.open_until:
             return  # landing while open: neither counts nor extends
         if now >= row.window_end:
@@ -206,7 +238,7 @@
         # Few errors among many successes (a lossy path, one failing class) must not shut the rest out.
         few = reason is not Outcome.FULL and row.count < row.served * TOLERATED
         # One of many senders has too few calls in a window to see the third: what may have run opens sooner.
-        most = THRESHOLD if reason in NOT_RUN else max(1.0, self._rate(destination) * WINDOW // 1.0)
+        most = THRESHOLD if reason in NOT_RUN else max(1.0, self._rate(destination, limit) * WINDOW // 1.0)
         if row.count >= min(THRESHOLD, most) and not few:
             row.count = 0
             row.cold_until = row.cold_until if reason in NOT_RUN else NEVER
@@ -228,70 +260,71 @@
             if not message.over and self._too_late(message):
                 self._give_up(message)
 
-    def _success(self, key: object, destination: _Destination, scarce: bool) -> None:
+    def _success(self, destination: _Destination, limit: _Limit, scarce: bool) -> None:
         """A call that ended well takes back part of the slowing; the spacing lapses once nothing waits.
 
         One that reports little of the limit left begins it: guards a limit that many senders reach together,
         each with too few calls to see it coming, and would learn of by being refused all at once.
         """
-        row = self._rows.setdefault(key, _Row()) if scarce else self._rows.get(key) or _Row()
+        row = self._rows.setdefault(limit, _Row()) if scarce else self._rows.get(limit) or _Row()
         row.served, row.dark = row.served + 1, NEVER
         if row.cold_until == NEVER and self._now >= row.open_until:
             row.cold_until, row.strikes = self._now + self._set.cold_seconds, 0.0  # a shut one shows no limit
-            destination.refused_at = NEVER  # and one that was down no full table
+            limit.refused_at = NEVER  # and one that was down no full table
         if scarce:
             row.strikes = max(row.strikes, 1.0)
         elif row.strikes:
-            row.strikes = max(float(destination.number in self._waiting), row.strikes - RECOVER)
+            waits = any(line in self._waiting for line in destination.lines.values())
+            row.strikes = max(float(waits), row.strikes - RECOVER)
 
     def _gate(self, destination: _Destination, route: _Route) -> float:
         """The earliest time at which a call may go there. Closed, empty rows drop here."""
-        key = self._row_key(destination, route)
-        row = self._rows.get(key)
+        row = self._rows.get(route.limit)
         if row is None:
             return 0.0
         cold = self._now < row.cold_until
         if not (cold or row.strikes or row.dark < NEVER) and self._now >= max(row.open_until, row.window_end):
-            del self._rows[key]
+            del self._rows[route.limit]
             return 0.0
-        paced = row.spent_at + row.spent / self._budget(row, destination) if cold else 0.0
+        paced = row.spent_at + row.spent / self._budget(row, destination, route.limit) if cold else 0.0
         return max(row.open_until, row.next_at if row.strikes and row.cold_until < NEVER else 0.0, paced)
 
-    def _first_gate(self, destination: _Destination) -> float:
-        """The earliest time at which a call may go to any route of a destination."""
-        routes: Iterable[_Route] = destination.routes.values()
-        if not destination.kind.separate_routes:  # all of them share one row
-            routes = islice(routes, 1)
-        return min((self._gate(destination, route) for route in routes), default=NEVER)
+    def _first_gate(self, line: _Line) -> float:
+        """The earliest time at which a call may go to any route that a line's messages may use."""
+        return min((self._gate(line.destination, route) for route in line.routes()), default=NEVER)
 
-    def _rate(self, destination: _Destination) -> float:
+    def _rate(self, destination: _Destination, limit: _Limit) -> float:
         """This sender's part of the calls a second told for all: its own flow's, the even part at least.
 
         Guards a limit on calls: a flow of messages that are told one by one would take it many times over.
         """
-        own = destination.flow / destination.kind.max_batch
-        whole = destination.limit or destination.listed or own
+        own = self._flow(destination) / destination.kind.max_batch
+        whole = limit.told or limit.listed or own
         return min(whole, max(own, whole / self._set.senders))
 
-    def _space(self, key: object, destination: _Destination, size: int) -> None:
+    def _flow(self, destination: _Destination) -> float:
+        """This sender's messages a second for what shares one limit."""
+        return destination.flow / (len(destination.routes) or 1 if destination.kind.separate_routes else 1)
+
+    def _space(self, destination: _Destination, limit: _Limit, size: int) -> None:
         """Note a call: evenly spaced after refusals, charged to the budget while cold."""
-        row = self._rows.get(key) or _Row()
+        row = self._rows.get(limit) or _Row()
         jitter = self._random.uniform(1.0, 1.1)
-        row.next_at = self._now + jitter * self._gap(row, destination)
+        row.next_at = self._now + jitter * self._gap(row, destination, limit)
         row.spent, row.spent_at = jitter * (1.0 + ITEM_WEIGHT * (size - 1)), self._now
 
-    def _gap(self, row: _Row, destination: _Destination) -> float:
+    def _gap(self, row: _Row, destination: _Destination, limit: _Limit) -> float:
         """Seconds between two calls of this sender while refusals have them spaced."""
-        return float(SLOWER ** max(0.0, row.strikes - 1.0)) / self._rate(destination)
+        return float(SLOWER ** max(0.0, row.strikes - 1.0)) / self._rate(destination, limit)
 
-    def _budget(self, row: _Row, destination: _Destination) -> float:
+    def _budget(self, row: _Row, destination: _Destination, limit: _Limit) -> float:
         """This sender's part of the calls a second that a destination coming back can bear by now."""
         warm = max(0.0, 1.0 - (row.cold_until - self._now) / (self._set.cold_seconds or 1.0))
         share = self._set.cold_start_share + (1.0 - self._set.cold_start_share) * warm
-        even = (destination.limit or destination.listed or NEVER) / self._set.senders
+        even = (limit.told or limit.listed or NEVER) / self._set.senders
         # Guards a hot destination before a call has succeeded: all flows together may be far above its limit.
-        tried = min(destination.flow, max(1.0 / WINDOW, UNEVEN * even))
-        part = tried if row.cold_until == NEVER else self._rate(destination)
+        tried = min(self._flow(destination), max(1.0 / WINDOW, UNEVEN * even))
+        part = tried if row.cold_until == NEVER else self._rate(destination, limit)
         return part * share * self._set.tip_multiple * COLD_MARGIN
 
     # ---- messages ----
@@ -301,7 +334,8 @@
         aim = kind.aim + kind.aim_stretch * (event.work_hint or 0.0)
         message = self._messages[event.message] = _Message(
             event.message, event.message_class, kind, event.destination, event.due, min(event.due, event.due
-            - kind.deadline + aim), event.key if kind.ordered else None, event.attempts, event.maybe_ran)
+            - kind.deadline + aim), event.key if kind.ordered else None, event.attempts, event.maybe_ran,
+            event.ran_in)
         self._held += 1
         destination = self._destination(event.destination)
         kept = max(0.0, 1.0 - (self._now - destination.flow_at) / WINDOW)
@@ -325,23 +359,31 @@
         kind = message.kind
         if message.maybe_ran is None or kind.effect is Effect.SAFE:
             return NEVER
-        if kind.effect is Effect.UNSAFE or kind.dedup_scope is not api.DedupScope.DESTINATION:
+        if kind.effect is Effect.UNSAFE or (message.zoned and message.ran_in is None):
             return -NEVER
         return message.maybe_ran + kind.dedup_window
 
     def _latest_start(self, message: _Message) -> float:
-        """The last time at which a further attempt is allowed and a usual call still fits."""
-        return min(message.due - self._usual(message), self._repeatable_until(message) - self._set.tick)
+        """The last time at which a further attempt is allowed and a usual call still fits.
+
+        A repeat counts from when it leaves, which a new connection may put off.
+        """
+        margin = self._set.connect_timeout + self._set.tick
+        return min(message.due - self._usual(message), self._repeatable_until(message) - margin)
 
     def _queue(self, message: _Message) -> None:
         """Put a message in line at its destination, unless it cannot wait for the close."""
         if message.attempts >= self._set.max_attempts or self._too_late(message):
             self._give_up(message)
         else:
-            destination = self._destination(message.destination)
+            line = self._line(message)
             self._sequence += 1
-            heappush(destination.fresh, (message.aim_at, 0.0, self._sequence, message))
-            self._waiting[destination.number] = None
+            heappush(line.fresh, (message.aim_at, 0.0, self._sequence, message))
+            self._waiting[line] = None
+
+    def _line(self, message: _Message) -> _Line:
+        """Where a message waits: once it may have run, for the zone that drops its repeats."""
+        return self._destination(message.destination).line(message.ran_in if message.zoned else None)
 
     def _too_late(self, message: _Message) -> bool:
         """Whether a usual call fits neither now nor after the close."""
@@ -349,13 +391,13 @@
 
     def _close(self, message: _Message) -> float:
         """When the first of the message's routes closes again; no endpoint yet is no reason to refuse."""
-        destination = self._destination(message.destination)
-        rows = [self._rows.get(self._row_key(destination, route)) for route in destination.routes.values()]
+        rows = [self._rows.get(route.limit) for route in self._line(message).routes()]
         return min((row.open_until if row else 0.0 for row in rows), default=0.0)
 
     def _give_up(self, message: _Message) -> None:
         """The final answer, at once, for a message that will not be sent again: a refusal where allowed."""
-        if self._now < self._repeatable_until(message):
+        said = message.zoned and message.maybe_ran is not None  # a client may take it to another zone
+        if self._now < self._repeatable_until(message) and not said:
             wait = min(self._close(message) - self._now, self._set.max_retry_after)
             advised = self._set.advises_retry_after and wait > 0.0
             self._out.append(api.Refuse(message.id, wait if advised else None))
@@ -405,16 +447,16 @@
         Guards a healthy destination with small calls: nothing paces it, so that its line, however long by the
         rate told for it, is over before that of one that is shut.
         """
-        gate, calls = self._first_gate(destination), -(-count // destination.kind.max_batch)
+        gate, calls = self._first_gate(destination.line(None)), -(-count // destination.kind.max_batch)
         if gate == NEVER:
             return NEVER
         route = min(destination.routes.values(), key=lambda r: self._gate(destination, r))
-        row = self._rows.get(self._row_key(destination, route)) or _Row()
+        row = self._rows.get(route.limit) or _Row()
         each = max(destination.usual.values(), default=0.0) / self._slots
         if self._now < row.cold_until:
-            line = (calls + ITEM_WEIGHT * (count - calls)) / self._budget(row, destination)
+            line = (calls + ITEM_WEIGHT * (count - calls)) / self._budget(row, destination, route.limit)
         else:
-            line = calls * (self._gap(row, destination) if row.strikes else 0.0)
+            line = calls * (self._gap(row, destination, route.limit) if row.strikes else 0.0)
         return max(0.0, gate - self._now) + max(line, calls * each)
 
     def _expire(self) -> None:
@@ -435,7 +477,7 @@
             return
         call, outcome = message.call, event.outcome
         if outcome not in NOT_RUN and message.maybe_ran is None:
-            message.maybe_ran = call.sent
+            message.maybe_ran, message.ran_in = call.sent, call.route.zone
         call.left -= 1
         if not call.left:
             if call.route.calls > (call.route.connections - 1) * self._set.calls_per_connection:
@@ -462,12 +504,12 @@
     def _learn(self, message: _Message, call: _Call, event: api.AttemptEnded) -> None:
         """What an outcome shows of its destination. A shared call has one fate and counts once."""
         destination, route, outcome, now = call.destination, call.route, event.outcome, self._now
-        key = self._row_key(destination, route)
+        limit = route.limit
         told = dict(zip(self._set.report_fields, event.report, strict=False))
-        destination.limit = max(0.0, told.get("x1", destination.limit))
+        limit.told = max(0.0, told.get("x1", limit.told))
         if outcome is Outcome.OK:
-            route.failed = False
-            destination.ok_sent = max(destination.ok_sent, call.sent)
+            route.failed.pop(message.index, None)
+            limit.ok_sent = max(limit.ok_sent, call.sent)
             usual = destination.usual.get(message.index, event.elapsed)
             destination.usual[message.index] = usual + LEARN * (event.elapsed - usual)
         if not call.judged:
@@ -476,31 +518,39 @@
                 self._judge_idle(call, -STALE_BACK if outcome is Outcome.OK else 1.0)
             if outcome is Outcome.OK:
                 # A gap beyond the aim would cost more than the refusals that it spares.
-                scarce = destination.limit > 0.0 and told.get("x0", 1.0) < SCARCE
-                self._success(key, destination, scarce and self._rate(destination) * message.kind.aim >= 1.0)
-                if call.sent >= destination.refused_at:
-                    self._crowded_until = max(self._crowded_until, destination.refused_at + CROWDED)
+                scarce = limit.told > 0.0 and told.get("x0", 1.0) < SCARCE
+                rate = self._rate(destination, limit)
+                self._success(destination, limit, scarce and rate * message.kind.aim >= 1.0)
+                if call.sent >= limit.refused_at:
+                    self._crowded_until = max(self._crowded_until, limit.refused_at + CROWDED)
             elif outcome not in (Outcome.CANCELLED, Outcome.NOT_SENT):
-                route.failed = outcome is not Outcome.FULL
+                if outcome is Outcome.FULL:
+                    route.failed.pop(message.index, None)
+                else:
+                    self._shun(call)
                 if outcome is Outcome.CONNECT_FAILED:
-                    destination.refused_at = now
+                    limit.refused_at = now
                 if outcome in NOT_RUN:
-                    row = self._rows.setdefault(key, _Row())
+                    row = self._rows.setdefault(limit, _Row())
                     # One of many senders sees few calls taken. A limit that reports itself used up counts
                     # like one, unless the wait is too long for it; a wait with it unused tells of a shut one.
-                    wait, left = event.retry_after or 0.0, told.get("x0", 0.0) if destination.limit else 0.0
+                    wait, left = event.retry_after or 0.0, told.get("x0", 0.0) if limit.told else 0.0
                     row.dark = NEVER if 0.0 < left < SPENT and wait < DARK else min(row.dark, now)
-                    if wait and left >= SPENT and destination.ok_sent < now - WINDOW:
+                    if wait and left >= SPENT and limit.ok_sent < now - WINDOW:
                         row.dark = -NEVER
                     row.strikes += outcome is Outcome.FULL
-                self._space(key, destination, 1)
+                self._space(destination, limit, 1)
                 # A connect without an answer is silence: the host is gone. A full table says no at once.
                 silent = outcome is Outcome.CONNECT_FAILED and event.elapsed >= self._set.connect_timeout
-                self._failure(key, destination, None if silent else outcome)
+                self._failure(destination, limit, None if silent else outcome)
         if event.retry_after:
-            row = self._rows.setdefault(key, _Row())
+            row = self._rows.setdefault(limit, _Row())
             self._open(row, destination, now + event.retry_after + self._set.tick)
 
+    def _shun(self, call: _Call) -> None:
+        """Prefer other endpoints for a window; a class that succeeds here meanwhile is out of it."""
+        call.route.failed = dict.fromkeys(range(len(self._set.classes)), self._now + WINDOW)
+
     def _judge_idle(self, call: _Call, weight: float) -> None:
         """Learn after how long the path drops idle connections, losing calls; a mistake costs handshakes."""
         if call.idle > self._set.keepalive * IDLE_PART and self._stale < STALE:
@@ -515,13 +565,14 @@
         """
         while self._overdue and self._overdue[0][0] <= self._now:
             call = heappop(self._overdue)[2]
-            answers = call.destination.ok_sent > call.sent
+            answers = call.route.limit.ok_sent > call.sent
             if call.left:
                 self._stuck = [*(stuck for stuck in self._stuck if stuck.left), call]
                 self._judge_idle(call, 1.0 if answers else STALE_BACK)
+                self._shun(call)
                 if not answers and not call.judged:
-                    call.judged = call.route.failed = True
-                    self._failure(self._row_key(call.destination, call.route), call.destination, None)
+                    call.judged = True
+                    self._failure(call.destination, call.route.limit, None)
 
     # ---- the endpoint list ----
 
@@ -531,9 +582,6 @@
             destination = self._destinations[number] = _Destination(number)
         return destination
 
-    def _row_key(self, destination: _Destination, route: _Route) -> object:
-        return route.address if destination.kind.separate_routes else destination.number
-
     def _updated(self, event: api.EndpointsUpdated) -> None:
         if event.scope is api.UpdateScope.FAILED:
             if self._set.discovery_on_request:
@@ -552,10 +600,14 @@
                 continue
             destination = self._destination(endpoint.destination)
             destination.kind = self._set.kinds[endpoint.kind]
-            destination.listed = endpoint.rate if self._set.listed_rates else 0.0
             if endpoint.address not in destination.routes:
-                destination.routes[endpoint.address] = _Route(endpoint.address)
+                limit = next((r.limit for r in destination.routes.values()), _Limit(destination.number))
+                if destination.kind.separate_routes:
+                    limit = _Limit(endpoint.address)
+                destination.routes[endpoint.address] = _Route(endpoint.address, endpoint.zone, limit)
                 self._where[endpoint.address] = endpoint.destination
+            listed = endpoint.rate if self._set.listed_rates else 0.0
+            destination.routes[endpoint.address].limit.listed = listed
 
     def _ask_pause(self) -> float:
         """Seconds between two calls for the list of this sender while they fail.
@@ -576,27 +628,29 @@
     def _dispatch(self) -> float:
         """Send what may go, the most pressing first; returns when to look again."""
         wake = NEVER
-        order: list[tuple[tuple[bool, float], int]] = []
-        for number in list(self._waiting):
-            wake = min(wake, self._line_up(order, self._destinations[number]))
+        order: list[tuple[bool, float, int, _Line]] = []
+        for line in list(self._waiting):
+            wake = min(wake, self._line_up(order, line))
         while order and self._calls < self._set.max_calls:
-            destination = self._destinations[heappop(order)[1]]
-            if destination.calls < self._slots:
-                self._send(destination)
-                wake = min(wake, self._line_up(order, destination))
+            line = heappop(order)[-1]
+            if line.destination.calls < self._slots:
+                if self._first_gate(line) <= self._now:  # another line may have taken the turn
+                    self._send(line)
+                wake = min(wake, self._line_up(order, line))
         if order and self._set.may_cancel and self._calls >= self._set.max_calls:
             self._free_slots(len(order))
         return wake
 
-    def _line_up(self, order: list[tuple[tuple[bool, float], int]], destination: _Destination) -> float:
-        """Rank a destination's next call; returns when it may go, if that is later."""
-        head, gate = self._head(destination), self._first_gate(destination)
+    def _line_up(self, order: list[tuple[bool, float, int, _Line]], line: _Line) -> float:
+        """Rank a line's next call; returns when it may go, if that is later."""
+        head, gate = self._head(line), self._first_gate(line)
         if head is None:
-            del self._waiting[destination.number]
+            del self._waiting[line]
         elif gate > self._now:
             return gate
         else:
-            heappush(order, (head, destination.number))
+            self._sequence += 1
+            heappush(order, (*head, self._sequence, line))
         return NEVER
 
     def _free_slots(self, wanted: int) -> None:
@@ -606,33 +660,33 @@
         """
         for call in sorted(self._stuck, key=lambda call: sum(
                 message.kind.effect is Effect.UNSAFE for message in call.messages)):
-            if wanted and call.left and (call.destination.ok_sent < call.sent or self._now > call.lost_at):
+            if wanted and call.left and (call.route.limit.ok_sent < call.sent or self._now > call.lost_at):
                 wanted -= 1
                 self._out.extend(api.Cancel(m.id, m.attempts - 1) for m in call.messages if m.call is call)
 
-    def _head(self, destination: _Destination) -> tuple[bool, float] | None:
+    def _head(self, line: _Line) -> tuple[bool, float] | None:
         """The rank of the next call: in time before late, then by slot time for each unit of worth."""
-        size = min(destination.kind.max_batch, len(destination.fresh) + len(destination.late))
-        for line, is_late in ((destination.fresh, False), (destination.late, True)):
-            while line:
-                message = line[0][-1]
+        size = min(line.destination.kind.max_batch, len(line.fresh) + len(line.late))
+        for entries, is_late in ((line.fresh, False), (line.late, True)):
+            while entries:
+                message = entries[0][-1]
                 in_line = message.in_line
                 if in_line and (is_late or self._now + self._usual(message) <= message.aim_at):
                     return is_late, self._usual(message) / (size * message.kind.worth)
-                heappop(line)
+                heappop(entries)
                 if in_line:
-                    heappush(destination.late, (-message.kind.worth, -message.aim_at, message.id, message))
+                    heappush(line.late, (-message.kind.worth, -message.aim_at, message.id, message))
         return None
 
-    def _send(self, destination: _Destination) -> None:
+    def _send(self, line: _Line) -> None:
         """Make one call."""
-        now, per = self._now, self._set.calls_per_connection
-        routes = [route for route in destination.routes.values() if self._gate(destination, route) <= now]
+        now, per, destination = self._now, self._set.calls_per_connection, line.destination
+        routes = [route for route in line.routes() if self._gate(destination, route) <= now]
+        index = (line.fresh or line.late)[0][-1].index
         # Of equals any: every sender has the list in one order, and all would take the first.
-        route = min(routes, key=lambda r: (r.failed, r.calls + (0.0 if self._connected(r) else 0.75),
-                                           self._random.random()))
-        key = self._row_key(destination, route)
-        row = self._rows.get(key) or _Row()
+        route = min(routes, key=lambda r: (r.failed.get(index, 0.0) > now, r.calls + (
+            0.0 if self._connected(r) else 0.75), self._random.random()))
+        row = self._rows.get(route.limit) or _Row()
         unproven = row.cold_until == NEVER
         size = 1 if unproven and row.dark == NEVER else destination.kind.max_batch
         call, overdue = _Call(destination, route, now), 0.0
@@ -647,7 +701,7 @@
         route.calls += 1
         if route.calls > (route.connections - 1) * per:
             route.all_used = now
-        while call.left < size and (message := self._take(destination, unproven)):
+        while call.left < size and (message := self._take(line, unproven)):
             message.call = call
             call.messages.append(message)
             message.attempts += 1
@@ -662,7 +716,7 @@
         self._sequence += 1
         call.lost_at = now + overdue * PATIENCE
         heappush(self._overdue, (now + overdue, self._sequence, call))
-        self._space(key, destination, call.left)
+        self._space(destination, route.limit, call.left)
 
     def _worth_keeping(self, message: _Message) -> bool:
         """Whether its next call comes so soon that a connection earns its place in the endpoint's table.
@@ -671,7 +725,7 @@
         the places of the others' calls, and those that hold one are never turned away and never learn of it.
         """
         destination, senders = self._destination(message.destination), self._set.senders
-        if destination.number in self._waiting and self._first_gate(destination) <= self._now:
+        if any(e in self._waiting and self._first_gate(e) <= self._now for e in destination.lines.values()):
             return True
         in_use = destination.flow * self._usual(message) / BUSY_PART
         return senders * (1.0 - in_use) <= HANDFUL
@@ -682,14 +736,14 @@
             route.connections = -(-route.calls // self._set.calls_per_connection)
         return route.calls < route.connections * self._set.calls_per_connection
 
-    def _take(self, destination: _Destination, unproven: bool) -> _Message | None:
+    def _take(self, line: _Line, unproven: bool) -> _Message | None:
         """The next message to send. On an unproven destination one that may be repeated goes first."""
-        if self._head(destination) is None:
+        if self._head(line) is None:
             return None
-        for message in destination.waiting() if unproven else ():
+        for message in line.waiting() if unproven else ():
             if message.kind.effect is not Effect.UNSAFE:
                 return message
-        return heappop(destination.fresh or destination.late)[-1]
+        return heappop(line.fresh or line.late)[-1]
 
     def _set_timer(self, wake: float) -> None:
         for line, late in ((self._overdue, 0.0), (self._resting, 0.0), (self._expiry, self._set.tick)):
--- a/irisstack/interface.py
+++ b/irisstack/interface.py
@@ -178,6 +178,8 @@
     attempts: int = 0
     maybe_ran: float | None = None
     """When the first attempt that may have run was sent."""
+    ran_in: int | None = None
+    """The zone of the endpoint that it was sent to, where that is still known."""
 
 
 @dataclass(slots=True, frozen=True)
