Tell failures to all senders and count them together; bound the gap after a refusal

Change: failures, but for refusals and resets, are told to all senders where notes are allowed, and the first success after one is told too; six with no success between open the row everywhere and mark it cold; refusals count among them once they have lasted for DARK. The gap is 2 s at most before it is stretched, spread from half to one and a half where it is no even part; a success takes back a whole step; a flow counts as calls by what they may carry, but as one in 2 s where it has so many. A refusal advises when this sender's own turn comes (its gate), not only the close.

--- a/irisstack/choice.py
+++ b/irisstack/choice.py
@@ -16,6 +16,7 @@
 
 WINDOW = 10.0  # seconds in which failures are counted together
 THRESHOLD = 3  # the failure that opens
+SHARED = 6  # and the one of those that all senders are told of
 TOLERATED = 0.25  # failures for each success in the window that do not open yet
 OPEN_FOR = 2.0  # seconds an opened row stays open: longer parks fill the holding room of a small sender
 DARK = 3.0  # seconds of refusals with no call taken after which a destination counts as shut
@@ -23,7 +24,8 @@
 SPENT = 0.75  # a share left under this explains a refusal: it is the limit, and the destination is not shut
 SCARCE = 1.0 - SPENT  # a share left under this has calls spaced before any is refused
 SLOWER = 1.5  # each further refusal stretches the gap between calls by this
-RECOVER = 0.25  # of a refusal's step is taken back by each call that succeeds
+FIRST_GAP = 2.0  # seconds between two calls after a refusal, at most, before it is stretched
+RECOVER = 1.0  # refusals' steps taken back by each call that succeeds
 COLD_MARGIN = 0.7  # part of the fail-back budget that is used: the capacity behind it is an estimate
 ITEM_WEIGHT = 0.2  # what each further message of a shared call weighs against the fail-back budget
 OVERDUE = 4.0  # a call is overdue after this many usual times
@@ -41,6 +43,8 @@
 RESUBSCRIBE = 0.2  # seconds for each sender before the first renewed subscription after a failure; doubles
 SPREAD = 0.25  # of that time in which the senders first subscribe
 
+FAILED, SERVED = b"F", b"S"  # what notes to the other senders say
+
 NEVER = float("inf")
 NOT_RUN = frozenset((Outcome.FULL, Outcome.CONNECT_FAILED, Outcome.NOT_SENT))
 
@@ -50,6 +54,7 @@
     """The breaker's row of one destination (or route): the design's whole memory of its trouble."""
 
     count: int = 0
+    shared: int = 0  # of these, the ones that all senders were told of
     served: int = 0  # calls that succeeded in the same window
     window_end: float = 0.0
     open_until: float = 0.0
@@ -65,7 +70,8 @@
 class _Limit:
     """What calls to a destination, or to one of its routes apart, have in common: row, limit, outages."""
 
-    key: object  # the destination's number, or the route's address
+    key: bytes  # names it in notes: the destination's number, or the route's address
+    destination: "_Destination"
     listed: float = 0.0
     told: float = 0.0  # calls a second, as it reports them
     ok_sent: float = -NEVER  # when the newest call that succeeded was sent
@@ -101,10 +107,6 @@
     def line(self, zone: int | None) -> "_Line":
         return self.lines.get(zone) or self.lines.setdefault(zone, _Line(self, zone))
 
-    def waiting(self) -> "list[_Message]":
-        """The messages in line, the most pressing ones first, if not quite in order."""
-        return [message for line in self.lines.values() for message in line.waiting()]
-
 
 @dataclass(slots=True, eq=False)
 class _Line:
@@ -116,6 +118,7 @@
     late: "list[_Entry]" = field(default_factory=list)  # by worth, newest first
 
     def waiting(self) -> "list[_Message]":
+        """Those in line, the most pressing ones first, if not quite in order."""
         return [entry[-1] for entry in (*self.fresh, *self.late) if entry[-1].in_line]
 
     def routes(self) -> "list[_Route]":
@@ -126,7 +129,6 @@
 class _Call:
     """One call: the messages that went to one endpoint in one turn, with one fate."""
 
-    destination: _Destination
     route: _Route
     sent: float
     lost_at: float = NEVER  # when a repeatable message's time-out comes
@@ -176,6 +178,7 @@
         self._now = 0.0
         self._out: list[api.Action] = []
         self._rows: dict[_Limit, _Row] = {}
+        self._limits: dict[bytes, _Limit] = {}
         self._destinations: dict[int, _Destination] = {}
         self._where: dict[api.Address, int] = {}
         self._messages: dict[int, _Message] = {}
@@ -197,7 +200,9 @@
     def turn(self, now: float, events: Iterable[api.Event]) -> list[api.Action]:
         """Take all that came at one time and answer with what to do about it."""
         self._now, self._out = now, []
+        moved = False  # whether anything may have changed what goes when
         for event in events:
+            moved = moved or not isinstance(event, api.PeerMessage)
             match event:
                 case api.AttemptEnded():
                     self._ended(event)
@@ -213,8 +218,12 @@
                     message = self._messages.get(event.message)
                     if message is not None and not message.over:
                         self._finish(message)
+                case api.PeerMessage():
+                    moved = self._heard(event.data[:1], self._limits.get(event.data[1:])) or moved
                 case api.TimerFired() if event.token == self._timers:
                     self._wake = NEVER
+        if not moved:
+            return self._out
         self._look_for_silence()
         while self._resting and self._resting[0][0] <= now:
             self._next_of_key(heappop(self._resting)[1])
@@ -227,24 +236,31 @@
 
     # ---- the row ----
 
-    def _failure(self, destination: _Destination, limit: _Limit, reason: Outcome | None) -> None:
-        """Count a refusal or an error; the third within the window opens the row."""
-        now, row = self._now, self._rows.setdefault(limit, _Row())
+    def _failure(self, limit: _Limit, reason: Outcome | None, heard: bool = False) -> bool:
+        """Count a refusal or an error; the third within the window opens the row. Returns whether it did."""
+        now, told, row = self._now, self._set.may_tell_peers, self._rows.setdefault(limit, _Row())
         if now < row.open_until:
-            return  # landing while open: neither counts nor extends
+            return False  # landing while open: neither counts nor extends
         if now >= row.window_end:
-            row.count, row.served, row.window_end = 0, 0, now + WINDOW
+            row.count, row.shared, row.served, row.window_end = 0, 0, 0, now + WINDOW
         row.count += 1
+        if told and reason is not Outcome.RESET and (reason is not Outcome.FULL or now > row.dark + DARK):
+            row.shared += 1
+            if not heard:
+                self._out.append(api.TellPeer(None, FAILED + limit.key))
         # Few errors among many successes (a lossy path, one failing class) must not shut the rest out.
         few = reason is not Outcome.FULL and row.count < row.served * TOLERATED
         # One of many senders has too few calls in a window to see the third: what may have run opens sooner.
-        most = THRESHOLD if reason in NOT_RUN else max(1.0, self._rate(destination, limit) * WINDOW // 1.0)
-        if row.count >= min(THRESHOLD, most) and not few:
-            row.count = 0
-            row.cold_until = row.cold_until if reason in NOT_RUN else NEVER
-            self._open(row, destination, now + OPEN_FOR)
-            why = reason.name if reason else "SILENCE"
-            self._out.append(api.Log(f"destination {destination.number} open for {OPEN_FOR:g} s after {why}"))
+        most = THRESHOLD if reason in NOT_RUN or told else max(1.0, self._rate(limit) * WINDOW // 1.0)
+        if (row.count - row.shared >= min(THRESHOLD, most) and not few) or row.shared >= SHARED:
+            down = row.shared >= SHARED if told else reason not in NOT_RUN
+            row.count = row.shared = 0
+            row.cold_until = NEVER if down else row.cold_until
+            self._open(row, limit.destination, now + OPEN_FOR)
+            number, why = limit.destination.number, reason.name if reason else "SILENCE"
+            self._out.append(api.Log(f"destination {number} open for {OPEN_FOR:g} s after {why}"))
+            return True
+        return False
 
     def _open(self, row: _Row, destination: _Destination, until: float) -> None:
         """Move the open-until time; messages that cannot wait for it are given up at once."""
@@ -252,15 +268,15 @@
         # Many senders told one close would all call at it: each takes one of as many places in the first gap.
         many = self._set.senders
         row.spent, row.spent_at = self._random.randrange(many) / many, row.open_until
-        if row.open_until > row.dark + DARK:
+        if row.open_until > (self._now if self._set.may_tell_peers else row.dark) + DARK:
             # A busy destination's limit or full connection table turns calls away too, but not for long
             # without taking one. Turned away or told to wait longer than that, it will come back cold.
             row.cold_until = NEVER
-        for message in destination.waiting():
+        for message in [m for line in destination.lines.values() for m in line.waiting()]:
             if not message.over and self._too_late(message):
                 self._give_up(message)
 
-    def _success(self, destination: _Destination, limit: _Limit, scarce: bool) -> None:
+    def _success(self, limit: _Limit, scarce: bool) -> None:
         """A call that ended well takes back part of the slowing; the spacing lapses once nothing waits.
 
         One that reports little of the limit left begins it: guards a limit that many senders reach together,
@@ -268,16 +284,32 @@
         """
         row = self._rows.setdefault(limit, _Row()) if scarce else self._rows.get(limit) or _Row()
         row.served, row.dark = row.served + 1, NEVER
-        if row.cold_until == NEVER and self._now >= row.open_until:
+        back = row.cold_until == NEVER and self._now >= row.open_until
+        if self._set.may_tell_peers and (row.shared or back):
+            self._out.append(api.TellPeer(None, SERVED + limit.key))
+            row.count, row.shared = row.count - row.shared, 0
+        if back:
             row.cold_until, row.strikes = self._now + self._set.cold_seconds, 0.0  # a shut one shows no limit
             limit.refused_at = NEVER  # and one that was down no full table
         if scarce:
             row.strikes = max(row.strikes, 1.0)
         elif row.strikes:
-            waits = any(line in self._waiting for line in destination.lines.values())
+            waits = any(line in self._waiting for line in limit.destination.lines.values())
             row.strikes = max(float(waits), row.strikes - RECOVER)
 
-    def _gate(self, destination: _Destination, route: _Route) -> float:
+    def _heard(self, what: bytes, limit: _Limit | None) -> bool:
+        """A note: a failure counts, a success ends their run. Returns whether what may go when has changed."""
+        if limit is None or what != SERVED:
+            return limit is not None and what == FAILED and self._failure(limit, None, heard=True)
+        limit.ok_sent = max(limit.ok_sent, self._now - max(limit.destination.usual.values(), default=0.0))
+        if row := self._rows.get(limit):
+            row.count, row.shared, row.dark = row.count - row.shared, 0, NEVER
+            if row.cold_until == NEVER:
+                row.cold_until, row.strikes = self._now + self._set.cold_seconds, 0.0
+                return True
+        return False
+
+    def _gate(self, route: _Route) -> float:
         """The earliest time at which a call may go there. Closed, empty rows drop here."""
         row = self._rows.get(route.limit)
         if row is None:
@@ -286,45 +318,49 @@
         if not (cold or row.strikes or row.dark < NEVER) and self._now >= max(row.open_until, row.window_end):
             del self._rows[route.limit]
             return 0.0
-        paced = row.spent_at + row.spent / self._budget(row, destination, route.limit) if cold else 0.0
+        paced = row.spent_at + row.spent / self._budget(row, route.limit) if cold else 0.0
         return max(row.open_until, row.next_at if row.strikes and row.cold_until < NEVER else 0.0, paced)
 
     def _first_gate(self, line: _Line) -> float:
         """The earliest time at which a call may go to any route that a line's messages may use."""
-        return min((self._gate(line.destination, route) for route in line.routes()), default=NEVER)
+        return min((self._gate(route) for route in line.routes()), default=NEVER)
 
-    def _rate(self, destination: _Destination, limit: _Limit) -> float:
+    def _rate(self, limit: _Limit) -> float:
         """This sender's part of the calls a second told for all: its own flow's, the even part at least.
 
         Guards a limit on calls: a flow of messages that are told one by one would take it many times over.
         """
-        own = self._flow(destination) / destination.kind.max_batch
+        own = max((flow := self._flow(limit)) / limit.destination.kind.max_batch, min(flow, 1.0 / FIRST_GAP))
         whole = limit.told or limit.listed or own
         return min(whole, max(own, whole / self._set.senders))
 
-    def _flow(self, destination: _Destination) -> float:
+    def _flow(self, limit: _Limit) -> float:
         """This sender's messages a second for what shares one limit."""
-        return destination.flow / (len(destination.routes) or 1 if destination.kind.separate_routes else 1)
+        there = limit.destination
+        return there.flow / max(1, len(there.routes) if there.kind.separate_routes else 1)
 
-    def _space(self, destination: _Destination, limit: _Limit, size: int) -> None:
+    def _space(self, limit: _Limit, size: int) -> None:
         """Note a call: evenly spaced after refusals, charged to the budget while cold."""
         row = self._rows.get(limit) or _Row()
-        jitter = self._random.uniform(1.0, 1.1)
-        row.next_at = self._now + jitter * self._gap(row, destination, limit)
+        jitter, least = self._random.uniform(1.0, 1.1), 1.0 / self._rate(limit)
+        # A gap that is no even part of a rate is spread: all that were refused together would meet again.
+        spread = jitter if least < FIRST_GAP else self._random.uniform(0.5, 1.5)
+        row.next_at = self._now + spread * self._gap(row, limit)
         row.spent, row.spent_at = jitter * (1.0 + ITEM_WEIGHT * (size - 1)), self._now
 
-    def _gap(self, row: _Row, destination: _Destination, limit: _Limit) -> float:
+    def _gap(self, row: _Row, limit: _Limit) -> float:
         """Seconds between two calls of this sender while refusals have them spaced."""
-        return float(SLOWER ** max(0.0, row.strikes - 1.0)) / self._rate(destination, limit)
+        slower = float(SLOWER ** max(0.0, row.strikes - 1.0))
+        return slower * min(1.0 / self._rate(limit), FIRST_GAP)
 
-    def _budget(self, row: _Row, destination: _Destination, limit: _Limit) -> float:
+    def _budget(self, row: _Row, limit: _Limit) -> float:
         """This sender's part of the calls a second that a destination coming back can bear by now."""
         warm = max(0.0, 1.0 - (row.cold_until - self._now) / (self._set.cold_seconds or 1.0))
         share = self._set.cold_start_share + (1.0 - self._set.cold_start_share) * warm
         even = (limit.told or limit.listed or NEVER) / self._set.senders
         # Guards a hot destination before a call has succeeded: all flows together may be far above its limit.
-        tried = min(self._flow(destination), max(1.0 / WINDOW, UNEVEN * even))
-        part = tried if row.cold_until == NEVER else self._rate(destination, limit)
+        tried = min(self._flow(limit), max(1.0 / WINDOW, UNEVEN * even))
+        part = tried if row.cold_until == NEVER else self._rate(limit)
         return part * share * self._set.tip_multiple * COLD_MARGIN
 
     # ---- messages ----
@@ -350,8 +386,7 @@
 
     def _usual(self, message: _Message) -> float:
         """How long a call of this class takes at this destination."""
-        destination = self._destinations.get(message.destination)
-        usual = destination.usual.get(message.index) if destination else None
+        usual = self._destination(message.destination).usual.get(message.index)
         return message.kind.aim * FIRST_USUAL if usual is None else usual
 
     def _repeatable_until(self, message: _Message) -> float:
@@ -364,10 +399,8 @@
         return message.maybe_ran + kind.dedup_window
 
     def _latest_start(self, message: _Message) -> float:
-        """The last time at which a further attempt is allowed and a usual call still fits.
-
-        A repeat counts from when it leaves, which a new connection may put off.
-        """
+        """The last time at which a further attempt is allowed and a usual call still fits."""
+        # A repeat counts from when it leaves, which a new connection may put off.
         margin = self._set.connect_timeout + self._set.tick
         return min(message.due - self._usual(message), self._repeatable_until(message) - margin)
 
@@ -398,7 +431,7 @@
         """The final answer, at once, for a message that will not be sent again: a refusal where allowed."""
         said = message.zoned and message.maybe_ran is not None  # a client may take it to another zone
         if self._now < self._repeatable_until(message) and not said:
-            wait = min(self._close(message) - self._now, self._set.max_retry_after)
+            wait = min(self._first_gate(self._line(message)) - self._now, self._set.max_retry_after)
             advised = self._set.advises_retry_after and wait > 0.0
             self._out.append(api.Refuse(message.id, wait if advised else None))
         else:
@@ -450,13 +483,13 @@
         gate, calls = self._first_gate(destination.line(None)), -(-count // destination.kind.max_batch)
         if gate == NEVER:
             return NEVER
-        route = min(destination.routes.values(), key=lambda r: self._gate(destination, r))
+        route = min(destination.routes.values(), key=self._gate)
         row = self._rows.get(route.limit) or _Row()
         each = max(destination.usual.values(), default=0.0) / self._slots
         if self._now < row.cold_until:
-            line = (calls + ITEM_WEIGHT * (count - calls)) / self._budget(row, destination, route.limit)
+            line = (calls + ITEM_WEIGHT * (count - calls)) / self._budget(row, route.limit)
         else:
-            line = calls * (self._gap(row, destination, route.limit) if row.strikes else 0.0)
+            line = calls * (self._gap(row, route.limit) if row.strikes else 0.0)
         return max(0.0, gate - self._now) + max(line, calls * each)
 
     def _expire(self) -> None:
@@ -483,7 +516,7 @@
             if call.route.calls > (call.route.connections - 1) * self._set.calls_per_connection:
                 call.route.all_used = self._now
             self._calls -= 1
-            call.destination.calls -= 1
+            call.route.limit.destination.calls -= 1
             call.route.calls -= 1
         self._learn(message, call, event)
         message.call = None
@@ -503,15 +536,15 @@
 
     def _learn(self, message: _Message, call: _Call, event: api.AttemptEnded) -> None:
         """What an outcome shows of its destination. A shared call has one fate and counts once."""
-        destination, route, outcome, now = call.destination, call.route, event.outcome, self._now
-        limit = route.limit
+        route, limit, outcome, now = call.route, call.route.limit, event.outcome, self._now
         told = dict(zip(self._set.report_fields, event.report, strict=False))
         limit.told = max(0.0, told.get("x1", limit.told))
         if outcome is Outcome.OK:
             route.failed.pop(message.index, None)
             limit.ok_sent = max(limit.ok_sent, call.sent)
-            usual = destination.usual.get(message.index, event.elapsed)
-            destination.usual[message.index] = usual + LEARN * (event.elapsed - usual)
+            usual = limit.destination.usual
+            usual.setdefault(message.index, event.elapsed)
+            usual[message.index] += LEARN * (event.elapsed - usual[message.index])
         if not call.judged:
             call.judged = True
             if outcome in (Outcome.OK, Outcome.RESET):
@@ -519,8 +552,7 @@
             if outcome is Outcome.OK:
                 # A gap beyond the aim would cost more than the refusals that it spares.
                 scarce = limit.told > 0.0 and told.get("x0", 1.0) < SCARCE
-                rate = self._rate(destination, limit)
-                self._success(destination, limit, scarce and rate * message.kind.aim >= 1.0)
+                self._success(limit, scarce and self._rate(limit) * message.kind.aim >= 1.0)
                 if call.sent >= limit.refused_at:
                     self._crowded_until = max(self._crowded_until, limit.refused_at + CROWDED)
             elif outcome not in (Outcome.CANCELLED, Outcome.NOT_SENT):
@@ -539,13 +571,13 @@
                     if wait and left >= SPENT and limit.ok_sent < now - WINDOW:
                         row.dark = -NEVER
                     row.strikes += outcome is Outcome.FULL
-                self._space(destination, limit, 1)
+                self._space(limit, 1)
                 # A connect without an answer is silence: the host is gone. A full table says no at once.
-                silent = outcome is Outcome.CONNECT_FAILED and event.elapsed >= self._set.connect_timeout
-                self._failure(destination, limit, None if silent else outcome)
+                gone = outcome is Outcome.CONNECT_FAILED and event.elapsed >= self._set.connect_timeout
+                self._failure(limit, None if gone else outcome)
         if event.retry_after:
             row = self._rows.setdefault(limit, _Row())
-            self._open(row, destination, now + event.retry_after + self._set.tick)
+            self._open(row, limit.destination, now + event.retry_after + self._set.tick)
 
     def _shun(self, call: _Call) -> None:
         """Prefer other endpoints for a window; a class that succeeds here meanwhile is out of it."""
@@ -572,15 +604,12 @@
                 self._shun(call)
                 if not answers and not call.judged:
                     call.judged = True
-                    self._failure(call.destination, call.route.limit, None)
+                    self._failure(call.route.limit, None)
 
     # ---- the endpoint list ----
 
     def _destination(self, number: int) -> _Destination:
-        destination = self._destinations.get(number)
-        if destination is None:
-            destination = self._destinations[number] = _Destination(number)
-        return destination
+        return self._destinations.get(number) or self._destinations.setdefault(number, _Destination(number))
 
     def _updated(self, event: api.EndpointsUpdated) -> None:
         if event.scope is api.UpdateScope.FAILED:
@@ -601,9 +630,9 @@
             destination = self._destination(endpoint.destination)
             destination.kind = self._set.kinds[endpoint.kind]
             if endpoint.address not in destination.routes:
-                limit = next((r.limit for r in destination.routes.values()), _Limit(destination.number))
-                if destination.kind.separate_routes:
-                    limit = _Limit(endpoint.address)
+                apart, (host, port) = destination.kind.separate_routes, endpoint.address
+                key = host + port.to_bytes(2) if apart else endpoint.destination.to_bytes(4)
+                limit = self._limits.setdefault(key, _Limit(key, destination))
                 destination.routes[endpoint.address] = _Route(endpoint.address, endpoint.zone, limit)
                 self._where[endpoint.address] = endpoint.destination
             listed = endpoint.rate if self._set.listed_rates else 0.0
@@ -681,7 +710,7 @@
     def _send(self, line: _Line) -> None:
         """Make one call."""
         now, per, destination = self._now, self._set.calls_per_connection, line.destination
-        routes = [route for route in line.routes() if self._gate(destination, route) <= now]
+        routes = [route for route in line.routes() if self._gate(route) <= now]
         index = (line.fresh or line.late)[0][-1].index
         # Of equals any: every sender has the list in one order, and all would take the first.
         route = min(routes, key=lambda r: (r.failed.get(index, 0.0) > now, r.calls + (
@@ -689,7 +718,7 @@
         row = self._rows.get(route.limit) or _Row()
         unproven = row.cold_until == NEVER
         size = 1 if unproven and row.dark == NEVER else destination.kind.max_batch
-        call, overdue = _Call(destination, route, now), 0.0
+        call, overdue = _Call(route, now), 0.0
         if not self._connected(route):
             route.connections += 1
         elif self._stale >= STALE and now - route.all_used >= self._idle_limit:
@@ -716,7 +745,7 @@
         self._sequence += 1
         call.lost_at = now + overdue * PATIENCE
         heappush(self._overdue, (now + overdue, self._sequence, call))
-        self._space(destination, route.limit, call.left)
+        self._space(route.limit, call.left)
 
     def _worth_keeping(self, message: _Message) -> bool:
         """Whether its next call comes so soon that a connection earns its place in the endpoint's table.
