--- a/irisstack/choice.py
+++ b/irisstack/choice.py
@@ -330,7 +330,7 @@
 
         Guards a limit on calls: a flow of messages that are told one by one would take it many times over.
         """
-        own = max((flow := self._flow(limit)) / limit.destination.kind.max_batch, min(flow, 1.0 / FIRST_GAP))
+        own = max((flow := self._flow(limit)) / limit.destination.kind.max_batch, min(flow, 1 / FIRST_GAP))
         whole = limit.told or limit.listed or own
         return min(whole, max(own, whole / self._set.senders))
 
