--- a/irisstack/choice.py
+++ b/irisstack/choice.py
@@ -330,7 +330,8 @@
 
         Guards a limit on calls: a flow of messages that are told one by one would take it many times over.
         """
-        own = max((flow := self._flow(limit)) / limit.destination.kind.max_batch, min(flow, 1 / FIRST_GAP))
+        flow = self._flow(limit)
+        own = max(flow / limit.destination.kind.max_batch, min(flow, 1.0 / FIRST_GAP))
         whole = limit.told or limit.listed or own
         return min(whole, max(own, whole / self._set.senders))
 
@@ -400,8 +401,7 @@
 
     def _latest_start(self, message: _Message) -> float:
         """The last time at which a further attempt is allowed and a usual call still fits."""
-        # A repeat counts from when it leaves, which a new connection may put off.
-        margin = self._set.connect_timeout + self._set.tick
+        margin = self._set.connect_timeout + self._set.tick  # a repeat counts from when it leaves
         return min(message.due - self._usual(message), self._repeatable_until(message) - margin)
 
     def _queue(self, message: _Message) -> None:
