--- a/irisstack/choice.py
+++ b/irisstack/choice.py
@@ -32,8 +32,10 @@
 OVERDUE_REST = 0.5  # and these seconds, so that jitter on quick calls does not count
 PATIENCE = 3.0  # a repeatable call is given up after this many times the overdue time
 BUSY_PART = 0.25  # of its time that a connection is in use, to be worth a place in an endpoint's table
+NEW_CONNECTION = 0.75  # calls out at an endpoint that a new connection is worth
+AWAY = 5.0  # and another zone, where crossing has a price
 HANDFUL = 4  # idle connections for which any such table has room
-CROWDED = 30.0  # seconds after a failed connect at a live destination in which idle connections go back
+CROWDED_FOR = 30.0  # seconds after a failed connect at a live destination in which idle connections go back
 LEARN = 0.1  # weight of a new call in the usual time
 FIRST_USUAL = 0.2  # share of a class's aim taken for its usual time before any call was seen
 STALE = 3.0  # this many calls lost on idle connections: those idle as long are closed before a call
@@ -43,7 +45,7 @@
 RESUBSCRIBE = 0.2  # seconds for each sender before the first renewed subscription after a failure; doubles
 SPREAD = 0.25  # of that time in which the senders first subscribe
 
-FAILED, SERVED = b"F", b"S"  # what notes to the other senders say
+FAILED, SERVED, CROWDED = b"F", b"S", b"C"  # what notes to the other senders say
 
 NEVER = float("inf")
 NOT_RUN = frozenset((Outcome.FULL, Outcome.CONNECT_FAILED, Outcome.NOT_SENT))
@@ -247,7 +249,7 @@
         if told and reason is not Outcome.RESET and (reason is not Outcome.FULL or now > row.dark + DARK):
             row.shared += 1
             if not heard:
-                self._out.append(api.TellPeer(None, FAILED + limit.key))
+                self._tell(FAILED, limit)
         # Few errors among many successes (a lossy path, one failing class) must not shut the rest out.
         few = reason is not Outcome.FULL and row.count < row.served * TOLERATED
         # One of many senders has too few calls in a window to see the third: what may have run opens sooner.
@@ -285,8 +287,8 @@
         row = self._rows.setdefault(limit, _Row()) if scarce else self._rows.get(limit) or _Row()
         row.served, row.dark = row.served + 1, NEVER
         back = row.cold_until == NEVER and self._now >= row.open_until
-        if self._set.may_tell_peers and (row.shared or back):
-            self._out.append(api.TellPeer(None, SERVED + limit.key))
+        if row.shared or back:
+            self._tell(SERVED, limit)
             row.count, row.shared = row.count - row.shared, 0
         if back:
             row.cold_until, row.strikes = self._now + self._set.cold_seconds, 0.0  # a shut one shows no limit
@@ -297,8 +299,14 @@
             waits = any(line in self._waiting for line in limit.destination.lines.values())
             row.strikes = max(float(waits), row.strikes - RECOVER)
 
+    def _tell(self, what: bytes, limit: _Limit) -> None:
+        if self._set.may_tell_peers:
+            self._out.append(api.TellPeer(None, what + limit.key))
+
     def _heard(self, what: bytes, limit: _Limit | None) -> bool:
-        """A note: a failure counts, a success ends their run. Returns whether what may go when has changed."""
+        """A note: a failure counts, a success ends their run. Returns whether this changes what may go."""
+        if what == CROWDED:
+            self._crowded_until = self._now + CROWDED_FOR
         if limit is None or what != SERVED:
             return limit is not None and what == FAILED and self._failure(limit, None, heard=True)
         limit.ok_sent = max(limit.ok_sent, self._now - max(limit.destination.usual.values(), default=0.0))
@@ -553,8 +561,9 @@
                 # A gap beyond the aim would cost more than the refusals that it spares.
                 scarce = limit.told > 0.0 and told.get("x0", 1.0) < SCARCE
                 self._success(limit, scarce and self._rate(limit) * message.kind.aim >= 1.0)
-                if call.sent >= limit.refused_at:
-                    self._crowded_until = max(self._crowded_until, limit.refused_at + CROWDED)
+                if call.sent >= limit.refused_at and self._crowded_until < limit.refused_at + CROWDED_FOR:
+                    self._crowded_until = limit.refused_at + CROWDED_FOR
+                    self._tell(CROWDED, limit)
             elif outcome not in (Outcome.CANCELLED, Outcome.NOT_SENT):
                 if outcome is Outcome.FULL:
                     route.failed.pop(message.index, None)
@@ -704,7 +713,8 @@
                     return is_late, self._usual(message) / (size * message.kind.worth)
                 heappop(entries)
                 if in_line:
-                    heappush(line.late, (-message.kind.worth, -message.aim_at, message.id, message))
+                    rank = message.aim_at if message.key is not None else -message.aim_at
+                    heappush(line.late, (-message.kind.worth, rank, message.id, message))
         return None
 
     def _send(self, line: _Line) -> None:
@@ -713,8 +723,9 @@
         routes = [route for route in line.routes() if self._gate(route) <= now]
         index = (line.fresh or line.late)[0][-1].index
         # Of equals any: every sender has the list in one order, and all would take the first.
-        route = min(routes, key=lambda r: (r.failed.get(index, 0.0) > now, r.calls + (
-            0.0 if self._connected(r) else 0.75), self._random.random()))
+        route = min(routes, key=lambda r: (
+            r.failed.get(index, 0.0) > now, r.calls + (0.0 if self._connected(r) else NEW_CONNECTION) + (
+                AWAY if self._set.cross_zone_price and r.zone != self._set.zone else 0.0), self._random.random()))
         row = self._rows.get(route.limit) or _Row()
         unproven = row.cold_until == NEVER
         size = 1 if unproven and row.dark == NEVER else destination.kind.max_batch
@@ -754,6 +765,8 @@
         the places of the others' calls, and those that hold one are never turned away and never learn of it.
         """
         destination, senders = self._destination(message.destination), self._set.senders
+        if self._set.may_tell_peers:
+            return True  # a sender that is turned away tells of it
         if any(e in self._waiting and self._first_gate(e) <= self._now for e in destination.lines.values()):
             return True
         in_use = destination.flow * self._usual(message) / BUSY_PART
--- a/irisstack/interface.py
+++ b/irisstack/interface.py
@@ -105,6 +105,10 @@
     kinds: tuple[DestinationKind, ...]
     tenants: tuple[Tenant, ...]
     zones: tuple[str, ...]
+    zone: int
+    """In which of them this sender stands."""
+    cross_zone_price: float
+    """Points off the result for attempts that go to another zone, by first try."""
     senders: int
     ordinal: int
     max_calls: int
--- a/irisstack/settings.py
+++ b/irisstack/settings.py
@@ -85,7 +85,8 @@
 
 def read(raw: Reader) -> Settings:
     """The settings from the object that an instance is handed."""
-    allowed, extra, rules, report = (raw.part(key) for key in ("allowed", "extra", "invariants", "report"))
+    allowed, extra, rules, report, tariffs = (
+        raw.part(key) for key in ("allowed", "extra", "invariants", "report", "tariffs"))
     batches, apart = extra.items("batchByKind"), extra.items("separateRoutes")
     for i, most in enumerate(batches):
         if isinstance(most, bool) or not isinstance(most, int) or most < 1:
@@ -102,6 +103,8 @@
         tenants=tuple(Tenant(t.text("name"), t.number("allowancePerS", 0.0), t.number("share", 0.0))
                       for t in raw.parts("tenants")),
         zones=tuple(raw.texts("failureDomains")),
+        zone=raw.whole("az", 0),
+        cross_zone_price=tariffs.number("crossZone", 0.0),
         senders=raw.whole("balancers", 1),
         ordinal=raw.whole("ordinal", 0),
         max_calls=extra.whole("maxCalls"),
--- a/tests/support.py
+++ b/tests/support.py
@@ -16,7 +16,7 @@
 
 SETTINGS = api.Settings(
     classes=CLASSES, kinds=(api.DestinationKind("plain"), api.DestinationKind("shared", max_batch=5)),
-    tenants=(), zones=("z",), senders=2, ordinal=0, max_calls=12, max_held=200, max_attempts=6,
+    tenants=(), zones=("z",), zone=0, cross_zone_price=0.0, senders=2, ordinal=0, max_calls=12, max_held=200, max_attempts=6,
     may_cancel=True, may_duplicate=False, may_probe=False, may_tell_peers=False, advises_retry_after=True,
     max_retry_after=4.0, connect_timeout=1.0, keepalive=10.0, calls_per_connection=1,
     discovery_on_request=False, ask_within=None, listed_rates=True, rates_are_rough=False,
--- a/tests/test_found.py
+++ b/tests/test_found.py
@@ -3,7 +3,7 @@
 import pytest
 
 from irisstack import interface as api
-from irisstack.choice import CROWDED, DARK, OPEN_FOR, STALE, THRESHOLD, TOLERATED
+from irisstack.choice import CROWDED_FOR, DARK, OPEN_FOR, STALE, THRESHOLD, TOLERATED
 from tests.support import KEYED_INDEX, SETTINGS, UNSAFE_INDEX, Driver, address, endpoint
 
 OK, FULL, ERROR, RESET = api.Outcome.OK, api.Outcome.FULL, api.Outcome.ERROR, api.Outcome.RESET
@@ -298,8 +298,8 @@
     driver.end(4, OK, 3.3)
     assert (3.3, address(2)) in driver.closed_idle
     before = len(driver.closed_idle)
-    driver.message(3, 3.3 + CROWDED, destination=2)
-    driver.end(3, OK, 3.4 + CROWDED)
+    driver.message(3, 3.3 + CROWDED_FOR, destination=2)
+    driver.end(3, OK, 3.4 + CROWDED_FOR)
     assert len(driver.closed_idle) == before
 
 
