Ready the node: notes between nodes, the own zone, and a mode that watches the new settings

Need: the module now reads az, tariffs.crossZone, mayTell and zones; the node knew none of them. Change: `peers` names the other nodes, and notes go and come as datagrams at the node's own address, from those places alone; without `peers`, mayTell does not count, so that a node decides as before. `watch` lays settings over those in force: a subclass of the module's sender decides by the old ones and counts, by kind, where the new ones differ (/counters, watch_*); it sends, answers and waits for nothing. A zone that the settings do not name no longer passes for the first one (a repeat might have gone to a zone that does not know it). az out of range, a list longer than its names, a price below 0 and a bad watch are one line with the path and exit code 2; at SIGHUP a line in the log.

--- a/irisstack/choice.py
+++ b/irisstack/choice.py
@@ -32,8 +32,7 @@
 OVERDUE_REST = 0.5  # and these seconds, so that jitter on quick calls does not count
 PATIENCE = 3.0  # a repeatable call is given up after this many times the overdue time
 BUSY_PART = 0.25  # of its time that a connection is in use, to be worth a place in an endpoint's table
-NEW_CONNECTION = 0.75  # calls out at an endpoint that a new connection is worth
-AWAY = 5.0  # and another zone, where crossing has a price
+AWAY = 5.0  # calls out at an endpoint that another zone is worth, where crossing has a price
 HANDFUL = 4  # idle connections for which any such table has room
 CROWDED_FOR = 30.0  # seconds after a failed connect at a live destination in which idle connections go back
 LEARN = 0.1  # weight of a new call in the usual time
@@ -77,7 +76,7 @@
     listed: float = 0.0
     told: float = 0.0  # calls a second, as it reports them
     ok_sent: float = -NEVER  # when the newest call that succeeded was sent
-    refused_at: float = NEVER  # when a connect last failed there, unless in an outage
+    refused_at: "dict[_Route, float]" = field(default_factory=dict)  # failed connects, unless in an outage
 
 
 @dataclass(slots=True, eq=False)
@@ -189,6 +188,7 @@
         self._crowded_until = 0.0  # until when idle connections are given back
         self._stale = 0.0  # calls lost on idle connections, less a part of such calls that succeeded
         self._idle_limit = NEVER  # the shortest idle time before such a loss
+        self._home = settings.zone if settings.cross_zone_price else None  # the zone to which calls cost less
         self._waiting: dict[_Line, None] = {}  # lines with messages in them, in order of arrival
         self._expiry: list[tuple[float, int]] = []
         self._overdue: list[tuple[float, int, _Call]] = []
@@ -212,10 +212,6 @@
                     self._received(event)
                 case api.EndpointsUpdated():
                     self._updated(event)
-                case api.StreamStarted():
-                    message = self._messages.get(event.message)
-                    if message is not None and message.call is not None:  # answered: neither silent nor stuck
-                        message.call.judged, message.call.route.limit.ok_sent = True, now
                 case api.MessageWithdrawn():
                     message = self._messages.get(event.message)
                     if message is not None and not message.over:
@@ -279,11 +275,9 @@
                 self._give_up(message)
 
     def _success(self, limit: _Limit, scarce: bool) -> None:
-        """A call that ended well takes back part of the slowing; the spacing lapses once nothing waits.
-
-        One that reports little of the limit left begins it: guards a limit that many senders reach together,
-        each with too few calls to see it coming, and would learn of by being refused all at once.
-        """
+        """A call that ended well takes back part of the slowing; the spacing lapses once nothing waits."""
+        # One that reports little of the limit left begins it: guards a limit that many senders reach at once,
+        # each with too few calls to see it coming, and would learn of by being refused all at once.
         row = self._rows.setdefault(limit, _Row()) if scarce else self._rows.get(limit) or _Row()
         row.served, row.dark = row.served + 1, NEVER
         back = row.cold_until == NEVER and self._now >= row.open_until
@@ -292,7 +286,7 @@
             row.count, row.shared = row.count - row.shared, 0
         if back:
             row.cold_until, row.strikes = self._now + self._set.cold_seconds, 0.0  # a shut one shows no limit
-            limit.refused_at = NEVER  # and one that was down no full table
+            limit.refused_at.clear()  # and one that was down no full table
         if scarce:
             row.strikes = max(row.strikes, 1.0)
         elif row.strikes:
@@ -334,10 +328,8 @@
         return min((self._gate(route) for route in line.routes()), default=NEVER)
 
     def _rate(self, limit: _Limit) -> float:
-        """This sender's part of the calls a second told for all: its own flow's, the even part at least.
-
-        Guards a limit on calls: a flow of messages that are told one by one would take it many times over.
-        """
+        """This sender's part of the calls a second told for all: its own flow's, the even part at least."""
+        # Guards a limit on calls: a flow of messages that are told one by one would take it many times over.
         flow = self._flow(limit)
         own = max(flow / limit.destination.kind.max_batch, min(flow, 1.0 / FIRST_GAP))
         whole = limit.told or limit.listed or own
@@ -395,8 +387,7 @@
 
     def _usual(self, message: _Message) -> float:
         """How long a call of this class takes at this destination."""
-        usual = self._destination(message.destination).usual.get(message.index)
-        return message.kind.aim * FIRST_USUAL if usual is None else usual
+        return self._destination(message.destination).usual.get(message.index, message.kind.aim * FIRST_USUAL)
 
     def _repeatable_until(self, message: _Message) -> float:
         """Until when another attempt, or a refusal, cannot double the message's effect."""
@@ -547,8 +538,9 @@
         route, limit, outcome, now = call.route, call.route.limit, event.outcome, self._now
         told = dict(zip(self._set.report_fields, event.report, strict=False))
         limit.told = max(0.0, told.get("x1", limit.told))
-        if outcome is Outcome.OK:
+        if outcome in (Outcome.OK, Outcome.FULL):
             route.failed.pop(message.index, None)
+        if outcome is Outcome.OK:
             limit.ok_sent = max(limit.ok_sent, call.sent)
             usual = limit.destination.usual
             usual.setdefault(message.index, event.elapsed)
@@ -561,16 +553,15 @@
                 # A gap beyond the aim would cost more than the refusals that it spares.
                 scarce = limit.told > 0.0 and told.get("x0", 1.0) < SCARCE
                 self._success(limit, scarce and self._rate(limit) * message.kind.aim >= 1.0)
-                if call.sent >= limit.refused_at and self._crowded_until < limit.refused_at + CROWDED_FOR:
-                    self._crowded_until = limit.refused_at + CROWDED_FOR
+                since = limit.refused_at.get(route, NEVER)
+                if call.sent >= since and self._crowded_until < since + CROWDED_FOR:
+                    self._crowded_until = since + CROWDED_FOR
                     self._tell(CROWDED, limit)
             elif outcome not in (Outcome.CANCELLED, Outcome.NOT_SENT):
-                if outcome is Outcome.FULL:
-                    route.failed.pop(message.index, None)
-                else:
+                if outcome is not Outcome.FULL:
                     self._shun(call)
                 if outcome is Outcome.CONNECT_FAILED:
-                    limit.refused_at = now
+                    limit.refused_at[route] = now
                 if outcome in NOT_RUN:
                     row = self._rows.setdefault(limit, _Row())
                     # One of many senders sees few calls taken. A limit that reports itself used up counts
@@ -600,10 +591,8 @@
                 self._idle_limit = min(self._idle_limit, call.idle)
 
     def _look_for_silence(self) -> None:
-        """A call long overdue counts as a failure before it ends, unless the destination answered since.
-
-        Guards against silence (hung, vanished); a few very slow messages do not count where others go well.
-        """
+        """A call long overdue counts as a failure before it ends, unless the destination answered since."""
+        # Guards against silence (hung, vanished); a few very slow messages do not count where others go well.
         while self._overdue and self._overdue[0][0] <= self._now:
             call = heappop(self._overdue)[2]
             answers = call.route.limit.ok_sent > call.sent
@@ -640,19 +629,18 @@
             destination.kind = self._set.kinds[endpoint.kind]
             if endpoint.address not in destination.routes:
                 apart, (host, port) = destination.kind.separate_routes, endpoint.address
-                key = host + port.to_bytes(2) if apart else endpoint.destination.to_bytes(4)
-                limit = self._limits.setdefault(key, _Limit(key, destination))
+                plain = (n := endpoint.destination).to_bytes(n.bit_length() // 8 + 1, signed=True)
+                key = host + port.to_bytes(2) if apart else plain
+                if (limit := self._limits.get(key)) is None or limit.destination is not destination:
+                    limit = self._limits[key] = _Limit(key, destination)
                 destination.routes[endpoint.address] = _Route(endpoint.address, endpoint.zone, limit)
                 self._where[endpoint.address] = endpoint.destination
-            listed = endpoint.rate if self._set.listed_rates else 0.0
-            destination.routes[endpoint.address].limit.listed = listed
+            destination.routes[endpoint.address].limit.listed = endpoint.rate * self._set.listed_rates
 
     def _ask_pause(self) -> float:
-        """Seconds between two calls for the list of this sender while they fail.
-
-        Guards the list's service: it works through calls in turn, those given up too, so that senders which
-        all come again within seconds keep it behind, and none of them is ever answered in time.
-        """
+        """Seconds between two calls for the list of this sender while they fail."""
+        # Guards its service: it works through calls in turn, those given up too, so that senders which all
+        # come again within seconds keep it behind, and none of them is ever answered in time.
         wait = RESUBSCRIBE * self._set.senders * 2.0 ** min(self._failed_asks, 4)
         return min(wait, self._set.ask_within or WINDOW)
 
@@ -665,10 +653,8 @@
 
     def _dispatch(self) -> float:
         """Send what may go, the most pressing first; returns when to look again."""
-        wake = NEVER
         order: list[tuple[bool, float, int, _Line]] = []
-        for line in list(self._waiting):
-            wake = min(wake, self._line_up(order, line))
+        wake = min((self._line_up(order, line) for line in list(self._waiting)), default=NEVER)
         while order and self._calls < self._set.max_calls:
             line = heappop(order)[-1]
             if line.destination.calls < self._slots:
@@ -713,8 +699,7 @@
                     return is_late, self._usual(message) / (size * message.kind.worth)
                 heappop(entries)
                 if in_line:
-                    rank = message.aim_at if message.key is not None else -message.aim_at
-                    heappush(line.late, (-message.kind.worth, rank, message.id, message))
+                    heappush(line.late, (-message.kind.worth, -message.aim_at, message.id, message))
         return None
 
     def _send(self, line: _Line) -> None:
@@ -724,8 +709,8 @@
         index = (line.fresh or line.late)[0][-1].index
         # Of equals any: every sender has the list in one order, and all would take the first.
         route = min(routes, key=lambda r: (
-            r.failed.get(index, 0.0) > now, r.calls + (0.0 if self._connected(r) else NEW_CONNECTION) + (
-                AWAY if self._set.cross_zone_price and r.zone != self._set.zone else 0.0), self._random.random()))
+            r.failed.get(index, 0.0) > now, r.calls + AWAY * (r.zone != self._home) + (
+                0.0 if self._connected(r) else 0.75), self._random.random()))
         row = self._rows.get(route.limit) or _Row()
         unproven = row.cold_until == NEVER
         size = 1 if unproven and row.dark == NEVER else destination.kind.max_batch
@@ -748,8 +733,8 @@
             call.left += 1
             silent = OVERDUE * self._usual(message) + OVERDUE_REST
             overdue = max(overdue, silent)
-            patient = message.kind.effect is Effect.UNSAFE or message.kind.streamed
-            give_up = None if patient else min(message.due, now + silent * PATIENCE)
+            unsafe = message.kind.effect is Effect.UNSAFE
+            give_up = None if unsafe else min(message.due, now + silent * PATIENCE)
             self._out.append(api.Send(message.id, route.address, give_up))
         destination.calls += 1
         self._calls += 1
@@ -759,15 +744,12 @@
         self._space(route.limit, call.left)
 
     def _worth_keeping(self, message: _Message) -> bool:
-        """Whether its next call comes so soon that a connection earns its place in the endpoint's table.
-
-        Guards against tables full of idle connections: what each of many senders keeps and hardly uses takes
-        the places of the others' calls, and those that hold one are never turned away and never learn of it.
-        """
+        """Whether its next call comes so soon that a connection earns its place in the endpoint's table."""
+        # Guards against tables full of idle connections: what each of many senders keeps and hardly uses is
+        # the place of others' calls, and those that hold one are never turned away and never learn of it.
         destination, senders = self._destination(message.destination), self._set.senders
-        if self._set.may_tell_peers:
-            return True  # a sender that is turned away tells of it
-        if any(e in self._waiting and self._first_gate(e) <= self._now for e in destination.lines.values()):
+        if self._set.may_tell_peers or any(  # a sender that is turned away tells of it, or one may go now
+                e in self._waiting and self._first_gate(e) <= self._now for e in destination.lines.values()):
             return True
         in_use = destination.flow * self._usual(message) / BUSY_PART
         return senders * (1.0 - in_use) <= HANDFUL
--- a/irisstack/configuration/node_file.py
+++ b/irisstack/configuration/node_file.py
@@ -105,6 +105,22 @@
     names: list[str] = []
 
 
+class Tariffs(Section):
+    """Points off the result for what costs them, by first try."""
+
+    connection: float = Field(0.0, ge=0.0)
+    crossZone: float = Field(0.0, ge=0.0)
+    """For attempts that go to another zone; above 0, endpoints in the node's own zone go first."""
+    discovery: float = Field(0.0, ge=0.0)
+    handshake: float = Field(0.0, ge=0.0)
+    lateFail: float = Field(0.0, ge=0.0)
+    moves: float = Field(0.0, ge=0.0)
+    origin: float = Field(0.0, ge=0.0)
+    peer: float = Field(0.0, ge=0.0)
+    probe: float = Field(0.0, ge=0.0)
+    waste: float = Field(0.0, ge=0.0)
+
+
 class TenantFile(Section):
     """One tenant."""
 
@@ -125,6 +141,10 @@
     report: Report = Report()
     tenants: list[TenantFile] = []
     failureDomains: list[str] = []
+    """The zones."""
+    az: int = Field(0, ge=0)
+    """The place of the node's own zone among them."""
+    tariffs: Tariffs = Tariffs()
     balancers: int = Field(1, ge=1)
     """How many nodes there are."""
     ordinal: int = Field(0, ge=0)
@@ -149,6 +169,10 @@
     known: dict[str, Any] | None = None
     """The list of endpoints as last held."""
     settings: SettingsFile
+    peers: list[str] = []
+    """The other nodes, host:port each: notes go to them and come from them, where `mayTell` holds."""
+    watch: dict[str, Any] | None = None
+    """Settings to lay over those in force and to watch: what they would have decided otherwise is counted."""
 
     @field_validator("listen", "discovery")
     @classmethod
--- a/irisstack/node/config.py
+++ b/irisstack/node/config.py
@@ -4,7 +4,7 @@
 import os
 import socket
 from collections.abc import Mapping
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from pathlib import Path
 from typing import Any
 
@@ -34,6 +34,10 @@
     disk_bytes: int
     known: Mapping[str, Any]
     settings: Settings
+    peers: tuple[HostPort, ...] = ()
+    """The other nodes that notes go to and come from."""
+    trial: Settings | None = None
+    """Settings to watch beside those in force."""
 
 
 def host_port(text: str, key: str) -> HostPort:
@@ -84,6 +88,8 @@
         raw = Reader(parse(Path(path)))
         limits = raw.part("limits")
         known = {} if raw.value("known") is None else raw.value("known")
+        peers = tuple(host_port(peer, f"peers[{i}]") for i, peer in enumerate(raw.texts("peers")))
+        settings = _with_peers(read(raw.part("settings")), peers)
         Reader(known, raw.path("known"))
 
         def told(variable: str, key: str, default: str | None = None) -> str:
@@ -99,7 +105,9 @@
             sockets=limits.whole("sockets", DEFAULT_SOCKETS),
             disk_bytes=int(limits.number("disk_mb", DEFAULT_DISK_MB) * 1_000_000),
             known=known,
-            settings=read(raw.part("settings")),
+            settings=settings,
+            peers=peers,
+            trial=_trial(raw, settings),
         )
     except OSError as error:
         raise ConfigError(f"RELAY_CONFIG: {path} cannot be read: {error.strerror}") from None
@@ -111,6 +119,29 @@
     return config
 
 
+def _with_peers(settings: Settings, peers: tuple[HostPort, ...]) -> Settings:
+    """Without the other nodes' places notes would reach nobody, so that nothing may count on them."""
+    return settings if peers else replace(settings, may_tell_peers=False)
+
+
+def _trial(raw: Reader, settings: Settings) -> Settings | None:
+    """The settings in force with what stands under `watch` laid over them; lists are taken whole."""
+    if raw.value("watch") is None:
+        return None
+    over = raw.value("watch")
+    Reader(over, raw.path("watch"))
+    trial = read(Reader(_laid_over(raw.value("settings"), over), raw.path("watch")))
+    if [kind.name for kind in trial.classes] != [kind.name for kind in settings.classes]:
+        raise SettingsError("watch.lanes: the classes of settings.lanes are due, in their order")
+    return trial
+
+
+def _laid_over(below: Any, above: Any) -> Any:
+    if not isinstance(below, Mapping) or not isinstance(above, Mapping):
+        return above
+    return {**below, **{key: _laid_over(below.get(key), value) for key, value in above.items()}}
+
+
 def _seed(text: str) -> int:
     try:
         return int(text, 16)
--- a/irisstack/node/decider.py
+++ b/irisstack/node/decider.py
@@ -21,6 +21,7 @@
 from irisstack.node.counters import Counters
 from irisstack.node.endpoint import Call, CallOff, CloseIdle, Command, Ended, Hold, Outgoing
 from irisstack.node.store import Entry, Store
+from irisstack.watch import Watching
 
 COME_AGAIN = 1.0
 """Seconds after which one that finds no room here may come again, where the settings allow such advice."""
@@ -73,15 +74,21 @@
 
     def __init__(self, settings: api.Settings, seed: int, store: Store, counters: Counters, *,
                  call: Callable[[api.Address, Command], None],
-                 ask: Callable[[api.Action], None], notice: Callable[[Entry], None], room: int) -> None:
+                 ask: Callable[[api.Action], None], notice: Callable[[Entry], None], room: int,
+                 tell: Callable[[int | None, bytes], None] | None = None,
+                 trial: api.Settings | None = None) -> None:
         self._settings = settings
         self._sender = Sender(settings, seed)
+        if trial is not None:
+            self._sender = Watching(settings, trial, seed, counters.add)
+        self._tell = tell
+        self._most_notes = room // 2
         self._store = store
         self._counters = counters
         self._call = call
         self._ask = ask
         self._notice = notice
-        self.mailbox: Queue[Arrival | Ended | api.EndpointsUpdated] = Queue(room)
+        self.mailbox: Queue[Arrival | Ended | api.EndpointsUpdated | api.PeerMessage] = Queue(room)
         self._next: list[api.Event] = []  # known already, for the next turn
         self._timers: list[tuple[float, int]] = []
         self._where: dict[int, tuple[api.Address, float]] = {}  # calls out: endpoint, sent at
@@ -144,14 +151,21 @@
                     break
             self._turn(items)
 
-    def _wait(self) -> list[Arrival | Ended | api.EndpointsUpdated]:
+    def heard(self, note: api.PeerMessage) -> bool:
+        """Take a note, unless the mailbox is half full: clients, calls and the list go first."""
+        if self.mailbox.qsize() >= self._most_notes:
+            return False
+        self.mailbox.put(note)
+        return True
+
+    def _wait(self) -> list[Arrival | Ended | api.EndpointsUpdated | api.PeerMessage]:
         wait = max(0.0, self._timers[0][0] - time.monotonic()) if self._timers else None
         try:
             return [self.mailbox.get(timeout=wait)]
         except Empty:
             return []
 
-    def _turn(self, items: Iterable[Arrival | Ended | api.EndpointsUpdated]) -> None:
+    def _turn(self, items: Iterable[Arrival | Ended | api.EndpointsUpdated | api.PeerMessage]) -> None:
         now, unix = time.monotonic(), time.time()
         self._turned = now
         turn = _Turn()
@@ -165,6 +179,8 @@
                 case api.EndpointsUpdated():
                     self._learn(item, now)
                     events.append(item)
+                case api.PeerMessage():
+                    events.append(item)
         while self._timers and self._timers[0][0] <= now:
             events.append(api.TimerFired(heappop(self._timers)[1]))
         if events:
@@ -322,6 +338,8 @@
                 self._call(address, CloseIdle())
             case api.Subscribe() | api.FetchEndpoints():
                 self._ask(action)
+            case api.TellPeer(peer, data) if self._tell is not None:
+                self._tell(peer, data)
             case api.Log(text):
                 log.info("module", text=text)
             case _:
--- a/irisstack/node/discovery.py
+++ b/irisstack/node/discovery.py
@@ -55,6 +55,10 @@
             self._owners = {address: id_ for address, id_ in self._owners.items() if address in here}
         return api.EndpointsUpdated(scope, revision, tuple(endpoints))
 
+    def _zone(self, name: object) -> int:
+        """A zone's number. One that the settings do not name gets its own: it must not pass for another."""
+        return self._zones.setdefault(str(name), len(self._zones))
+
     def _endpoints(self, member: Mapping[str, Any]) -> list[api.Endpoint]:
         """What a line says, place by place: an address under another id is another endpoint.
 
@@ -71,7 +75,7 @@
         since = float(member.get("up_since_ms", 0)) / 1000.0
         endpoint = api.Endpoint(
             address, state, self._kinds[member["flavor"]], int(member["cell"]),
-            self._zones.get(member.get("locality", ""), 0), float(member.get("size", 1.0)),
+            self._zone(member.get("locality", "")), float(member.get("size", 1.0)),
             since - time.time() + time.monotonic() if since else None)
         owner = self._owners.get(address)
         lines: list[api.Endpoint] = []
--- a/irisstack/node/service.py
+++ b/irisstack/node/service.py
@@ -18,6 +18,7 @@
 from irisstack.node.endpoint import Call, Command, Endpoint, Retire
 from irisstack.node.intake import Intake
 from irisstack.node.notices import Notices
+from irisstack.node.peers import Peers
 from irisstack.node.store import Store
 
 SEND_UNTIL = 2.2
@@ -62,7 +63,11 @@
         self._decider = Decider(
             settings, config.seed, self._store, self.counters, call=self._to_endpoint,
             ask=self._discovery.mailbox.put, notice=self._notices.owe,
-            room=self._most_clients + settings.max_calls * most_batch + 64)
+            room=self._most_clients + settings.max_calls * most_batch + 64, tell=self._tell,
+            trial=config.trial)
+        self._peers: Peers | None = None
+        if config.peers:
+            self._peers = Peers(config.listen, config.peers, self._decider.heard, self.counters)
         self._intake = Intake(config.listen, settings, self._decider.mailbox.put, self.counters,
                               self._most_clients)
         self._follow(known)
@@ -77,14 +82,17 @@
 
     def run(self) -> int:
         """Serve until asked to stop; returns the exit code."""
-        parts = [gevent.spawn(run) for run in (
-            self._decider.run, self._discovery.run, self._notices.run, self._read_anew)]
-        for part in parts:
-            part.link_exception(self._broken)
+        runs = [self._decider.run, self._discovery.run, self._notices.run, self._read_anew]
         try:
+            if self._peers is not None:
+                self._peers.start()
+                runs.append(self._peers.run)
             self._intake.start()
         except OSError as error:
             raise ConfigError(f"listen: {name_of(self._config.listen)}: {error.strerror}") from None
+        parts = [gevent.spawn(run) for run in runs]
+        for part in parts:
+            part.link_exception(self._broken)
         log.info("serving", name=self._config.name, listen=name_of(self._config.listen),
                  discovery=name_of(self._config.discovery), **self.counters.snapshot())
         self._stop.wait()
@@ -129,11 +137,17 @@
                 break
             gevent.sleep(LOOK)
         self._intake.close()
+        if self._peers is not None:
+            self._peers.close()
         self._store.close()
         log.info("stopped", **self.counters.snapshot())
 
     # ---- between the parts ----
 
+    def _tell(self, peer: int | None, data: bytes) -> None:
+        if self._peers is not None:
+            self._peers.tell(peer, data)
+
     def _listed(self, update: api.EndpointsUpdated) -> None:
         self._follow(update)
         self._decider.mailbox.put(update)
--- a/irisstack/settings.py
+++ b/irisstack/settings.py
@@ -4,7 +4,7 @@
 """
 
 import math
-from collections.abc import Mapping
+from collections.abc import Mapping, Sequence
 from typing import Any
 
 from irisstack.interface import Decay, DedupScope, DestinationKind, Effect, MessageClass, Settings, Tenant
@@ -64,6 +64,13 @@
             raise SettingsError(f"{self.path(key)}: a list is due, not {type(value).__name__}")
         return value
 
+    def for_each(self, key: str, names: Sequence[str], default: Any) -> list[Any]:
+        """A list with a value for each of the names, filled up with the default where it is shorter."""
+        values = self.items(key)
+        if names and len(values) > len(names):
+            raise SettingsError(f"{self.path(key)}: {len(names)} values at most are due, not {len(values)}")
+        return [*values, *[default] * len(names)][:len(names)]
+
     def texts(self, key: str) -> list[str]:
         for i, value in enumerate(self.items(key)):
             if not isinstance(value, str):
@@ -87,13 +94,19 @@
     """The settings from the object that an instance is handed."""
     allowed, extra, rules, report, tariffs = (
         raw.part(key) for key in ("allowed", "extra", "invariants", "report", "tariffs"))
-    batches, apart = extra.items("batchByKind"), extra.items("separateRoutes")
-    for i, most in enumerate(batches):
+    names, zones = raw.texts("shapes"), raw.texts("failureDomains")
+    batches, apart = extra.for_each("batchByKind", names, 1), extra.for_each("separateRoutes", names, False)
+    for i, (most, alone) in enumerate(zip(batches, apart, strict=True)):
         if isinstance(most, bool) or not isinstance(most, int) or most < 1:
             raise SettingsError(f"{extra.path('batchByKind')}[{i}]: 1 or more is due, not {most!r}")
-    kinds = tuple(
-        DestinationKind(name, batches[i] if i < len(batches) else 1, i < len(apart) and bool(apart[i]))
-        for i, name in enumerate(raw.texts("shapes")))
+        if not isinstance(alone, bool):
+            raise SettingsError(f"{extra.path('separateRoutes')}[{i}]: true or false is due, not {alone!r}")
+    kinds = tuple(map(DestinationKind, names, batches, apart))
+    zone, cross_zone_price = raw.whole("az", 0), tariffs.number("crossZone", 0.0)
+    if zone < 0 or zone >= max(1, len(zones)):
+        raise SettingsError(f"{raw.path('az')}: the place of one of {len(zones)} zones is due, not {zone}")
+    if cross_zone_price < 0.0:
+        raise SettingsError(f"{tariffs.path('crossZone')}: 0 or more is due, not {cross_zone_price!r}")
     classes = tuple(_message_class(lane) for lane in raw.parts("lanes"))
     if not classes:
         raise SettingsError(f"{raw.path('lanes')}: at least one class is due")
@@ -102,9 +115,9 @@
         kinds=kinds,
         tenants=tuple(Tenant(t.text("name"), t.number("allowancePerS", 0.0), t.number("share", 0.0))
                       for t in raw.parts("tenants")),
-        zones=tuple(raw.texts("failureDomains")),
-        zone=raw.whole("az", 0),
-        cross_zone_price=tariffs.number("crossZone", 0.0),
+        zones=tuple(zones),
+        zone=zone,
+        cross_zone_price=cross_zone_price,
         senders=raw.whole("balancers", 1),
         ordinal=raw.whole("ordinal", 0),
         max_calls=extra.whole("maxCalls"),
--- /dev/null
+++ b/irisstack/watch.py
@@ -0,0 +1,77 @@
+"""Counts where a deployment's new settings would have decided otherwise. What is decided stays as it was.
+
+The module's settings in force decide; beside each decision stands what the settings on trial would have made
+of it. Nothing is sent, answered, recorded or waited for on their account.
+"""
+
+from collections.abc import Callable
+from enum import StrEnum
+
+from irisstack import interface as api
+from irisstack.choice import THRESHOLD, Sender, _Limit, _Line, _Message
+
+
+class Kind(StrEnum):
+    """What would have gone otherwise."""
+
+    NOTE = "watch_note"
+    """A failure would have been told to the other senders."""
+    OPENED_ALONE = "watch_opened_alone"
+    """A row was opened by fewer failures than all senders together would have waited for."""
+    CONNECTION_CLOSED = "watch_connection_closed"
+    """A connection was given back that would have been kept."""
+    OTHER_ZONE = "watch_other_zone"
+    """A call went to another zone though an endpoint of the own one could have taken it."""
+    GIVEN_UP = "watch_given_up"
+    """A message was given up that could have had another attempt."""
+
+
+class Watching(Sender):
+    """A sender that decides by its settings and watches for where those on trial differ."""
+
+    def __init__(self, settings: api.Settings, trial: api.Settings, seed: int,
+                 count: Callable[[Kind], None]) -> None:
+        super().__init__(settings, seed)
+        self._trial = trial
+        self._count = count
+        self._tells = trial.may_tell_peers and not settings.may_tell_peers
+        self._trial_home = trial.zone if trial.cross_zone_price else None
+
+    def _failure(self, limit: _Limit, reason: api.Outcome | None, heard: bool = False) -> bool:
+        row = self._rows.get(limit)
+        counts = row is None or self._now >= row.open_until
+        before = row.count if row is not None and self._now < row.window_end else 0
+        opened = super()._failure(limit, reason, heard)
+        if self._tells and counts and reason not in (api.Outcome.FULL, api.Outcome.RESET):
+            self._count(Kind.NOTE)
+        if self._tells and opened and before + 1 < THRESHOLD:
+            self._count(Kind.OPENED_ALONE)
+        return opened
+
+    def _worth_keeping(self, message: _Message) -> bool:
+        keep = super()._worth_keeping(message)
+        if self._tells and not keep:
+            self._count(Kind.CONNECTION_CLOSED)
+        return keep
+
+    def _send(self, line: _Line) -> None:
+        free = [route for route in line.routes() if self._gate(route) <= self._now]
+        before = len(self._out)
+        super()._send(line)
+        if self._trial_home in (None, self._home):
+            return
+        sent = next(act for act in self._out[before:] if isinstance(act, api.Send))
+        index = self._messages[sent.message].index
+        home = [route.address for route in free if route.zone == self._trial_home
+                and route.failed.get(index, 0.0) <= self._now]
+        if home and sent.endpoint not in home:
+            self._count(Kind.OTHER_ZONE)
+
+    def _give_up(self, message: _Message) -> None:
+        kind = message.kind
+        if message.maybe_ran is not None and self._latest_start(message) < self._now:
+            message.kind = self._trial.classes[message.index]
+            if message.attempts < self._trial.max_attempts and self._latest_start(message) >= self._now:
+                self._count(Kind.GIVEN_UP)
+            message.kind = kind
+        super()._give_up(message)
--- a/tests/test_node_parts.py
+++ b/tests/test_node_parts.py
@@ -5,6 +5,7 @@
 import subprocess
 import sys
 import time
+from dataclasses import replace
 from pathlib import Path
 from typing import Any
 
@@ -57,6 +58,21 @@
     assert (config.name, config.listen, config.discovery) == ("n9", ("127.0.0.9", 7070), ("127.0.0.1", 2))
     assert (config.seed, config.sockets, config.disk_bytes) == (255, 100, 3_000_000)
     assert config.settings.classes[1].effect is api.Effect.KEYED
+    new = config.settings.zone, config.settings.cross_zone_price, config.peers, config.trial
+    assert new == (0, 0.0, (), None)
+
+
+def test_notes_count_only_where_the_other_nodes_places_are_known(tmp_path: Path) -> None:
+    tells = {"settings": {**SETTINGS, "allowed": {**SETTINGS["allowed"], "mayTell": True}}}
+    assert not load(written(tmp_path, **tells)).settings.may_tell_peers
+    assert load(written(tmp_path, **tells, peers=["127.0.0.1:9"])).settings.may_tell_peers
+
+
+def test_what_stands_under_watch_is_laid_over_the_settings(tmp_path: Path) -> None:
+    config = load(written(tmp_path, watch={"allowed": {"mayTell": True}, "tariffs": {"crossZone": 0.01}}))
+    assert config.trial is not None
+    assert replace(config.trial, may_tell_peers=False, cross_zone_price=0.0) == config.settings
+    assert (config.trial.may_tell_peers, config.trial.cross_zone_price) == (True, 0.01)
 
 
 def test_read_anew_the_file_tells_where_discovery_is(tmp_path: Path) -> None:
@@ -80,6 +96,21 @@
     ({"settings": {**SETTINGS, "extra": {"maxCalls": 4, "batchByKind": [1, None]}}},
      "settings.extra.batchByKind[1]"),
     ({"settings": {**SETTINGS, "shapes": ["plain", []]}}, "settings.shapes[1]"),
+    ({"settings": {**SETTINGS, "extra": {"maxCalls": 4, "batchByKind": [1, 2, 3]}}},
+     "settings.extra.batchByKind"),
+    ({"settings": {**SETTINGS, "extra": {"maxCalls": 4, "separateRoutes": [False, "no"]}}},
+     "settings.extra.separateRoutes[1]"),
+    ({"settings": {**SETTINGS, "az": "west"}}, "settings.az"),
+    ({"settings": {**SETTINGS, "az": 1}}, "settings.az"),
+    ({"settings": {**SETTINGS, "az": -1}}, "settings.az"),
+    ({"settings": {**SETTINGS, "tariffs": {"crossZone": "dear"}}}, "settings.tariffs.crossZone"),
+    ({"settings": {**SETTINGS, "tariffs": {"crossZone": -0.1}}}, "settings.tariffs.crossZone"),
+    ({"peers": "127.0.0.1:7"}, "peers"),
+    ({"peers": ["127.0.0.1:7", "next door"]}, "peers[1]"),
+    ({"watch": []}, "watch"),
+    ({"watch": {"az": 5}}, "watch.az"),
+    ({"watch": {"lanes": [LANE]}}, "watch.lanes"),
+    ({"watch": {"allowed": {"mayTell": "yes"}}}, "watch.allowed.mayTell"),
     ({"settings": {**SETTINGS, "lanes": [{**LANE, "slo": "x"}]}}, "settings.lanes[0].slo"),
     ({"settings": {**SETTINGS, "lanes": [{**LANE, "repeat": "x"}]}}, "settings.lanes[0].repeat"),
 ])
