Save up the weight of a call into a returning destination before it goes

Ruled out: senders that had not heard (all rows were marked cold), the rate of calls (15 a second, within the budget at a weight of one). At fault: _open and _space, which charged `spent` after the call. Change: the weight of what waits is saved up for before the call goes (_weight).

--- a/irisstack/choice.py
+++ b/irisstack/choice.py
@@ -1,8 +1,8 @@
 """All decisions of irisstack. The interface (settings, events, actions) is in `irisstack/interface.py`.
 
-One row for each destination holds a fixed-window count of refusals and errors and one open-until time, which
-lapses by itself; while open, messages wait for the close or are refused with it. The row's spacing answers
-refusals as full and carries the return from an outage. `docs/design.md` tells the source and each change.
+One row for each destination counts failures in a window and holds one open-until time that lapses by itself;
+while open, messages wait for the close or are refused with it. Its spacing answers refusals as full, and
+carries the return from an outage. `docs/design.md` tells the source and each change.
 """
 
 from collections import Counter, deque
@@ -61,7 +61,7 @@
     open_until: float = 0.0
     strikes: float = 0.0  # refusals as full not yet made good by successes: how far calls are slowed
     next_at: float = 0.0  # while spaced: the earliest time of the next call
-    spent: float = 0.0  # what the last call weighs against the fail-back budget
+    spent: float = 0.0  # of the fail-back budget since then, beside what the next call weighs
     spent_at: float = 0.0
     dark: float = NEVER  # since when calls were turned away with none taken
     cold_until: float = 0.0  # until when it may be cold from an outage; NEVER before a call has succeeded
@@ -119,7 +119,6 @@
     late: "list[_Entry]" = field(default_factory=list)  # by worth, newest first
 
     def waiting(self) -> "list[_Message]":
-        """Those in line, the most pressing ones first, if not quite in order."""
         return [entry[-1] for entry in (*self.fresh, *self.late) if entry[-1].in_line]
 
     def routes(self) -> "list[_Route]":
@@ -204,7 +203,8 @@
         self._now, self._out = now, []
         moved = False  # whether anything may have changed what goes when
         for event in events:
-            moved = moved or not isinstance(event, api.PeerMessage)
+            moved |= not isinstance(event, api.PeerMessage) or self._heard(
+                event.data[:1], self._limits.get(event.data[1:]))
             match event:
                 case api.AttemptEnded():
                     self._ended(event)
@@ -213,11 +213,8 @@
                 case api.EndpointsUpdated():
                     self._updated(event)
                 case api.MessageWithdrawn():
-                    message = self._messages.get(event.message)
-                    if message is not None and not message.over:
+                    if (message := self._messages.get(event.message)) is not None and not message.over:
                         self._finish(message)
-                case api.PeerMessage():
-                    moved = self._heard(event.data[:1], self._limits.get(event.data[1:])) or moved
                 case api.TimerFired() if event.token == self._timers:
                     self._wake = NEVER
         if not moved:
@@ -265,7 +262,7 @@
         row.open_until = max(row.open_until, until)
         # Many senders told one close would all call at it: each takes one of as many places in the first gap.
         many = self._set.senders
-        row.spent, row.spent_at = self._random.randrange(many) / many, row.open_until
+        row.spent, row.spent_at = self._random.randrange(many) / many - 1.0, row.open_until
         if row.open_until > (self._now if self._set.may_tell_peers else row.dark) + DARK:
             # A busy destination's limit or full connection table turns calls away too, but not for long
             # without taking one. Turned away or told to wait longer than that, it will come back cold.
@@ -276,8 +273,7 @@
 
     def _success(self, limit: _Limit, scarce: bool) -> None:
         """A call that ended well takes back part of the slowing; the spacing lapses once nothing waits."""
-        # One that reports little of the limit left begins it: guards a limit that many senders reach at once,
-        # each with too few calls to see it coming, and would learn of by being refused all at once.
+        # Little left of a limit begins it: many senders reach it together, with too few calls each to see it.
         row = self._rows.setdefault(limit, _Row()) if scarce else self._rows.get(limit) or _Row()
         row.served, row.dark = row.served + 1, NEVER
         back = row.cold_until == NEVER and self._now >= row.open_until
@@ -320,8 +316,18 @@
         if not (cold or row.strikes or row.dark < NEVER) and self._now >= max(row.open_until, row.window_end):
             del self._rows[route.limit]
             return 0.0
-        paced = row.spent_at + row.spent / self._budget(row, route.limit) if cold else 0.0
-        return max(row.open_until, row.next_at if row.strikes and row.cold_until < NEVER else 0.0, paced)
+        paid = row.spent_at + self._weight(row, route.limit) / self._budget(row, route.limit) if cold else 0.0
+        return max(row.open_until, row.next_at if row.strikes and row.cold_until < NEVER else 0.0, paid)
+
+    def _weight(self, row: _Row, limit: _Limit) -> float:
+        """What to save up of the fail-back budget before the next call: what the call will weigh."""
+        waiting = sum(len(line.fresh) + len(line.late) for line in limit.destination.lines.values())
+        size = min(waiting, self._most(row, limit.destination.kind))
+        return row.spent + 1.0 + ITEM_WEIGHT * max(0, size - 1)
+
+    def _most(self, row: _Row, kind: api.DestinationKind) -> int:
+        """How many messages a call may carry: one until a call has succeeded, unless all were turned away."""
+        return 1 if row.cold_until == NEVER and row.dark == NEVER else kind.max_batch
 
     def _first_gate(self, line: _Line) -> float:
         """The earliest time at which a call may go to any route that a line's messages may use."""
@@ -340,14 +346,14 @@
         there = limit.destination
         return there.flow / max(1, len(there.routes) if there.kind.separate_routes else 1)
 
-    def _space(self, limit: _Limit, size: int) -> None:
+    def _space(self, limit: _Limit) -> None:
         """Note a call: evenly spaced after refusals, charged to the budget while cold."""
         row = self._rows.get(limit) or _Row()
         jitter, least = self._random.uniform(1.0, 1.1), 1.0 / self._rate(limit)
         # A gap that is no even part of a rate is spread: all that were refused together would meet again.
         spread = jitter if least < FIRST_GAP else self._random.uniform(0.5, 1.5)
         row.next_at = self._now + spread * self._gap(row, limit)
-        row.spent, row.spent_at = jitter * (1.0 + ITEM_WEIGHT * (size - 1)), self._now
+        row.spent, row.spent_at = jitter - 1.0, self._now
 
     def _gap(self, row: _Row, limit: _Limit) -> float:
         """Seconds between two calls of this sender while refusals have them spaced."""
@@ -358,21 +364,20 @@
         """This sender's part of the calls a second that a destination coming back can bear by now."""
         warm = max(0.0, 1.0 - (row.cold_until - self._now) / (self._set.cold_seconds or 1.0))
         share = self._set.cold_start_share + (1.0 - self._set.cold_start_share) * warm
-        even = (limit.told or limit.listed or NEVER) / self._set.senders
-        # Guards a hot destination before a call has succeeded: all flows together may be far above its limit.
-        tried = min(self._flow(limit), max(1.0 / WINDOW, UNEVEN * even))
-        part = tried if row.cold_until == NEVER else self._rate(limit)
+        part = self._rate(limit)
+        if row.cold_until == NEVER:  # guards a hot destination: all flows together may be far above its limit
+            even = (limit.told or limit.listed or NEVER) / self._set.senders
+            part = min(self._flow(limit), max(1.0 / WINDOW, UNEVEN * even))
         return part * share * self._set.tip_multiple * COLD_MARGIN
 
     # ---- messages ----
 
     def _received(self, event: api.MessageReceived) -> None:
         kind = self._set.classes[event.message_class]
-        aim = kind.aim + kind.aim_stretch * (event.work_hint or 0.0)
+        aim_at = event.due - kind.deadline + kind.aim + kind.aim_stretch * (event.work_hint or 0.0)
         message = self._messages[event.message] = _Message(
-            event.message, event.message_class, kind, event.destination, event.due, min(event.due, event.due
-            - kind.deadline + aim), event.key if kind.ordered else None, event.attempts, event.maybe_ran,
-            event.ran_in)
+            event.message, event.message_class, kind, event.destination, event.due, min(event.due, aim_at),
+            event.key if kind.ordered else None, event.attempts, event.maybe_ran, event.ran_in)
         self._held += 1
         destination = self._destination(event.destination)
         kept = max(0.0, 1.0 - (self._now - destination.flow_at) / WINDOW)
@@ -398,10 +403,14 @@
             return -NEVER
         return message.maybe_ran + kind.dedup_window
 
+    def _may_refuse(self, message: _Message) -> bool:
+        """Whether its client may hand it in again: one that a single zone knows it may take to another."""
+        return self._now < self._repeatable_until(message) and not (message.zoned and message.maybe_ran)
+
     def _latest_start(self, message: _Message) -> float:
         """The last time at which a further attempt is allowed and a usual call still fits."""
-        margin = self._set.connect_timeout + self._set.tick  # a repeat counts from when it leaves
-        return min(message.due - self._usual(message), self._repeatable_until(message) - margin)
+        repeat = self._repeatable_until(message) - self._set.connect_timeout - self._set.tick  # as it leaves
+        return min(message.due - self._usual(message), repeat)
 
     def _queue(self, message: _Message) -> None:
         """Put a message in line at its destination, unless it cannot wait for the close."""
@@ -428,8 +437,7 @@
 
     def _give_up(self, message: _Message) -> None:
         """The final answer, at once, for a message that will not be sent again: a refusal where allowed."""
-        said = message.zoned and message.maybe_ran is not None  # a client may take it to another zone
-        if self._now < self._repeatable_until(message) and not said:
+        if self._may_refuse(message):
             wait = min(self._first_gate(self._line(message)) - self._now, self._set.max_retry_after)
             advised = self._set.advises_retry_after and wait > 0.0
             self._out.append(api.Refuse(message.id, wait if advised else None))
@@ -470,15 +478,14 @@
         unsent = [m for m in self._messages.values() if m.in_line]
         waits = {number: self._line_time(self._destination(number), count)
                  for number, count in Counter(m.destination for m in unsent).items()}
-        if unsent:
-            self._give_up(max(unsent, key=lambda m: (waits[m.destination], -m.kind.worth, m.aim_at, m.id)))
+        if unsent:  # one that would fail only if none is left that may come again
+            self._give_up(max(unsent, key=lambda m: (waits[m.destination] > 0.0 and self._may_refuse(m),
+                                                     waits[m.destination], -m.kind.worth, m.aim_at, m.id)))
 
     def _line_time(self, destination: _Destination, count: int) -> float:
-        """How long so many messages for it will be in line, at the pace that holds there now.
-
-        Guards a healthy destination with small calls: nothing paces it, so that its line, however long by the
-        rate told for it, is over before that of one that is shut.
-        """
+        """How long so many messages for it will be in line, at the pace that holds there now."""
+        # Guards a healthy destination with small calls: nothing paces it, so that its line, however long by
+        # the rate told for it, is over before that of one that is shut.
         gate, calls = self._first_gate(destination.line(None)), -(-count // destination.kind.max_batch)
         if gate == NEVER:
             return NEVER
@@ -571,7 +578,7 @@
                     if wait and left >= SPENT and limit.ok_sent < now - WINDOW:
                         row.dark = -NEVER
                     row.strikes += outcome is Outcome.FULL
-                self._space(limit, 1)
+                self._space(limit)
                 # A connect without an answer is silence: the host is gone. A full table says no at once.
                 gone = outcome is Outcome.CONNECT_FAILED and event.elapsed >= self._set.connect_timeout
                 self._failure(limit, None if gone else outcome)
@@ -639,10 +646,9 @@
 
     def _ask_pause(self) -> float:
         """Seconds between two calls for the list of this sender while they fail."""
-        # Guards its service: it works through calls in turn, those given up too, so that senders which all
-        # come again within seconds keep it behind, and none of them is ever answered in time.
-        wait = RESUBSCRIBE * self._set.senders * 2.0 ** min(self._failed_asks, 4)
-        return min(wait, self._set.ask_within or WINDOW)
+        # Guards its service: it works through calls in turn, given up ones too, and might never catch up.
+        most = self._set.ask_within or WINDOW
+        return min(RESUBSCRIBE * self._set.senders * 2.0 ** min(self._failed_asks, 4), most)
 
     def _remove(self, address: api.Address) -> None:
         """Draining or gone: nothing new goes there from this turn on."""
@@ -678,10 +684,8 @@
         return NEVER
 
     def _free_slots(self, wanted: int) -> None:
-        """Cut calls stuck at silent destinations when others need their slots, those that may go again first.
-
-        Guards against slots full of calls that wait for their deadline. Could lose an answer still to come.
-        """
+        """Cut calls stuck at silent destinations when others need their slots, repeatable ones first."""
+        # Guards against slots full of calls that wait for their deadline. Could lose an answer still to come.
         for call in sorted(self._stuck, key=lambda call: sum(
                 message.kind.effect is Effect.UNSAFE for message in call.messages)):
             if wanted and call.left and (call.route.limit.ok_sent < call.sent or self._now > call.lost_at):
@@ -713,8 +717,7 @@
                 0.0 if self._connected(r) else 0.75), self._random.random()))
         row = self._rows.get(route.limit) or _Row()
         unproven = row.cold_until == NEVER
-        size = 1 if unproven and row.dark == NEVER else destination.kind.max_batch
-        call, overdue = _Call(route, now), 0.0
+        call, size, overdue = _Call(route, now), self._most(row, destination.kind), 0.0
         if not self._connected(route):
             route.connections += 1
         elif self._stale >= STALE and now - route.all_used >= self._idle_limit:
@@ -741,12 +744,11 @@
         self._sequence += 1
         call.lost_at = now + overdue * PATIENCE
         heappush(self._overdue, (now + overdue, self._sequence, call))
-        self._space(route.limit, call.left)
+        self._space(route.limit)
 
     def _worth_keeping(self, message: _Message) -> bool:
         """Whether its next call comes so soon that a connection earns its place in the endpoint's table."""
-        # Guards against tables full of idle connections: what each of many senders keeps and hardly uses is
-        # the place of others' calls, and those that hold one are never turned away and never learn of it.
+        # Guards against tables full of idle connections: who holds one is not turned away and never learns.
         destination, senders = self._destination(message.destination), self._set.senders
         if self._set.may_tell_peers or any(  # a sender that is turned away tells of it, or one may go now
                 e in self._waiting and self._first_gate(e) <= self._now for e in destination.lines.values()):
