A success takes back a quarter of a step where calls are shared, all of it elsewhere

Where a call carries what waits, a slow pace loses nothing, and a fast one only brings refusals; where each message is a call, messages wait for the sender's own successes, which come seconds apart. Change: RECOVER for kinds whose calls are shared, a whole step elsewhere.

--- a/irisstack/choice.py
+++ b/irisstack/choice.py
@@ -25,7 +25,7 @@
 SCARCE = 1.0 - SPENT  # a share left under this has calls spaced before any is refused
 SLOWER = 1.5  # each further refusal stretches the gap between calls by this
 FIRST_GAP = 2.0  # seconds between two calls after a refusal, at most, before it is stretched
-RECOVER = 1.0  # refusals' steps taken back by each call that succeeds
+RECOVER = 0.25  # part of a refusal's step that a success takes back where calls are shared; else all of it
 COLD_MARGIN = 0.7  # part of the fail-back budget that is used: the capacity behind it is an estimate
 ITEM_WEIGHT = 0.2  # what each further message of a shared call weighs against the fail-back budget
 OVERDUE = 4.0  # a call is overdue after this many usual times
@@ -287,7 +287,8 @@
             row.strikes = max(row.strikes, 1.0)
         elif row.strikes:
             waits = any(line in self._waiting for line in limit.destination.lines.values())
-            row.strikes = max(float(waits), row.strikes - RECOVER)
+            shared = limit.destination.kind.max_batch > 1  # what waits goes with the next call, however late
+            row.strikes = max(float(waits), row.strikes - (RECOVER if shared else 1.0))
 
     def _tell(self, what: bytes, limit: _Limit) -> None:
         if self._set.may_tell_peers:
@@ -776,6 +777,5 @@
             if line:
                 wake = min(wake, line[0][0] + late)
         if wake < self._wake:
-            self._wake = wake
-            self._timers += 1
+            self._wake, self._timers = wake, self._timers + 1
             self._out.append(api.SetTimer(max(0.0, min(wake - self._now, 3600.0)), self._timers))
