--- a/irisstack/choice.py
+++ b/irisstack/choice.py
@@ -375,7 +375,7 @@
 
     def _received(self, event: api.MessageReceived) -> None:
         kind = self._set.classes[event.message_class]
-        aim_at = event.due - kind.deadline + kind.aim + kind.aim_stretch * (event.work_hint or 0.0)
+        aim_at = event.due - kind.deadline + kind.aim
         message = self._messages[event.message] = _Message(
             event.message, event.message_class, kind, event.destination, event.due, min(event.due, aim_at),
             event.key if kind.ordered else None, event.attempts, event.maybe_ran, event.ran_in)
--- a/irisstack/interface.py
+++ b/irisstack/interface.py
@@ -75,8 +75,6 @@
     dedup_scope: DedupScope = DedupScope.DESTINATION
     dedup_window: float = 0.0
     ordered: bool = False
-    streamed: bool = False
-    aim_stretch: float = 0.0
 
 
 @dataclass(slots=True, frozen=True)
--- a/irisstack/settings.py
+++ b/irisstack/settings.py
@@ -161,6 +161,4 @@
         dedup_scope=GROUPS.get(lane.text("group", "all"), DedupScope.ZONE),
         dedup_window=lane.number("window", 0.0),
         ordered=lane.flag("keepOrder"),
-        streamed=lane.flag("streamed"),
-        aim_stretch=lane.number("aimStretch", 0.0),
     )
