Bound the gap after a refusal only where no rate is told

At fault: FIRST_GAP, which had each of 200 nodes call a small limit every 2 s instead of at its 200th part. Ruled out: the saving up and the step by kind.

--- a/irisstack/choice.py
+++ b/irisstack/choice.py
@@ -24,7 +24,7 @@
 SPENT = 0.75  # a share left under this explains a refusal: it is the limit, and the destination is not shut
 SCARCE = 1.0 - SPENT  # a share left under this has calls spaced before any is refused
 SLOWER = 1.5  # each further refusal stretches the gap between calls by this
-FIRST_GAP = 2.0  # seconds between two calls after a refusal, at most, before it is stretched
+FIRST_GAP = 2.0  # where no rate is told: seconds between two calls after a refusal, at most, at first
 RECOVER = 0.25  # part of a refusal's step that a success takes back where calls are shared; else all of it
 COLD_MARGIN = 0.7  # part of the fail-back budget that is used: the capacity behind it is an estimate
 ITEM_WEIGHT = 0.2  # what each further message of a shared call weighs against the fail-back budget
@@ -337,10 +337,9 @@
     def _rate(self, limit: _Limit) -> float:
         """This sender's part of the calls a second told for all: its own flow's, the even part at least."""
         # Guards a limit on calls: a flow of messages that are told one by one would take it many times over.
-        flow = self._flow(limit)
-        own = max(flow / limit.destination.kind.max_batch, min(flow, 1.0 / FIRST_GAP))
-        whole = limit.told or limit.listed or own
-        return min(whole, max(own, whole / self._set.senders))
+        flow, whole = self._flow(limit), limit.told or limit.listed
+        own = flow / limit.destination.kind.max_batch
+        return min(whole, max(own, whole / self._set.senders)) or max(own, min(flow, 1.0 / FIRST_GAP))
 
     def _flow(self, limit: _Limit) -> float:
         """This sender's messages a second for what shares one limit."""
@@ -349,17 +348,16 @@
 
     def _space(self, limit: _Limit) -> None:
         """Note a call: evenly spaced after refusals, charged to the budget while cold."""
-        row = self._rows.get(limit) or _Row()
-        jitter, least = self._random.uniform(1.0, 1.1), 1.0 / self._rate(limit)
-        # A gap that is no even part of a rate is spread: all that were refused together would meet again.
-        spread = jitter if least < FIRST_GAP else self._random.uniform(0.5, 1.5)
+        row, jitter = self._rows.get(limit) or _Row(), self._random.uniform(1.0, 1.1)
+        # A gap that is no part of a told rate is spread: all that were refused together would meet again.
+        spread = jitter if limit.told or limit.listed else self._random.uniform(0.5, 1.5)
         row.next_at = self._now + spread * self._gap(row, limit)
         row.spent, row.spent_at = jitter - 1.0, self._now
 
     def _gap(self, row: _Row, limit: _Limit) -> float:
         """Seconds between two calls of this sender while refusals have them spaced."""
-        slower = float(SLOWER ** max(0.0, row.strikes - 1.0))
-        return slower * min(1.0 / self._rate(limit), FIRST_GAP)
+        most = NEVER if limit.told or limit.listed else FIRST_GAP
+        return float(SLOWER ** max(0.0, row.strikes - 1.0)) * min(1.0 / self._rate(limit), most)
 
     def _budget(self, row: _Row, limit: _Limit) -> float:
         """This sender's part of the calls a second that a destination coming back can bear by now."""
@@ -375,10 +373,10 @@
 
     def _received(self, event: api.MessageReceived) -> None:
         kind = self._set.classes[event.message_class]
-        aim_at = event.due - kind.deadline + kind.aim
         message = self._messages[event.message] = _Message(
-            event.message, event.message_class, kind, event.destination, event.due, min(event.due, aim_at),
-            event.key if kind.ordered else None, event.attempts, event.maybe_ran, event.ran_in)
+            event.message, event.message_class, kind, event.destination, event.due,
+            min(event.due, event.due - kind.deadline + kind.aim), event.key if kind.ordered else None,
+            event.attempts, event.maybe_ran, event.ran_in)
         self._held += 1
         destination = self._destination(event.destination)
         kept = max(0.0, 1.0 - (self._now - destination.flow_at) / WINDOW)
@@ -439,9 +437,10 @@
     def _give_up(self, message: _Message) -> None:
         """The final answer, at once, for a message that will not be sent again: a refusal where allowed."""
         if self._may_refuse(message):
-            wait = min(self._first_gate(self._line(message)) - self._now, self._set.max_retry_after)
-            advised = self._set.advises_retry_after and wait > 0.0
-            self._out.append(api.Refuse(message.id, wait if advised else None))
+            # At its turn there; one that may have run while it is known there, so at the close.
+            at = self._first_gate(self._line(message)) if message.maybe_ran is None else self._close(message)
+            wait = min(at - self._now, self._set.max_retry_after) if self._set.advises_retry_after else 0.0
+            self._out.append(api.Refuse(message.id, wait if wait > 0.0 else None))
         else:
             self._out.append(api.Fail(message.id))
         self._finish(message)
--- a/tests/test_move.py
+++ b/tests/test_move.py
@@ -195,3 +195,10 @@
     same, none = play(replace(SETTINGS, senders=200))
     assert same.sends == plain.sends
     assert not none
+
+
+def test_one_that_may_have_run_is_told_the_close_and_not_its_turn_after_it() -> None:
+    driver = Driver(senders=200)
+    driver.turn(1.0, *(driver.received(n, 1.0, KEYED_INDEX, due=1.3 + OPEN_FOR) for n in (1, 2, 3)))
+    driver.turn(1.1, *(driver.outcome(n, ERROR, 1.1) for n in (1, 2, 3)))
+    assert [driver.refused[n].retry_after for n in (1, 2, 3)] == [pytest.approx(OPEN_FOR)] * 3
