--- a/irisstack/choice.py
+++ b/irisstack/choice.py
@@ -6,7 +6,7 @@
 """
 
 from collections import Counter, deque
-from collections.abc import Iterable
+from collections.abc import Collection
 from dataclasses import dataclass, field
 from heapq import heappop, heappush
 from random import Random
@@ -198,10 +198,10 @@
         self._subscribe_at = 0.0 if settings.discovery_on_request else NEVER
         self._wake = NEVER
 
-    def turn(self, now: float, events: Iterable[api.Event]) -> list[api.Action]:
+    def turn(self, now: float, events: Collection[api.Event]) -> list[api.Action]:
         """Take all that came at one time and answer with what to do about it."""
         self._now, self._out = now, []
-        moved = False  # whether anything may have changed what goes when
+        moved = not events  # whether anything, if only time, may have changed what goes when
         for event in events:
             moved |= not isinstance(event, api.PeerMessage) or self._heard(
                 event.data[:1], self._limits.get(event.data[1:]))
--- a/irisstack/lab/baselines.py
+++ b/irisstack/lab/baselines.py
@@ -6,7 +6,7 @@
 """
 
 from collections import deque
-from collections.abc import Iterable
+from collections.abc import Collection
 from dataclasses import dataclass, field
 from heapq import heappop, heappush
 from random import Random
@@ -124,7 +124,7 @@
 
     # ---- the interface ----
 
-    def turn(self, now: float, events: Iterable[api.Event]) -> list[api.Action]:
+    def turn(self, now: float, events: Collection[api.Event]) -> list[api.Action]:
         self.now, self._out = now, []
         for event in events:
             match event:
--- a/irisstack/lab/policy.py
+++ b/irisstack/lab/policy.py
@@ -1,6 +1,6 @@
 """What decides in a node: the decision module, or something to compare it with."""
 
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Collection
 from typing import Protocol
 
 from irisstack import interface as api
@@ -10,7 +10,7 @@
 class Policy(Protocol):
     """The decision module's own interface."""
 
-    def turn(self, now: float, events: Iterable[api.Event]) -> list[api.Action]:
+    def turn(self, now: float, events: Collection[api.Event]) -> list[api.Action]:
         """Take all that came at one time and answer with what to do about it."""
 
 
--- a/tests/lab/test_audit.py
+++ b/tests/lab/test_audit.py
@@ -1,6 +1,6 @@
 """Every rule has a node that breaks just it, and the auditor must say so; a good module breaks none."""
 
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Collection
 from pathlib import Path
 from typing import Any
 
@@ -23,7 +23,7 @@
         self.inner = Sender(settings, seed)
         self.settings = settings
 
-    def turn(self, now: float, events: Iterable[api.Event]) -> list[api.Action]:
+    def turn(self, now: float, events: Collection[api.Event]) -> list[api.Action]:
         heard = [event for event in map(self.hear, events) if event is not None]
         return [changed for action in self.inner.turn(now, heard) for changed in self.do(now, action)]
 
--- a/tests/support.py
+++ b/tests/support.py
@@ -1,6 +1,6 @@
 """Settings and events with values of the tests' own, and a sender driven by hand."""
 
-from collections.abc import Iterable
+from collections.abc import Collection
 from dataclasses import replace
 from typing import Any
 
@@ -62,7 +62,7 @@
             self._turn(due[0], (api.TimerFired(due[1]),))
         return self._turn(now, events)
 
-    def _turn(self, now: float, events: Iterable[api.Event]) -> list[api.Action]:
+    def _turn(self, now: float, events: Collection[api.Event]) -> list[api.Action]:
         self.now = now
         actions = self.sender.turn(now, events)
         for act in actions:
--- a/tests/test_design.py
+++ b/tests/test_design.py
@@ -3,7 +3,7 @@
 import pytest
 
 from irisstack import interface as api
-from irisstack.choice import COLD_MARGIN, OPEN_FOR, SLOWER, THRESHOLD, WINDOW
+from irisstack.choice import COLD_MARGIN, ITEM_WEIGHT, OPEN_FOR, SLOWER, THRESHOLD, WINDOW
 from tests.support import KEYED_INDEX, SETTINGS, UNSAFE_INDEX, Driver, address, endpoint
 
 FULL, ERROR, OK = api.Outcome.FULL, api.Outcome.ERROR, api.Outcome.OK
@@ -71,18 +71,11 @@
 def test_outcomes_landing_while_open_neither_count_nor_extend() -> None:
     driver = Driver(endpoint(1), endpoint(2, destination=2), max_calls=18)
     numbers = range(1, 7)  # six calls are out together
-    driver.turn(1.0, *(driver.received(n, 1.0) for n in numbers))
+    driver.turn(1.0, *(driver.received(n, 1.0, due=None if n < 4 else 1.3 + OPEN_FOR) for n in numbers))
     driver.turn(1.1, *(driver.outcome(n, ERROR, 1.1) for n in range(1, 4)))
     driver.turn(1.1 + OPEN_FOR / 2, *(driver.outcome(n, ERROR, 1.1 + OPEN_FOR / 2) for n in range(4, 7)))
-    withdraw_all(driver, numbers, 1.2 + OPEN_FOR / 2)
     assert len(driver.sends) == 6
-    left = 1.1 + OPEN_FOR - (1.3 + OPEN_FOR / 2)  # to the close; its place in the first gap comes after it
-    driver.message(50, 1.3 + OPEN_FOR / 2, due=1.3 + OPEN_FOR)
-    assert left - 1e-9 <= (driver.refused[50].retry_after or 0.0) <= SETTINGS.max_retry_after
-    driver.turn(1.1 + OPEN_FOR)
-    driver.message(51, 1.1 + OPEN_FOR)
-    driver.turn(1.1 + OPEN_FOR + 10.0)
-    assert driver.sent(51)
+    assert [driver.refused[n].retry_after for n in (4, 5, 6)] == [pytest.approx(OPEN_FOR / 2)] * 3
 
 
 def test_a_told_wait_holds_every_message_to_its_end() -> None:
@@ -108,10 +101,9 @@
 
 
 def test_a_parked_message_that_cannot_wait_is_refused_at_once_with_the_close() -> None:
-    driver, at = opened()
+    driver, at = opened(FULL)
     driver.message(50, at + 0.2, due=at + OPEN_FOR)
-    # The close, and where it looks like an outage this sender's place in the first gap after it.
-    assert OPEN_FOR - 0.2 <= (driver.refused[50].retry_after or 0.0) <= SETTINGS.max_retry_after
+    assert driver.refused[50].retry_after == pytest.approx(OPEN_FOR - 0.2)
     driver.message(51, at + 0.2, due=at + OPEN_FOR + 5.0)
     assert 51 not in driver.refused
 
@@ -199,14 +191,14 @@
 def test_a_reported_limit_goes_before_the_listed_rate() -> None:
     driver = Driver(endpoint(1, rate=4.0))
     driver.message(1, 1.0)
-    driver.end(1, FULL, 1.05, report=(0.0, 2.0))
+    driver.end(1, FULL, 1.05, report=(0.0, 1.0))
     driver.turn(4.0)
-    assert 1.0 <= (driver.sent(1)[1] - 1.05) * 2.0 / SETTINGS.senders <= 1.15
+    assert 1.0 <= (driver.sent(1)[1] - 1.05) / SETTINGS.senders <= 1.15
 
 
 def test_a_sender_spaces_by_its_own_flow_where_that_is_more_than_the_even_part() -> None:
     def gap(count: int) -> float:
-        driver = Driver(endpoint(1, rate=40.0), senders=400, max_calls=60)
+        driver = Driver(endpoint(1, rate=40.0), senders=400)
         driver.turn(1.0, *(driver.received(n, 1.0) for n in range(1, count + 1)))
         for at in (1.1, 1.2):
             answered = [n for n in range(2, count + 1) if driver.sent(n) and driver.sent(n)[0] >= at - 0.11]
@@ -214,8 +206,8 @@
         driver.end(1, FULL, 1.3)
         driver.turn(15.0)
         return driver.sent(1)[1] - 1.3
-    assert WINDOW / 10 <= gap(10) <= 1.2 * WINDOW / 10
     assert WINDOW <= gap(1) <= 1.2 * WINDOW
+    assert WINDOW / 5 <= gap(5) <= 1.2 * WINDOW / 5
 
 
 def test_each_route_apart_has_its_own_row() -> None:
@@ -281,7 +273,7 @@
         for tenth in range(90):
             driver.turn(start + tenth / 10.0)
         return driver.sends[sends][0] - start
-    assert gap(5) > gap(1) + 0.2  # the budget grows meanwhile
+    assert gap(5) > gap(1) * (1 + 4 * ITEM_WEIGHT) * 0.8
 
 
 def test_on_an_unproven_destination_a_repeatable_message_goes_first_and_alone() -> None:
--- a/tests/test_move.py
+++ b/tests/test_move.py
@@ -34,15 +34,6 @@
         driver.end(number, OK, driver.now + 0.1)
 
 
-def test_it_fails_and_is_never_refused_once_it_may_have_run() -> None:
-    driver = Driver(endpoint(1), classes=ZONED)
-    driver.message(1, 1.0, KEYED_INDEX)
-    driver.turn(1.05, api.EndpointsUpdated(api.UpdateScope.FULL, 2, (endpoint(2, zone=1),)))
-    driver.end(1, RESET, 1.1)
-    driver.turn(30.0)
-    assert (len(driver.sent(1)), driver.refused, driver.failed) == (1, {}, {1})
-
-
 def test_limits_rates_and_silence_are_a_route_s_own_where_routes_are_apart() -> None:
     driver = Driver(endpoint(1, rate=40.0), endpoint(2, rate=1.0), kinds=APART, senders=1)
     driver.turn(1.0, *(driver.received(n, 1.0, UNSAFE_INDEX) for n in (1, 2)))
@@ -102,15 +93,6 @@
     assert sum(bool(driver.sent(n)) for n in range(10, 16)) < 6, "what returns is not pushed"
 
 
-def test_a_success_in_between_ends_the_run_of_failures() -> None:
-    driver = Driver(**NOTED)
-    for at in (1.0, 2.0, 3.0):
-        hear(driver, b"F", SHARED - 1, at)
-        hear(driver, b"S", 1, at + 0.1)
-    driver.message(1, 4.0)
-    assert driver.sent(1) == [4.0]
-
-
 def test_refusals_at_a_sender_with_few_calls_are_no_outage_until_all_say_so() -> None:
     def sent(noted: bool) -> int:
         driver = Driver(endpoint(1), senders=200, may_tell_peers=noted, max_attempts=9)
@@ -118,6 +100,8 @@
         for attempt in (1, 2, 3):
             driver.end(1, FULL, driver.now + 0.1)
             driver.wait_for(1, attempt + 1)
+        assert all(told > 1.1 + DARK for told, _ in driver.told)
+        assert bool(driver.told) == noted
         driver.end(1, OK, driver.now + 0.1)
         at = driver.now
         driver.turn(at, *(driver.received(n, at) for n in (50, 51, 52, 53)))
@@ -126,22 +110,13 @@
     assert sent(noted=False) < sent(noted=True)
 
 
-def test_refusals_for_long_are_told() -> None:
-    driver = Driver(**NOTED, max_attempts=12)
-    driver.message(1, 1.0)
-    for attempt in range(1, 9):
-        driver.end(1, FULL, driver.now + 0.1)
-        driver.wait_for(1, attempt + 1)
-    first = driver.told[0][0]
-    assert first > 1.1 + DARK
-
-
-def test_notes_that_mean_nothing_here_change_nothing() -> None:
+@pytest.mark.parametrize("notes", [([b"F\x01"] * (SHARED - 1) + [b"S\x01"]) * 3,
+                                   [b"", b"F", b"F\x07", b"?\x01", b"S" * 256]])
+def test_notes_that_name_nothing_here_or_hold_a_success_open_nothing(notes: list[bytes]) -> None:
     driver = Driver(**NOTED)
-    driver.turn(1.0, *(api.PeerMessage(9, data) for data in (b"", b"F", b"F\x07", b"?\x01", b"S" * 256)))
+    driver.turn(1.0, *(api.PeerMessage(9, data) for data in notes))
     driver.message(1, 1.1)
-    assert driver.sent(1) == [1.1]
-    assert driver.told == []
+    assert (driver.sent(1), driver.told) == ([1.1], [])
 
 
 def test_connections_are_kept_where_a_full_table_is_told_and_given_back_once_it_is() -> None:
