A shared call ends for all of its messages or for none

At fault: Connection._read, which ended single messages and left the call out. A call has one fate; it now ends with the first message whose time is up, before that end is told.

--- a/irisstack/node/endpoint.py
+++ b/irisstack/node/endpoint.py
@@ -45,7 +45,7 @@
 
 @dataclass(slots=True, eq=False)
 class Call:
-    """The messages that go to one endpoint together."""
+    """The messages that go to one endpoint together, with one fate."""
 
     messages: Sequence[Outgoing]
     sent_at: float  # Unix time, for the record
@@ -53,6 +53,16 @@
     begun: bool = False
     over: bool = False  # ended or called off
 
+    @property
+    def until(self) -> float:
+        """When it is given up: once no message waits for it, or the first is out of time.
+
+        An attempt that has ended has no call out any more, and a call is ended for all of its messages or for
+        none: whose own time is up must be told its end, so that the others' attempts end with it.
+        """
+        return min(max(message.give_up for message in self.messages),
+                   min(message.due for message in self.messages))
+
 
 @dataclass(slots=True, frozen=True)
 class CallOff:
@@ -132,7 +142,7 @@
     def carry(self, call: Call, leaving: Callable[[Call], bool],
               end: Callable[[Outgoing, Result], None]) -> bool:
         """Carry one call to its end and tell each message's; returns whether the connection can be kept."""
-        pending = {message.id: message for message in call.messages}
+        ids = [message.id for message in call.messages]
         reached, ending = Reached.NOTHING, Ending.BROKEN
         keep = False
         answer: http.Message | None = None
@@ -140,16 +150,15 @@
             if call.over:
                 raise _CalledOff
             call.begun = True
-            give_up = max(message.give_up for message in call.messages)
-            self._open(give_up)
+            self._open(call.until)
             reached = Reached.CONNECTED
-            if time.monotonic() >= give_up:  # after a standstill of this node: nobody waits for it any more
+            if time.monotonic() >= call.until:  # after a standstill of this node: nobody waits for it
                 raise TimeoutError
             if not leaving(call):
                 raise _Withheld
-            self._write(call, give_up)
+            self._write(call)
             reached = Reached.WRITTEN
-            answer = self._read(pending, end)
+            answer = self._read(call.until)
             keep = answer is not None and answer.keep_alive and not len(self._buffer)
             ending = Ending.BROKEN if answer is not None else Ending.GIVEN_UP
         except _CalledOff:
@@ -165,17 +174,17 @@
             log.error("call_failed", peer=name_of(self._peer), error=repr(error))
         call.over = True
         if answer is None and reached is Reached.WRITTEN and len(call.messages) == 1 and self._reader.says_ok:
-            results = dict.fromkeys(pending, DELIVERED)
+            results = dict.fromkeys(ids, DELIVERED)
         elif answer is None:
-            results = dict.fromkeys(pending, unanswered(reached, ending))
+            results = dict.fromkeys(ids, unanswered(reached, ending))
         elif len(call.messages) == 1:
-            results = dict.fromkeys(pending, answered(answer, self._fields))
+            results = dict.fromkeys(ids, answered(answer, self._fields))
         else:
-            results = answered_each(answer, list(pending), self._fields)
+            results = answered_each(answer, ids, self._fields)
         if not keep:
             self.close()
-        for id_, message in pending.items():
-            end(message, results[id_])
+        for message in call.messages:
+            end(message, results[message.id])
         return keep
 
     def _open(self, give_up: float) -> None:
@@ -186,9 +195,9 @@
             raise TimeoutError
         self._socket = sockets.connect(self._peer, min(left, self._connect_timeout or left))
 
-    def _write(self, call: Call, give_up: float) -> None:
+    def _write(self, call: Call) -> None:
         assert self._socket is not None
-        left = max(0.001, give_up - time.monotonic())
+        left = max(0.001, call.until - time.monotonic())
         headers = [("X-Timeout", f"{left:.3f}")]
         if len(call.messages) == 1:
             message = call.messages[0]
@@ -214,37 +223,19 @@
         except (OSError, http.BadMessage):
             return None
 
-    def _read(self, pending: dict[str, Outgoing],
-              end: Callable[[Outgoing, Result], None]) -> http.Message | None:
-        """The answer, or nothing once no message waits for it.
-
-        A shared call is given up when all of its messages are: ending it for one would cut the others off,
-        and ending one alone would make its next attempt a second copy. Only a message whose own time is up,
-        which has no next attempt, ends before its call.
-        """
+    def _read(self, until: float) -> http.Message | None:
+        """The answer, or nothing once nobody waits for it."""
         assert self._socket is not None
-        last = max(message.give_up for message in pending.values())
         begun = False
-        while True:
-            answer = self._reader.advance(self._buffer)
-            if answer is not None:
-                return answer
+        while (answer := self._reader.advance(self._buffer)) is None:
             now = time.monotonic()
             if not begun and (begun := self._reader.started or len(self._buffer) > 0):
-                last = min(last, now + REST)
-            next_end = min(last, *(m.due for m in pending.values()))
-            late = now >= next_end
+                until = min(until, now + REST)
+            late = now >= until
             if late and sockets.quiet(self._socket):
-                if now >= last:
-                    return None
-                for message in [m for m in pending.values() if m.due <= now]:
-                    del pending[message.id]
-                    end(message, unanswered(Reached.WRITTEN, Ending.GIVEN_UP))
-                if not pending:
-                    return None
-                continue
+                return None
             # What has come counts, however late this node looks: after a standstill time-outs fire first.
-            self._socket.settimeout(next_end - now if not late else 0.001)
+            self._socket.settimeout(until - now if not late else 0.001)
             if begun:
                 gevent.sleep(0)  # an answer that keeps coming must not keep the others from their turn
             try:
@@ -255,6 +246,7 @@
                     return answer
             except TimeoutError:
                 continue
+        return answer
 
 
 class Endpoint:
