Graceful shutdown: no connection is closed over a request that lies unread

Five crossings of a request with an end were at fault: - _Connection.stop: shutting the reading side wakes the greenlet that reads with an error (gevent cancels the wait), which was taken for a client that had gone; the socket was closed over whatever lay in the system's hands, so the connection was reset and a whole request ended with no answer. At SIGTERM and whenever room was made for another client. What came is read now; a whole request that crossed is answered 503 and not taken on (its client hands it in again elsewhere: taken on, it would go twice), half a one is answered 503. - Intake.stop ended connections that had yet to bring their first request; they keep their time for it. - Intake.close closed the listener over connections that the system had let in (reset); they are accepted first. - Service._end never looked at clients: a request in hand, an answer under way or a lingering close ended with the process. The node ends once every client that came has its answer and has gone, at END_BY whatever there is. - An answer written once the drain had begun did not say that the connection ends. Also: an error in reading the file anew that is no ConfigError ended the whole node (_read_anew); it is logged now and changes nothing.

The doorway's states have their names (accepting, draining, closed).

--- a/irisstack/choice.py
+++ b/irisstack/choice.py
@@ -42,6 +42,7 @@
 IDLE_PART = 0.1  # of the keep-alive time; a connection idle for less says nothing
 SLOT_PART = 3  # a destination holds at most one part in so many of the slots, two at least
 RESUBSCRIBE = 0.2  # seconds for each sender before the first renewed subscription after a failure; doubles
+NEWS = 4.5  # and so many at most since its service was heard, whose news is due within 6; but see the pause
 SPREAD = 0.25  # of that time in which the senders first subscribe
 
 FAILED, SERVED, CROWDED = b"F", b"S", b"C"  # what notes to the other senders say
@@ -261,8 +262,7 @@
         """Move the open-until time; messages that cannot wait for it are given up at once."""
         row.open_until = max(row.open_until, until)
         # Many senders told one close would all call at it: each takes one of as many places in the first gap.
-        many = self._set.senders
-        row.spent, row.spent_at = self._random.randrange(many) / many - 1.0, row.open_until
+        row.spent, row.spent_at = self._random.randrange(n := self._set.senders) / n - 1.0, row.open_until
         if row.open_until > (self._now if self._set.may_tell_peers else row.dark) + DARK:
             # A busy destination's limit or full connection table turns calls away too, but not for long
             # without taking one. Turned away or told to wait longer than that, it will come back cold.
@@ -619,12 +619,12 @@
     def _updated(self, event: api.EndpointsUpdated) -> None:
         if event.scope is api.UpdateScope.FAILED:
             if self._set.discovery_on_request:
-                self._subscribe_at = self._now + self._ask_pause() * self._random.uniform(0.5, 1.5)
+                self._subscribe_at = self._now + self._ask_pause(0.5, 1.5, event.unheard)
                 self._failed_asks += 1
             return
         self._failed_asks = 0
         if event.scope is api.UpdateScope.CACHED and self._set.discovery_on_request:  # a start
-            self._subscribe_at = self._now + self._ask_pause() * self._random.uniform(0.0, SPREAD)
+            self._subscribe_at = self._now + self._ask_pause(0.0, SPREAD)
         if event.scope is not api.UpdateScope.DELTA:
             for address in set(self._where) - {endpoint.address for endpoint in event.endpoints}:
                 self._remove(address)
@@ -644,11 +644,12 @@
                 self._where[endpoint.address] = endpoint.destination
             destination.routes[endpoint.address].limit.listed = endpoint.rate * self._set.listed_rates
 
-    def _ask_pause(self) -> float:
+    def _ask_pause(self, least: float, most: float, since: float = -NEVER) -> float:
         """Seconds between two calls for the list of this sender while they fail."""
-        # Guards its service: it works through calls in turn, given up ones too, and might never catch up.
-        most = self._set.ask_within or WINDOW
-        return min(RESUBSCRIBE * self._set.senders * 2.0 ** min(self._failed_asks, 4), most)
+        # Guards a service that lets one call after another wait: it works through them, given up ones too.
+        news = NEVER if since > RESUBSCRIBE and self._failed_asks else max(RESUBSCRIBE, (NEWS - since) / most)
+        pause = RESUBSCRIBE * self._set.senders * 2.0 ** min(self._failed_asks, 4)
+        return min(pause, news, self._set.ask_within or WINDOW) * self._random.uniform(least, most)
 
     def _remove(self, address: api.Address) -> None:
         """Draining or gone: nothing new goes there from this turn on."""
@@ -738,7 +739,7 @@
             overdue = max(overdue, silent)
             unsafe = message.kind.effect is Effect.UNSAFE
             give_up = None if unsafe else min(message.due, now + silent * PATIENCE)
-            self._out.append(api.Send(message.id, route.address, give_up))
+            self._out.append(api.Send(message.id, route.address, give_up, self._repeatable_until(message)))
         destination.calls += 1
         self._calls += 1
         self._sequence += 1
--- a/irisstack/interface.py
+++ b/irisstack/interface.py
@@ -3,6 +3,7 @@
 Times are seconds on one clock that never goes back. `None` stands for "not told" or "not present".
 """
 
+import math
 from dataclasses import dataclass
 from enum import Enum, IntEnum, auto
 
@@ -158,6 +159,8 @@
     scope: UpdateScope
     version: int
     endpoints: tuple[Endpoint, ...]
+    unheard: float = 0.0
+    """Of one that failed: seconds since the service, which took the call, was heard; 0 if not reached."""
 
 
 @dataclass(slots=True, frozen=True)
@@ -247,11 +250,15 @@
 
 @dataclass(slots=True, frozen=True)
 class Send:
-    """Call an endpoint with a message; `give_up_at` of None means the message's deadline."""
+    """Call an endpoint with a message; `give_up_at` of None means the message's deadline.
+
+    A call that cannot have left in whole by `leave_by` must not leave: its effect might come twice.
+    """
 
     message: int
     endpoint: Address
     give_up_at: float | None = None
+    leave_by: float = math.inf
 
 
 @dataclass(slots=True, frozen=True)
--- a/irisstack/node/discovery.py
+++ b/irisstack/node/discovery.py
@@ -3,6 +3,7 @@
 import json
 import time
 from collections.abc import Callable, Mapping
+from contextlib import suppress
 from dataclasses import dataclass, replace
 from typing import Any
 
@@ -15,6 +16,7 @@
 from irisstack.node import http, sockets
 from irisstack.node.buffer import Buffer
 from irisstack.node.config import HostPort, host_port, name_of
+from irisstack.node.objects import ObjectStream
 
 STATES = {
     "SERVING": api.EndpointState.READY,
@@ -23,8 +25,11 @@
 }
 PAUSE = 0.5
 """Seconds until a watch that ended is held anew, where the list comes unasked."""
-SILENCE = 5.0
-"""Seconds without a line, due every 2 s, after which a watch counts as broken; calls wait as long."""
+SILENCE = 3.5
+"""Seconds without a word, due every 2 s, after which a watch counts as broken; calls wait as long.
+
+What is missed from the last word on has to be here 6 s later: this, the pause and the next answer included.
+"""
 
 log = structlog.get_logger()
 
@@ -129,7 +134,9 @@
             match self.mailbox.get():
                 case api.Subscribe(on):
                     self._wanted = on
-                    self._hold_watch()
+                    # One that is held already, since discovery has moved meanwhile, is as good as another.
+                    if not on or self._watch is None or self._watch.dead:
+                        self._hold_watch()
                 case api.FetchEndpoints():
                     if self._fetch is None or self._fetch.dead:
                         self._fetch = gevent.spawn(self._ask, "", False)
@@ -157,14 +164,14 @@
 
     def _ask(self, query: str, watch: bool) -> None:
         """One call to discovery, to its end; a failure or the end of a watch is told."""
-        connection = None
+        connection, word = None, _Word(time.monotonic())
         try:
             connection = sockets.connect(self._peer, SILENCE)
             connection.sendall(http.request("GET", f"/v1/servers{query}", name_of(self._peer)))
             if watch:
-                self._follow(connection)
+                self._follow(connection, word)
             else:
-                answer = self._whole(connection)
+                answer = self._whole(connection, word)
                 if answer.status == 200:
                     self._tell(bytes(answer.body))
                     return
@@ -174,36 +181,66 @@
         finally:
             if connection is not None:
                 connection.close()
-        self._post(api.EndpointsUpdated(api.UpdateScope.FAILED, self._revision, ()))
+        unheard = time.monotonic() - word.heard_at if connection is not None else 0.0
+        self._post(api.EndpointsUpdated(api.UpdateScope.FAILED, self._revision, (), unheard))
         if watch and self._pushed:
             gevent.sleep(PAUSE)
             self.mailbox.put(api.Subscribe(True))
 
-    def _whole(self, connection: socket.socket) -> http.Message:
+    def _whole(self, connection: socket.socket, word: "_Word") -> http.Message:
         buffer, reader = Buffer(), http.AnswerReader(http.MAX_LIST)
         while (answer := reader.advance(buffer)) is None:
-            if not buffer.receive(connection):
+            if not word.receive(connection, buffer):
                 answer = reader.ended()
                 if answer is None:
                     raise ConnectionResetError("the answer ended early")
                 break
         return answer
 
-    def _follow(self, connection: socket.socket) -> None:
+    def _follow(self, connection: socket.socket, word: "_Word") -> None:
         """Hand on each object of a watch until it ends."""
         buffer, reader = Buffer(), http.AnswerReader(http.MAX_LIST)
-        rest = b""
-        while buffer.receive(connection):
-            ended = reader.advance(buffer) is not None
-            if ended or (reader.head_done and reader.message.status != 200):
-                log.info("watch_ended", status=reader.message.status)
+        objects = ObjectStream(http.MAX_LIST)
+        while word.receive(connection, buffer):
+            ended = reader.advance(buffer)
+            status = (ended or reader.message).status
+            if status == 200:
+                body = bytes(ended.body) if ended is not None else reader.take_body()
+                for whole in objects.feed(body):
+                    self._tell(whole)
+                    word.heard_at = time.monotonic()
+                if objects.between and b"\n" in body:
+                    word.heard_at = time.monotonic()
+            if ended is not None or (reader.head_done and status != 200):
+                log.info("watch_ended", status=status)
                 return
-            *lines, rest = (rest + reader.take_body()).split(b"\n")
-            for line in lines:
-                if line.strip():
-                    self._tell(line)
 
-    def _tell(self, line: bytes) -> None:
-        update = self._reader.update(json.loads(line))
-        self._revision = update.version
+    def _tell(self, whole: bytes) -> None:
+        """Hand on what one object says. Only then is it known: a watch ended meanwhile is told it again."""
+        update = self._reader.update(json.loads(whole))
         self._post(update)
+        self._revision = update.version
+
+
+@dataclass(slots=True)
+class _Word:
+    """When discovery was last heard in full: a call's begin, a whole object, an empty line.
+
+    Bytes that make none of these are no word, however many come.
+    """
+
+    heard_at: float
+
+    def receive(self, connection: socket.socket, buffer: Buffer) -> int:
+        """Read once; raises `TimeoutError` when no word has come for too long and nothing lies there unread.
+
+        What has come counts, however late this node looks: after a standstill time-outs fire first.
+        """
+        gevent.sleep(0)  # a flood must not keep the others from their turn
+        while True:
+            left = self.heard_at + SILENCE - time.monotonic()
+            if left <= 0.0 and sockets.quiet(connection):
+                raise TimeoutError("no word from discovery")
+            connection.settimeout(max(0.001, left))
+            with suppress(TimeoutError):
+                return buffer.receive(connection)
--- a/irisstack/node/intake.py
+++ b/irisstack/node/intake.py
@@ -6,7 +6,7 @@
 import time
 from collections.abc import Callable
 from contextlib import suppress
-from enum import Enum
+from enum import Enum, auto
 from http import HTTPStatus
 from typing import Any
 
@@ -46,6 +46,14 @@
     """A request that can be parsed but says what it may not."""
 
 
+class Stage(Enum):
+    """What the doorway is at. It goes through them once, in this order."""
+
+    ACCEPTING = auto()  # messages are taken on
+    DRAINING = auto()  # clients still come, and each hears in one answer that nothing is taken on any more
+    CLOSED = auto()  # nobody comes any more; those still here get their answer
+
+
 class _Phase(Enum):
     """What a connection is at; the value tells for how long before it may be closed to make room.
 
@@ -71,8 +79,14 @@
         self._close = False
         self.phase = _Phase.FRESH
         self.stopped = False
+        self._woken = False  # by that, with an error that means no more
         self.since = time.monotonic()
 
+    @property
+    def _ends(self) -> bool:
+        """Whether the answer in hand, or the one before, is the last on this connection."""
+        return self._close or self._intake.stage is not Stage.ACCEPTING
+
     def _enter(self, phase: _Phase) -> None:
         if phase is not self.phase:
             self.phase, self.since = phase, time.monotonic()
@@ -90,11 +104,15 @@
     def _serve(self) -> None:
         """Answer one request after another until the connection is to be closed."""
         try:
-            while not self._close and (request := self._next()) is not None:
+            while (request := self._next()) is not None:
                 self._enter(_Phase.WAITING)
-                self._close = not request.keep_alive or self._intake.stopping
-                self._handle(request)
-                self._close = self._close or self._intake.stopping
+                self._close = not request.keep_alive or self.stopped
+                if self.stopped:  # it crossed the end of a connection at rest: its client sends it once more
+                    self._write(HTTPStatus.SERVICE_UNAVAILABLE, retry_after=self._intake.come_again)
+                else:
+                    self._handle(request)
+                if self._ends:
+                    return
                 gevent.sleep(0)  # requests that lie ready must not keep the others from their turn
         except http.BadMessage as error:
             self._intake.counters.add("unreadable")
@@ -127,9 +145,16 @@
                 if not begun:
                     return None
                 raise http.BadMessage(HTTPStatus.REQUEST_TIMEOUT, "the request took too long") from None
+            except OSError:
+                if not self._woken:
+                    raise
+                self._woken = False  # what came before the end of our reading is still to be had
+                continue
             if not come:
                 if not begun:
                     return None
+                if self.stopped:
+                    raise http.BadMessage(HTTPStatus.SERVICE_UNAVAILABLE, "the connection was to end")
                 raise http.BadMessage(HTTPStatus.BAD_REQUEST, "the request ended early")
             if whole_by is not None and time.monotonic() > whole_by:
                 raise http.BadMessage(HTTPStatus.REQUEST_TIMEOUT, "the request took too long")
@@ -170,7 +195,7 @@
         """Answer what cannot be taken on, and give the others time before the next of it."""
         self._intake.counters.add("malformed")
         self._write(status, reason)
-        if not self._close:
+        if not self._ends:
             gevent.sleep(PAUSE)
 
     def answer(self, status: HTTPStatus, retry_after: float | None = None) -> bool:
@@ -190,7 +215,7 @@
 
     def _write(self, status: HTTPStatus, body: bytes = b"", retry_after: float | None = None) -> None:
         headers = [("Retry-After", f"{retry_after:.3f}")] if retry_after else []
-        data = http.answer(status, headers, body, self._close)
+        data = http.answer(status, headers, body, self._ends)
         # An answer is far smaller than a socket's buffer: one that does not fit finds nobody reading.
         self._socket.settimeout(0.0)
         if self._socket.send(data) < len(data):
@@ -224,8 +249,12 @@
             gevent.sleep(0)
 
     def stop(self) -> None:
-        """Read no more from the client: a request not yet whole is answered so."""
-        self.stopped = True
+        """End a connection that is missed least; a request that is not whole yet is not taken on.
+
+        The end of our reading wakes who waits for it with an error, also when bytes lie there unread: closed
+        over them, the connection would be reset and a request end with no answer.
+        """
+        self.stopped = self._woken = True
         with suppress(OSError):
             self._socket.shutdown(socket.SHUT_RD)
 
@@ -245,7 +274,7 @@
         self._server.max_accept = ACCEPTS
         self.come_again = come_again(settings)
         self.counters = counters
-        self.stopping = False
+        self.stage = Stage.ACCEPTING
 
     def start(self) -> None:
         self._server.start()
@@ -256,15 +285,31 @@
         assert self._server.server_port is not None
         return str(self._server.server_host), self._server.server_port
 
-    def stop(self) -> None:
-        """Go on accepting, but keep no connection beyond the request in hand."""
-        self.stopping = True
+    @property
+    def empty(self) -> bool:
+        """Whether every client that came has been answered and has gone."""
+        return not self._connections
+
+    def drain(self) -> None:
+        """Go on accepting, but give each connection one answer at most; those at rest end now.
+
+        One that has yet to bring its first request keeps its time for it: closed in silence, that request
+        would be lost.
+        """
+        self.stage = Stage.DRAINING
         for connection in list(self._connections.values()):
-            if connection.phase in (_Phase.IDLE, _Phase.FRESH):
+            if connection.phase is _Phase.IDLE:
                 connection.stop()
 
     def close(self) -> None:
-        self._server.stop(timeout=0)
+        """Accept no more, but all that the system has let in: closing over them would reset them."""
+        if self.stage is Stage.CLOSED:
+            return
+        self.stage = Stage.CLOSED
+        with suppress(OSError):  # no descriptor left, or a client that has gone
+            while (client := self._server.do_read()) is not None:
+                self._server.do_handle(*client)
+        self._server.close()
 
     def _serve(self, sock: socket.socket, _: Any) -> None:
         connection = _Connection(self, sock)
--- a/irisstack/node/service.py
+++ b/irisstack/node/service.py
@@ -16,7 +16,7 @@
 from irisstack.node.decider import Decider
 from irisstack.node.discovery import Discovery, ListReader, Moved
 from irisstack.node.endpoint import Call, Command, Endpoint, Retire
-from irisstack.node.intake import Intake
+from irisstack.node.intake import Intake, Stage
 from irisstack.node.notices import Notices
 from irisstack.node.peers import Peers
 from irisstack.node.store import Store
@@ -111,6 +111,9 @@
             except ConfigError as error:
                 log.error("configuration_not_taken", error=str(error))
                 continue
+            except Exception as error:  # whatever it is, a node that serves is not ended by a file
+                log.error("configuration_not_taken", error=repr(error))
+                continue
             if new.discovery != self._config.discovery:
                 self._discovery.mailbox.put(Moved(new.discovery))
                 self._notices.move(new.discovery)
@@ -125,22 +128,28 @@
         self._stop.set()
 
     def _end(self, asked: float) -> None:
-        """Turn away what is new, bring calls to an end, leave the rest to the next life."""
+        """Graceful shutdown: turn away what is new, end what is out, leave the rest to the next life.
+
+        The node ends once each client that came has its answer, no call is out and nothing is left to tell or
+        to send; at `END_BY` whatever there is.
+        """
         log.info("stopping", calls_out=self._decider.calls_out)
         self._decider.refusing = True
-        self._intake.stop()
+        self._intake.drain()
         while (passed := time.monotonic() - asked) < END_BY:
             self._decider.holding = passed > SEND_UNTIL
             owed = any(entry.owed for entry in self._store.entries.values())
-            if (passed > ACCEPT_FOR and not self._decider.calls_out and self._notices.idle
-                    and (self._decider.holding or not owed)):
+            if (self._intake.stage is Stage.CLOSED and self._intake.empty and not self._decider.calls_out
+                    and self._notices.idle and (self._decider.holding or not owed)):
                 break
-            gevent.sleep(LOOK)
+            if passed > ACCEPT_FOR:
+                self._intake.close()
+            gevent.sleep(LOOK)  # longer than it takes those just accepted to count as here
         self._intake.close()
         if self._peers is not None:
             self._peers.close()
         self._store.close()
-        log.info("stopped", **self.counters.snapshot())
+        log.info("stopped", clients_left=not self._intake.empty, **self.counters.snapshot())
 
     # ---- between the parts ----
 
