The list's one clock: silence, trickles and indented lists; news within 6 s of its service

Read, then forced on loopback with scripted peers: - A watch or fetch was bounded per read, so that bytes that never make an object held it for ever, and a fetch kept every later one from starting. Counted is what was said in full (an object, an empty line), from the call's begin, connect included. - Silence of 5 s, a pause and an answer did not fit 6 s where the module's own pause follows (up to 15 s at 200 senders). Silence is 3.5 s (a line is due every 2 s); a failed call tells how long nothing was heard, and the module asks again within 4.5 s of that, spread, the first time or where its service is down or not reached. So few calls and fresh news are had both. - An object indented over several lines ended the watch at its first newline, each time anew (_follow); objects are cut out of the stream now (objects.py). - A watch ended between reading and handing on had noted the revision already: that change was never asked for again (_tell). What came with a watch's last chunk was thrown away. - A watch held anew after SIGHUP was ended by the module's own call for one that fell due then.

--- /dev/null
+++ b/tests/node/test_list_clock.py
@@ -0,0 +1,256 @@
+"""The list's one clock: what has fallen silent is broken in time, and nothing that was read is lost."""
+
+import json
+from collections.abc import Callable, Iterator
+from contextlib import contextmanager, suppress
+from random import Random
+from typing import Any
+
+import gevent
+import pytest
+from gevent import socket
+from gevent.event import Event
+
+from irisstack import interface as api
+from irisstack.node import discovery
+from irisstack.node.discovery import PAUSE, SILENCE, Discovery, ListReader, Moved
+from irisstack.settings import Reader, read
+from tests.node.support import listening, until
+from tests.node_support import SETTINGS
+from tests.support import Driver, endpoint
+
+HEAD = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+
+
+def chunk(text: str) -> bytes:
+    return b"%x\r\n%s\r\n" % (len(text.encode()), text.encode())
+
+
+def member(number: int) -> dict[str, Any]:
+    return {"id": f"s{number}", "host_port": f"10.0.0.{number}:7070", "locality": "z", "flavor": "plain",
+            "cell": number, "phase": "SERVING", "size": 2.5, "up_since_ms": 0}
+
+
+def document(revision: int, indent: int | None = None) -> str:
+    return json.dumps({"revision": revision, "complete": True, "members": [member(1), member(2)]},
+                      indent=indent) + "\n"
+
+
+@contextmanager
+def follower(post: Callable[[api.EndpointsUpdated], None], pushed: bool = False) -> Iterator[
+        tuple[Discovery, socket.socket]]:
+    """What follows the list, and where it looks for it."""
+    with listening() as server:
+        part = Discovery(server.getsockname(), ListReader(read(Reader(SETTINGS))), post, 4, pushed)
+        worker = gevent.spawn(part.run)
+        yield part, server
+        worker.kill()
+        for each in (part._watch, part._fetch):
+            if each is not None:
+                each.kill()
+
+
+def accept(server: socket.socket) -> tuple[socket.socket, bytes]:
+    """The next call to discovery and its head."""
+    with gevent.Timeout(20.0, AssertionError("no call came")):
+        connection, _ = server.accept()
+        return connection, connection.recv(65536)
+
+
+def trickle(connection: socket.socket, data: bytes) -> None:
+    """Endlessly a byte at a time, far sooner each than the silence that is borne."""
+    with suppress(OSError):
+        for byte in data:
+            connection.sendall(bytes([byte]))
+            gevent.sleep(discovery.SILENCE / 10)
+
+
+ENDLESS = b'{"revision": 5, "members": ["' + b"x" * 100_000
+FALLEN_SILENT: dict[str, tuple[bytes, bytes]] = {  # what comes at once, and what trickles then
+    "says nothing": (b"", b""),
+    "an answer's head": (HEAD, b""),
+    "half a head": (HEAD[:20], b""),
+    "after an object": (HEAD + chunk(document(5)), b""),
+    "after an empty line": (HEAD + chunk("\n"), b""),
+    "an object without end": (HEAD + b"ffffff\r\n", ENDLESS),
+    "a chunk's length without end": (HEAD, b"0" * 10_000),
+    "a head without end": (b"HTTP/1.1 200 OK\r\nX: ", b"y" * 10_000),
+}
+
+
+@pytest.mark.parametrize("watch", [True, False], ids=["watch", "fetch"])
+@pytest.mark.parametrize(("at_once", "then"), FALLEN_SILENT.values(), ids=FALLEN_SILENT)
+def test_a_call_that_falls_silent_is_given_up_however_its_bytes_trickle(
+        monkeypatch: pytest.MonkeyPatch, at_once: bytes, then: bytes, watch: bool) -> None:
+    monkeypatch.setattr(discovery, "SILENCE", 0.3)
+    told: list[api.EndpointsUpdated] = []
+    with follower(told.append) as (part, server):
+        part.mailbox.put(api.Subscribe(True) if watch else api.FetchEndpoints())
+        connection, _ = accept(server)
+        with connection:
+            connection.sendall(at_once)
+            feeding = gevent.spawn(trickle, connection, then)
+            failed = until(lambda: told and told[-1].scope is api.UpdateScope.FAILED and told[-1])
+            feeding.kill()
+        assert failed.unheard >= discovery.SILENCE
+        part.mailbox.put(api.Subscribe(True) if watch else api.FetchEndpoints())
+        accept(server)[0].close()  # nothing keeps the next call from starting
+
+
+def test_empty_lines_and_objects_keep_a_watch(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(discovery, "SILENCE", 0.3)
+    told: list[api.EndpointsUpdated] = []
+    with follower(told.append) as (part, server):
+        part.mailbox.put(api.Subscribe(True))
+        connection, _ = accept(server)
+        with connection:
+            connection.sendall(HEAD)
+            for _ in range(8):
+                gevent.sleep(0.1)
+                connection.sendall(chunk("\n"))
+            connection.sendall(chunk(document(9)))
+            until(lambda: told)
+    assert told[0].version == 9
+
+
+def test_a_call_that_reaches_nobody_missed_nothing(monkeypatch: pytest.MonkeyPatch) -> None:
+    def fails(*_: Any) -> None:
+        raise TimeoutError
+
+    monkeypatch.setattr("irisstack.node.sockets.connect", fails)
+    told: list[api.EndpointsUpdated] = []
+    with follower(told.append) as (part, _):
+        part.mailbox.put(api.Subscribe(True))
+        until(lambda: told)
+    assert told[0].unheard == 0.0
+
+
+@pytest.mark.parametrize("seed", range(5))
+def test_an_indented_list_on_a_watch_is_followed_wherever_it_is_cut(seed: int) -> None:
+    random, told = Random(seed), list[api.EndpointsUpdated]()
+    text = "".join(document(revision, indent=random.choice([None, 2])) for revision in range(5, 12))
+    with follower(told.append) as (part, server):
+        part.mailbox.put(api.Subscribe(True))
+        connection, _ = accept(server)
+        with connection:
+            connection.sendall(HEAD)
+            while text:
+                size = random.randint(1, 150)
+                connection.sendall(chunk(text[:size]))
+                text = text[size:]
+            until(lambda: len(told) == 7)
+    assert [(update.version, len(update.endpoints)) for update in told] == [(r, 2) for r in range(5, 12)]
+
+
+def test_what_a_watch_says_as_it_ends_is_heard() -> None:
+    told: list[api.EndpointsUpdated] = []
+    with follower(told.append) as (part, server):
+        part.mailbox.put(api.Subscribe(True))
+        connection, _ = accept(server)
+        with connection:
+            connection.sendall(HEAD + chunk(document(9)) + b"0\r\n\r\n")
+            until(lambda: len(told) == 2)
+    assert [(update.scope, update.version) for update in told] == [
+        (api.UpdateScope.FULL, 9), (api.UpdateScope.FAILED, 9)]
+
+
+def test_a_watch_that_ends_between_reading_and_handing_on_is_told_again() -> None:
+    """The way to the module may be full just then: what was read and not handed on is not known yet."""
+    way = Event()
+    told: list[api.EndpointsUpdated] = []
+
+    def post(update: api.EndpointsUpdated) -> None:
+        reading.set()
+        way.wait()
+        told.append(update)
+
+    reading = Event()
+    with follower(post) as (part, server):
+        part.mailbox.put(api.Subscribe(True))
+        connection, _ = accept(server)
+        connection.sendall(HEAD + chunk(document(9)))
+        assert reading.wait(20.0)
+        part.mailbox.put(api.Subscribe(False))
+        until(lambda: part._watch is None)
+        way.set()
+        part.mailbox.put(api.Subscribe(True))
+        again, request = accept(server)
+        assert b"from=4 " in request
+        for each in (connection, again):
+            each.close()
+
+
+def test_a_watch_at_a_new_address_is_not_ended_by_what_was_due_at_the_old_one() -> None:
+    """Its place was lost, and the module meant to ask again, when the file named another address."""
+    told: list[api.EndpointsUpdated] = []
+    with follower(told.append) as (part, server), listening() as elsewhere:
+        part.mailbox.put(api.Subscribe(True))
+        accept(server)[0].close()
+        until(lambda: told)
+        part.mailbox.put(Moved(elsewhere.getsockname()))
+        connection, request = accept(elsewhere)
+        assert b"from=0 " in request
+        part.mailbox.put(api.Subscribe(True))
+        connection.sendall(HEAD + chunk(document(2)))
+        until(lambda: told[-1].version == 2)
+        part.mailbox.put(api.Subscribe(True))
+        until(part.mailbox.empty)
+        gevent.sleep(0.05)  # a watch held anew would have dialled
+        elsewhere.settimeout(0.0)
+        with pytest.raises(BlockingIOError):
+            elsewhere.accept()
+        connection.close()
+
+
+def test_a_full_way_to_the_module_and_a_full_mailbox_do_not_wait_for_each_other() -> None:
+    """The module's side fills the mailbox while what follows the list waits to be heard by it."""
+    heard = Event()
+    with follower(lambda update: heard.wait() and None) as (part, server):
+        part.mailbox.put(api.Subscribe(True))
+        connection, _ = accept(server)
+        connection.sendall(HEAD + chunk(document(9)))
+        with gevent.Timeout(20.0, AssertionError("the mailbox is not read")):
+            for _ in range(3 * (part.mailbox.maxsize or 1)):
+                part.mailbox.put(api.FetchEndpoints())
+        heard.set()
+        connection.close()
+
+
+# ---- what is decided on it ----
+
+ANSWER = 0.5
+"""Seconds that a call for the list may take once its service can answer."""
+
+
+@pytest.mark.parametrize("senders", [2, 20, 200])
+@pytest.mark.parametrize("unheard", [0.0, 0.1, 1.0, SILENCE])
+def test_news_that_a_call_missed_is_asked_for_in_time(senders: int, unheard: float) -> None:
+    """Due 6 s after the service had it and could be reached; here over the first failure of many senders."""
+    waits = []
+    for seed in range(30):
+        driver = Driver(endpoint(1), discovery_on_request=True, ask_within=10.0, senders=senders, seed=seed)
+        driver.turn(50.0)
+        before = len(driver.subscribed)
+        driver.turn(60.0, api.EndpointsUpdated(api.UpdateScope.FAILED, 1, (), unheard))
+        driver.turn(90.0)
+        waits.append(driver.subscribed[before] - 60.0)
+    assert unheard + max(waits) + ANSWER <= 6.0
+    assert senders == 2 or max(waits) - min(waits) > 0.4  # they do not all come back at once
+
+
+def test_a_service_that_is_down_is_asked_often_enough_however_long_it_lasts() -> None:
+    for seed in range(10):
+        driver = Driver(endpoint(1), discovery_on_request=True, ask_within=10.0, senders=200, seed=seed)
+        driver.turn(50.0)
+        at = 60.0
+        for _ in range(10):
+            before = len(driver.subscribed)
+            driver.turn(at, api.EndpointsUpdated(api.UpdateScope.FAILED, 1, (), 0.0))
+            driver.turn(at + 20.0)
+            wait = driver.subscribed[before] - at
+            assert wait + ANSWER <= 6.0
+            at += 21.0
+
+
+def test_where_the_list_comes_unasked_a_silent_watch_is_made_good_in_time() -> None:
+    assert SILENCE + PAUSE + ANSWER < 6.0
