No repeat leaves after its window; kept connections are looked at again as a call leaves

Read, then forced on loopback: - A repeat's window was reckoned at the decision, less the time for a connection; waiting in a mailbox, on a machine short of time, or written in pieces it could leave later. A send carries the end of its window, and a call that has not left in whole by then is held back or broken off (it cannot have run). Tables of answers cut, spoilt or doubled, and of a folder cut at every byte, hold what stood already.

--- a/irisstack/node/decider.py
+++ b/irisstack/node/decider.py
@@ -130,10 +130,12 @@
     def _received(self, entry: Entry, now: float, unix: float) -> api.MessageReceived:
         """What the module is told of a message, be it new or one that outlived a process."""
         ran = None if entry.ran_at is None else now + entry.ran_at - unix
+        zones = self._settings.zones
         return api.MessageReceived(
             entry.number, self._classes[entry.message_class], entry.destination, now + entry.due - unix,
             entry.tenant, is_retry=entry.is_retry, from_dead_sender=entry.from_dead_sender,
-            attempts=entry.attempts, maybe_ran=ran)
+            attempts=entry.attempts, maybe_ran=ran,
+            ran_in=zones.index(entry.ran_in) if entry.ran_in in zones else None)
 
     # ---- the loop ----
 
@@ -277,6 +279,11 @@
     def _kind(self, address: api.Address) -> api.DestinationKind:
         return self._settings.kinds[self._listed[address].kind]
 
+    def _zone(self, address: api.Address) -> str:
+        """The name of an endpoint's zone, empty for one that the settings do not name."""
+        zone, names = self._listed[address].zone, self._settings.zones
+        return names[zone] if zone < len(names) else ""
+
     # ---- actions ----
 
     def _over(self, number: int, result: str, wait_ms: int = 0) -> bytes:
@@ -362,8 +369,9 @@
             due = now + entry.due - unix
             give_up = min(due, send.give_up_at or due)
             by_endpoint.setdefault(send.endpoint, []).append(
-                Outgoing(entry.number, entry.attempts, entry.id, entry.key, entry.body, give_up, due))
+                Outgoing(entry.number, entry.attempts, entry.id, entry.key, entry.body, give_up, due,
+                         send.leave_by))
         for address, messages in by_endpoint.items():
             most = self._kind(address).max_batch
             for start in range(0, len(messages), most):
-                self._call(address, Call(messages[start:start + most], unix))
+                self._call(address, Call(messages[start:start + most], unix, self._zone(address)))
--- a/irisstack/node/endpoint.py
+++ b/irisstack/node/endpoint.py
@@ -1,5 +1,6 @@
 """An actor for each endpoint: its connections, and the calls on them."""
 
+import math
 import time
 from collections import deque
 from collections.abc import Callable, Sequence
@@ -41,6 +42,7 @@
     body: bytes
     give_up: float
     due: float
+    leave_by: float = math.inf  # after this it must not leave any more
 
 
 @dataclass(slots=True, eq=False)
@@ -49,6 +51,7 @@
 
     messages: Sequence[Outgoing]
     sent_at: float  # Unix time, for the record
+    zone: str = ""  # that it goes to, likewise
     worker: "gevent.Greenlet[..., None] | None" = None
     begun: bool = False
     over: bool = False  # ended or called off
@@ -63,6 +66,11 @@
         return min(max(message.give_up for message in self.messages),
                    min(message.due for message in self.messages))
 
+    @property
+    def leave_by(self) -> float:
+        """When its last byte must have left, if it leaves."""
+        return min(message.leave_by for message in self.messages)
+
 
 @dataclass(slots=True, frozen=True)
 class CallOff:
@@ -150,6 +158,8 @@
             if call.over:
                 raise _CalledOff
             call.begun = True
+            if not self.usable():  # also if something came since the endpoint's actor looked
+                self.close()
             self._open(call.until)
             reached = Reached.CONNECTED
             if time.monotonic() >= call.until:  # after a standstill of this node: nobody waits for it
@@ -210,7 +220,7 @@
             body = b"".join(
                 f"{m.id} {m.key or '-'} {len(m.body)}\r\n".encode("latin-1") + m.body + b"\r\n"
                 for m in call.messages)
-        self._socket.settimeout(left)
+        self._socket.settimeout(min(left, max(0.001, call.leave_by - time.monotonic())))
         self._socket.sendall(http.request("POST", path, name_of(self._peer), headers, body))
 
     def _come_already(self) -> http.Message | None:
@@ -331,13 +341,14 @@
     def _leaving(self, call: Call) -> bool:
         """On record before the last byte leaves: from here on the call may have run.
 
-        A call that was still connecting when the endpoint began to drain, or the destination told to wait,
-        does not leave.
+        A call that was still connecting when the endpoint began to drain, the destination told to wait, or
+        the window ended in which its repeat is dropped, does not leave.
         """
-        if self._retired or time.monotonic() < self._held_until:
+        now = time.monotonic()
+        if self._retired or now < self._held_until or now >= call.leave_by:
             self._counters.add("calls_withheld")
             return False
-        self._store.out([(m.number, m.attempt) for m in call.messages], call.sent_at)
+        self._store.out([(m.number, m.attempt) for m in call.messages], call.sent_at, call.zone)
         self._counters.add("calls_sent")
         self._counters.add("messages_sent", len(call.messages))
         return True
--- a/irisstack/node/store.py
+++ b/irisstack/node/store.py
@@ -44,7 +44,9 @@
     body: bytes
     attempts: int = 0
     ran_at: float | None = None  # when the first attempt that may have run was sent
+    ran_in: str = ""  # and the zone it was sent to
     out_at: float | None = None  # when the attempt that is out was sent
+    out_in: str = ""  # and the zone it was sent to
     result: str = ""  # how it ended, empty while it is owed
     wait_ms: int = 0
     told: bool = False  # its notice was taken
@@ -116,7 +118,7 @@
                 self._replay(note, body, segment)
         for entry in self.entries.values():
             if entry.out_at is not None:  # the process ended with this call out: it may have run
-                entry.ran_at, entry.out_at = entry.ran_at or entry.out_at, None
+                self._end(entry, entry.attempts - 1, ran=True)
 
     def _replay(self, note: dict[str, Any], body: bytes, segment: int) -> None:
         match note["t"]:
@@ -135,7 +137,7 @@
             case "out":
                 for number, attempt in note["n"]:
                     if out := self.entries.get(number):
-                        out.out_at, out.attempts = note["at"], attempt + 1
+                        self._out(out, attempt, note["at"], note.get("in", ""))
             case "end":
                 if ended := self.entries.get(note["n"]):
                     self._end(ended, note["a"], note["ran"])
@@ -149,12 +151,16 @@
 
     # ---- what happens to an entry, first and when read again ----
 
+    @staticmethod
+    def _out(entry: Entry, attempt: int, at: float, zone: str) -> None:
+        entry.out_at, entry.out_in, entry.attempts = at, zone, attempt + 1
+
     @staticmethod
     def _end(entry: Entry, attempt: int, ran: bool) -> None:
         entry.attempts = max(entry.attempts, attempt + 1)
         if ran and entry.ran_at is None:
-            entry.ran_at = entry.out_at
-        entry.out_at = None
+            entry.ran_at, entry.ran_in = entry.out_at, entry.out_in
+        entry.out_at, entry.out_in = None, ""
 
     def _over(self, entry: Entry, result: str, wait_ms: int) -> None:
         self._room -= entry.room
@@ -206,13 +212,12 @@
         self._over(self.entries[number], result, wait_ms)
         return _record({"t": "over", "n": number, "result": result, "wait_ms": wait_ms})
 
-    def out(self, attempts: Iterable[tuple[int, int]], at: float) -> None:
-        """A call is about to leave with these messages; on record when this returns."""
+    def out(self, attempts: Iterable[tuple[int, int]], at: float, zone: str = "") -> None:
+        """A call is about to leave for a zone with these messages; on record when this returns."""
         numbers = [(number, attempt) for number, attempt in attempts if number in self.entries]
         for number, attempt in numbers:
-            entry = self.entries[number]
-            entry.out_at, entry.attempts = at, attempt + 1
-        self.write([_record({"t": "out", "n": numbers, "at": at})], at)
+            self._out(self.entries[number], attempt, at, zone)
+        self.write([_record({"t": "out", "n": numbers, "at": at, "in": zone})], at)
 
     def told(self, numbers: Iterable[int], now: float) -> None:
         """The platform has taken these notices."""
--- /dev/null
+++ b/tests/node/test_repeats.py
@@ -0,0 +1,243 @@
+"""Repeated attempts and kept connections: what may come between a decision and a call's last byte."""
+
+import time
+from collections.abc import Callable
+from pathlib import Path
+from random import Random
+from typing import Any
+
+import gevent
+import pytest
+from gevent import socket
+
+from irisstack.interface import Outcome
+from irisstack.node import sockets
+from irisstack.node.counters import Counters
+from irisstack.node.decider import Decider
+from irisstack.node.endpoint import Call, Ended, Endpoint, Outgoing
+from irisstack.node.results import Reached
+from irisstack.node.store import Store
+from irisstack.settings import Reader, read
+from tests.node.support import listening, until
+from tests.node_support import SETTINGS, raw
+from tests.support import KEYED, KEYED_INDEX, Driver, endpoint
+from tests.test_node_parts import entry, take
+
+FOREVER = 1e9
+
+
+def actor(server: socket.socket, ended: list[Ended], store: Store, connect_timeout: float = 5.0) -> Endpoint:
+    part = Endpoint((bytes([127, 0, 0, 1]), 1), server.getsockname(), ended.append, store, Counters(),
+                    connect_timeout=connect_timeout, idle_limit=60.0, most_idle=5, most_calls=5,
+                    report_fields=())
+    part.worker.start()
+    return part
+
+
+# ---- the window in which a repeat is dropped ----
+
+
+def test_a_repeat_carries_the_end_of_its_window_and_a_first_attempt_none() -> None:
+    driver = Driver(endpoint(1))
+    driver.message(1, 1.0, KEYED_INDEX)
+    driver.end(1, Outcome.RESET, 1.5)
+    driver.turn(5.0)
+    assert [send.leave_by for _, send in driver.sends] == [float("inf"), 1.0 + KEYED.dedup_window]
+
+
+@pytest.mark.parametrize("late", ["in the mailbox", "on the way up", "in the writing"])
+def test_a_repeat_whose_window_ends_before_its_last_byte_does_not_run(
+        tmp_path: Path, monkeypatch: pytest.MonkeyPatch, late: str) -> None:
+    """It is held back, or broken off while a part of it is missing: neither can have run."""
+    ended: list[Ended] = []
+    store = Store(tmp_path, 3_000_000, 1000.0)
+    take(store, 1)
+    leave_by = time.monotonic() + (-0.1 if late == "in the mailbox" else 0.3)
+    if late == "on the way up":
+        connect = sockets.connect
+
+        def slowly(*given: Any) -> socket.socket:
+            until(lambda: time.monotonic() > leave_by)
+            return connect(*given)
+
+        monkeypatch.setattr(sockets, "connect", slowly)
+    with listening() as server:
+        part = actor(server, ended, store)
+        body = bytes(50_000_000 if late == "in the writing" else 5)  # far more than the system holds
+        part.mailbox.put(Call([Outgoing(1, 1, "m1", "k", body, FOREVER, FOREVER, leave_by)], 1001.0))
+        until(lambda: ended)
+        part.worker.kill()
+        connection, _ = server.accept()
+        with connection:
+            came = 0
+            while data := connection.recv(1_000_000):
+                came += len(data)
+    assert ended[0].result.reached is Reached.CONNECTED
+    if late == "in the writing":
+        assert 0 < came < len(body)
+        assert ended[0].result.outcome is Outcome.CONNECT_FAILED
+    else:
+        assert came == 0
+        assert ended[0].result.outcome is Outcome.NOT_SENT
+        assert store.entries[1].out_at is None
+
+
+# ---- a shared call and time ----
+
+
+def test_a_shared_call_that_never_comes_up_ends_with_its_first_message(
+        tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> None:
+    """Waited for as long as a connection may take, the message was told its end after its time."""
+    given: list[float] = []
+
+    def never(_: Any, timeout: float) -> socket.socket:
+        given.append(timeout)
+        raise TimeoutError
+
+    monkeypatch.setattr(sockets, "connect", never)
+    ended: list[Ended] = []
+    with listening() as server:
+        part = actor(server, ended, Store(tmp_path, 3_000_000, 1000.0), connect_timeout=50.0)
+        due = time.monotonic() + 5.0
+        part.mailbox.put(Call([Outgoing(1, 0, "m1", "", b"", due, due),
+                               Outgoing(2, 0, "m2", "", b"", FOREVER, FOREVER)], 1001.0))
+        until(lambda: len(ended) == 2)
+        part.worker.kill()
+    assert 0.0 < given[0] <= 5.0
+    assert {end.result.outcome for end in ended} == {Outcome.CONNECT_FAILED}
+
+
+# ---- kept connections ----
+
+
+def reset(connection: socket.socket) -> None:
+    """Close with bytes unread, or told not to linger: the other side gets a reset."""
+    connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, b"\x01\0\0\0\0\0\0\0")
+    connection.close()
+
+
+CROSSINGS: dict[str, Callable[[socket.socket], object]] = {
+    "its end": lambda connection: connection.shutdown(socket.SHUT_WR),
+    "its reset": reset,
+    "half a line": lambda connection: connection.sendall(b"HTTP/1.1 20"),
+    "the answer once more": lambda connection: connection.sendall(raw(200)),
+}
+
+
+@pytest.mark.parametrize("crossing", CROSSINGS.values(), ids=CROSSINGS)
+def test_what_comes_on_a_connection_after_it_was_chosen_is_no_answer_to_the_next_call(
+        tmp_path: Path, crossing: Callable[[socket.socket], object]) -> None:
+    ended: list[Ended] = []
+    with listening() as server:
+        part = actor(server, ended, Store(tmp_path, 3_000_000, 1000.0))
+        part.mailbox.put(Call([Outgoing(1, 0, "m1", "", b"", FOREVER, FOREVER)], 1001.0))
+        first, _ = server.accept()
+        assert b"m1" in first.recv(65536)
+        first.sendall(raw(200))
+        until(lambda: part._idle)
+        choose = part._connection
+
+        def chosen() -> Any:
+            connection = choose()
+            crossing(first)
+            return connection
+
+        part._connection = chosen  # type: ignore[method-assign]
+        part.mailbox.put(Call([Outgoing(2, 0, "m2", "", b"", FOREVER, FOREVER)], 1001.0))
+        with gevent.Timeout(20.0, AssertionError("no new connection")):
+            second, _ = server.accept()
+        assert b"m2" in second.recv(65536)
+        assert len(ended) == 1
+        second.sendall(raw(500))
+        until(lambda: len(ended) == 2)
+        part.worker.kill()
+        for each in (first, second):
+            each.close()
+    assert ended[1].result.outcome is Outcome.ERROR
+
+
+@pytest.mark.parametrize("spoilt", [
+    b"HTTP/1.1 20", b"HTTP/1.1 500 No\r\nContent-Length: 5\r\n\r\nab", b"HTTP/1.1 503 Busy\r\nContent-Le",
+    b"HTTP/1.1 500 No\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nab",
+    b"HTTP/1.1 500 No\r\nContent-Length: -1\r\n\r\n",
+    b"HTTP/1.1 500 No\r\nContent-Length: x\r\n\r\n", b"\r\n\r\n\x00", b"HTTP/1.1 100 Go on\r\n\r\n" * 30],
+    ids=range(8))
+def test_an_answer_cut_or_spoilt_anywhere_leaves_open_whether_it_ran(tmp_path: Path, spoilt: bytes) -> None:
+    ended: list[Ended] = []
+    with listening() as server:
+        part = actor(server, ended, Store(tmp_path, 3_000_000, 1000.0))
+        part.mailbox.put(Call([Outgoing(1, 0, "m1", "", b"", FOREVER, FOREVER)], 1001.0))
+        connection, _ = server.accept()
+        with connection:
+            connection.recv(65536)
+            connection.sendall(spoilt)
+        until(lambda: ended)
+        part.worker.kill()
+    assert (ended[0].result.outcome, ended[0].result.reached) == (Outcome.RESET, Reached.WRITTEN)
+
+
+@pytest.mark.parametrize("more", [b"x", raw(200), b"\r\n"], ids=["extra bytes", "twice", "an empty line"])
+def test_a_good_answer_with_more_behind_it_counts_and_its_connection_is_not_used_again(
+        tmp_path: Path, more: bytes) -> None:
+    ended: list[Ended] = []
+    with listening() as server:
+        part = actor(server, ended, Store(tmp_path, 3_000_000, 1000.0))
+        part.mailbox.put(Call([Outgoing(1, 0, "m1", "", b"", FOREVER, FOREVER)], 1001.0))
+        connection, _ = server.accept()
+        with connection:
+            connection.recv(65536)
+            connection.sendall(raw(200) + more)
+            until(lambda: ended and not part._calls)
+        part.worker.kill()
+    assert ended[0].result.outcome is Outcome.OK
+    assert not part._idle
+
+
+# ---- across two lives ----
+
+
+@pytest.mark.parametrize("ended", [None, True, False], ids=["still out", "may have run", "never ran"])
+@pytest.mark.parametrize(("zone", "known_as"), [("z", 0), ("a zone of other settings", None), ("", None)])
+def test_the_next_life_knows_when_and_where_the_first_attempt_that_may_have_run_went(
+        tmp_path: Path, ended: bool | None, zone: str, known_as: int | None) -> None:
+    store = Store(tmp_path, 3_000_000, 1000.0)
+    take(store, 1)
+    store.out([(1, 0)], 1001.0, "where it never ran")
+    store.write([store.end(1, 0, False)], 1001.0)
+    store.out([(1, 1)], 1002.0, zone)
+    if ended is not None:
+        store.write([store.end(1, 1, ended)], 1003.0)
+        store.out([(1, 2)], 1004.0, "later")
+        store.write([store.end(1, 2, ended)], 1005.0)
+    again = Store(tmp_path, 3_000_000, 1006.0)
+    decider = Decider(read(Reader(SETTINGS)), 1, again, Counters(), call=lambda *_: None, ask=lambda _: None,
+                      notice=lambda _: None, room=10)
+    told = decider._received(again.entries[1], 10.0, 1010.0)
+    if ended is False:
+        assert (told.maybe_ran, told.ran_in) == (None, None)
+    else:
+        assert (told.maybe_ran, told.ran_in) == (2.0, known_as)
+
+
+@pytest.mark.parametrize("seed", range(3))
+def test_a_folder_cut_at_any_byte_owes_what_was_whole(tmp_path: Path, seed: int) -> None:
+    store = Store(tmp_path, 3_000_000, 1000.0)
+    sizes: list[int] = []
+    path = next(tmp_path.glob("*.log"))
+    random = Random(seed)
+    for number in range(1, 8):
+        taken = entry(number, 5000.0)
+        taken.body = random.randbytes(random.randint(0, 300))
+        store.take(taken)
+        store.write([store.taken(number)], 1000.0)
+        sizes.append(path.stat().st_size)
+    data = path.read_bytes()
+    for cut in range(len(data) + 1):
+        folder = tmp_path / "cut"
+        folder.mkdir(exist_ok=True)
+        for old in folder.iterdir():
+            old.unlink()
+        (folder / path.name).write_bytes(data[:cut])
+        life = Store(folder, 3_000_000, 1000.0)
+        assert sorted(life.entries) == [n for n, size in enumerate(sizes, start=1) if size <= cut]
+        life.close()
