--- a/tests/node/test_list_clock.py
+++ b/tests/node/test_list_clock.py
@@ -216,6 +216,38 @@
         connection.close()
 
 
+GOOD = {"revision": 6, "complete": True, "members": [member(1), member(2)]}
+LISTS: dict[str, tuple[Any, int | None]] = {  # an object, and how many endpoints it is good for, if any
+    "no members": ({"revision": 6, "complete": True, "members": []}, 0),
+    "one bad member": ({**GOOD, "members": [member(1), {"id": 5}, None, "x", {**member(3), "cell": "y"}]}, 1),
+    "a member twice": ({**GOOD, "members": [member(1), member(1)]}, 2),
+    "an address twice": ({**GOOD, "members": [member(1), {**member(1), "id": "other"}]}, 3),
+    "a port of 0": ({**GOOD, "members": [{**member(1), "host_port": "10.0.0.1:0"}, member(2)]}, 1),
+    "a host by name": ({**GOOD, "members": [{**member(1), "host_port": "there:7070"}, member(2)]}, 1),
+    "an endless size": ({**GOOD, "members": [{**member(1), "size": 1e999}, member(2)]}, 2),
+    "no revision": ({"complete": True, "members": [member(1)]}, None),
+    "members that are no list": ({**GOOD, "members": 5}, None),
+    "neither whole nor a change": ({"revision": 6, "members": [member(1)]}, None),
+}
+
+
+@pytest.mark.parametrize(("said", "good_for"), LISTS.values(), ids=LISTS)
+def test_a_list_that_is_spoilt_or_contradicts_itself_costs_no_more_than_itself(
+        said: Any, good_for: int | None) -> None:
+    told: list[api.EndpointsUpdated] = []
+    with follower(told.append) as (part, server):
+        part.mailbox.put(api.Subscribe(True))
+        connection, _ = accept(server)
+        with connection:
+            connection.sendall(HEAD + chunk(json.dumps(said) + "\n") + chunk(document(7)))
+            until(lambda: told and (told[-1].version == 7 or good_for is None))
+        first, known = told[0], part._revision
+    if good_for is None:  # said once, and asked for again from what is known
+        assert (first.scope, known) == (api.UpdateScope.FAILED, 4)
+    else:
+        assert (first.version, len(first.endpoints)) == (6, good_for)
+
+
 # ---- what is decided on it ----
 
 ANSWER = 0.5
--- a/tests/test_node_clients.py
+++ b/tests/test_node_clients.py
@@ -17,7 +17,7 @@
 from irisstack.node.decider import Arrival
 from irisstack.node.intake import Intake
 from irisstack.settings import Reader, read
-from tests.node_support import SETTINGS, EndpointPeer, eventually, message, scene
+from tests.node_support import SETTINGS, EndpointPeer, PlatformPeer, eventually, message, scene
 
 LINE = b"POST /safe HTTP/1.1\r\n"
 HEAD = message("m1", body=b"").replace(b"Content-Length: 0\r\n\r\n", b"")
@@ -189,3 +189,27 @@
         eventually(lambda: node.counters().get("delivered") == 1)
         for client in crowd:
             client.close()
+
+
+def test_idle_clients_up_to_the_limit_while_discovery_is_dead_and_back(tmp_path: Path) -> None:
+    """A message is still delivered, the node still says that it is there, and the list is followed again."""
+    old, new = EndpointPeer(), EndpointPeer()
+    with scene(tmp_path, old, sockets=100) as (node, platform):
+        eventually(lambda: platform.watchers)
+        crowd = [socket.create_connection(("127.0.0.1", node.port)) for _ in range(200)]
+        platform.close()
+        eventually(lambda: '"event": "list_not_had"' in node.log.read_text())
+        crowd += [socket.create_connection(("127.0.0.1", node.port)) for _ in range(200)]
+        assert eventually(lambda: node.hand_in("m1").status == 202)
+        eventually(lambda: old.calls_with("m1"))
+        assert eventually(node.healthy)
+        back = PlatformPeer(platform.port)
+        back.revision = 9
+        back.list(old, 1, phase="DRAINING")
+        back.list(new, 2, cell=1)
+        eventually(lambda: back.watchers, "a watch on the service that is back")
+        eventually(lambda: node.hand_in(f"m{time.monotonic()}").status == 202 and new.requests)
+        for client in crowd:
+            client.close()
+        back.close()
+    new.close()
