Notices: one try has one time, connect and whole answer included

Read in the code: PATIENCE bounded each read, so that a platform's answer that trickles held up every later notice (a message that was taken on is lost without its notice). The try is bounded as a whole now, and what has come counts after a standstill. Six rows of a table over loopback; with the mend taken out the trickling ones fail.

--- a/irisstack/node/notices.py
+++ b/irisstack/node/notices.py
@@ -16,7 +16,7 @@
 from irisstack.node.store import Entry, Store
 
 PATIENCE = 1.0
-"""Seconds for one try."""
+"""Seconds for one try, connect and whole answer included."""
 PAUSE = 0.1
 """Seconds between one try that failed and the next."""
 MOST = 200
@@ -81,6 +81,7 @@
     def _post(self, body: bytes) -> int:
         """The status of one POST; 0 if there was none."""
         buffer, reader = Buffer(), http.AnswerReader()
+        until = time.monotonic() + PATIENCE
         try:
             if self._socket is not None and not sockets.quiet(self._socket):
                 self._close()
@@ -88,9 +89,13 @@
             connection = self._socket = self._socket or sockets.connect(peer, PATIENCE)
             if peer != self._peer:
                 raise ConnectionAbortedError("the platform has moved")
+            connection.settimeout(max(0.001, until - time.monotonic()))
             connection.sendall(http.request("POST", "/reports", name_of(peer),
                                             [("Content-Type", "application/json")], body))
             while (answer := reader.advance(buffer)) is None:
+                if (left := until - time.monotonic()) <= 0.0 and sockets.quiet(connection):
+                    raise TimeoutError("no whole answer")
+                connection.settimeout(max(0.001, left))
                 if not buffer.receive(connection):
                     raise ConnectionResetError("the answer ended early")
         except (OSError, http.BadMessage) as error:
