--- a/irisstack/interface.py
+++ b/irisstack/interface.py
@@ -159,8 +159,11 @@
     scope: UpdateScope
     version: int
     endpoints: tuple[Endpoint, ...]
-    unheard: float = 0.0
-    """Of one that failed: seconds since the service, which took the call, was heard; 0 if not reached."""
+    unheard: float = -math.inf
+    """Of one that failed: seconds since the service, which took the call, was heard; 0 if not reached.
+
+    What it is where nobody can tell stands for that.
+    """
 
 
 @dataclass(slots=True, frozen=True)
--- a/tests/node/test_list_clock.py
+++ b/tests/node/test_list_clock.py
@@ -284,5 +284,16 @@
             at += 21.0
 
 
+def test_where_nobody_can_tell_what_was_missed_the_pause_is_as_ever() -> None:
+    waits = []
+    for seed in range(30):
+        driver = Driver(endpoint(1), discovery_on_request=True, ask_within=10.0, senders=200, seed=seed)
+        driver.turn(50.0)
+        driver.turn(60.0, api.EndpointsUpdated(api.UpdateScope.FAILED, 1, ()))
+        driver.turn(90.0)
+        waits.append(driver.subscribed[1] - 60.0)
+    assert 5.0 <= min(waits) < 7.0 < 13.0 < max(waits) <= 15.01
+
+
 def test_where_the_list_comes_unasked_a_silent_watch_is_made_good_in_time() -> None:
     assert SILENCE + PAUSE + ANSWER < 6.0
