What was out when a life ended goes on record at once: the window no longer begins anew

It was not late sending (that way was closed by then): Store._read concluded in memory alone that a call out at the end of a life may have run. The next life's own attempt wrote `out` over it (or `end` for one that never left), so that a third life took the second attempt for the first, or none to have run, and reckoned the window from there. Ruled out: the 'again' path (no second handing in), the wall clock (one for all). At fault: Store._read and Store._replay. A life now puts on record, before anything else, that those calls may have run.

--- a/irisstack/node/store.py
+++ b/irisstack/node/store.py
@@ -105,6 +105,10 @@
         self._read()
         self._rotate()
         self._make_room(now)
+        # The process ended with these calls out: they may have run. That goes on record before anything else:
+        # a later attempt, in this life or the next, must not stand for the first.
+        out = [entry for entry in self.entries.values() if entry.out_at is not None]
+        self.write([self.end(entry.number, entry.attempts - 1, ran=True) for entry in out], now)
 
     # ---- reading ----
 
@@ -116,9 +120,6 @@
             self._current = max(self._current, segment)
             for note, body in _records(data):
                 self._replay(note, body, segment)
-        for entry in self.entries.values():
-            if entry.out_at is not None:  # the process ended with this call out: it may have run
-                self._end(entry, entry.attempts - 1, ran=True)
 
     def _replay(self, note: dict[str, Any], body: bytes, segment: int) -> None:
         match note["t"]:
--- a/tests/node/test_repeats.py
+++ b/tests/node/test_repeats.py
@@ -219,6 +219,22 @@
         assert (told.maybe_ran, told.ran_in) == (2.0, known_as)
 
 
+@pytest.mark.parametrize("second", ["untried", "out", "withheld", "ended"])
+def test_a_third_life_knows_what_was_out_when_the_first_ended(tmp_path: Path, second: str) -> None:
+    """Else the window began anew with each life, and a keyed message went again outside it."""
+    first = Store(tmp_path, 3_000_000, 1000.0)
+    take(first, 1)
+    first.out([(1, 0)], 1001.0, "z")
+    life = Store(tmp_path, 3_000_000, 1002.0)
+    if second in ("out", "ended"):
+        life.out([(1, 1)], 1003.0, "elsewhere")
+    if second in ("withheld", "ended"):
+        life.write([life.end(1, 1, ran=False)], 1004.0)
+    third = Store(tmp_path, 3_000_000, 1005.0).entries[1]
+    assert (third.ran_at, third.ran_in, third.out_at) == (1001.0, "z", None)
+    assert third.attempts == 1 + (second != "untried")
+
+
 @pytest.mark.parametrize("seed", range(3))
 def test_a_folder_cut_at_any_byte_owes_what_was_whole(tmp_path: Path, seed: int) -> None:
     store = Store(tmp_path, 3_000_000, 1000.0)
