--- a/examples/toy_server.py
+++ b/examples/toy_server.py
@@ -15,8 +15,18 @@
 
 PLATFORM = ("127.0.0.1", 8500)
 ENDPOINT = ("127.0.0.1", 9001)
-MEMBERS = [{"id": "toy-1", "host_port": "{}:{}".format(*ENDPOINT), "locality": "here", "flavor": "toy",
-            "cell": 1, "phase": "SERVING", "size": 20.0, "up_since_ms": 0}]
+MEMBERS = [
+    {
+        "id": "toy-1",
+        "host_port": "{}:{}".format(*ENDPOINT),
+        "locality": "here",
+        "flavor": "toy",
+        "cell": 1,
+        "phase": "SERVING",
+        "size": 20.0,
+        "up_since_ms": 0,
+    }
+]
 LIST = json.dumps({"revision": 1, "complete": True, "members": MEMBERS}).encode()
 
 
@@ -74,8 +84,11 @@
     def do_POST(self) -> None:
         body, number = self.body(), next(self.calls)
         failed = self.fail > 0 and number % self.fail == 0
-        print(f"endpoint: call {number}, message {self.headers['X-Request-ID']}, {body!r}:",
-              "error" if failed else "taken", flush=True)
+        print(
+            f"endpoint: call {number}, message {self.headers['X-Request-ID']}, {body!r}:",
+            "error" if failed else "taken",
+            flush=True,
+        )
         self.reply(500 if failed else 200)
 
 
--- a/irisstack/benchlink/codec.py
+++ b/irisstack/benchlink/codec.py
@@ -103,7 +103,7 @@
     """The content behind a record's count, which must fill the record."""
     if len(body) != form.size + length:
         raise WireError(f"a record's content takes {len(body) - form.size} bytes where {length} are due")
-    return body[form.size:]
+    return body[form.size :]
 
 
 def _floats(form: struct.Struct, body: memoryview, count: int) -> tuple[float, ...]:
@@ -138,7 +138,7 @@
             at += RECORD.size
             if len(view) < at + length:
                 raise WireError("a batch ends inside a record")
-            record = self._record(code, view[at:at + length])
+            record = self._record(code, view[at : at + length])
             if record is not None:
                 records.append(record)
             at += length
@@ -161,8 +161,18 @@
             case 3:
                 instance, rid, lane, customer, subject, due, effort, dest, bits = _take(KNOCK, body)
                 hint = effort if bits & 1 else None
-                return instance, MessageReceived(rid, lane, int(dest), due, customer, subject or None, hint,
-                                                 bool(bits & 2), bool(bits & 16), bool(bits & 4))
+                return instance, MessageReceived(
+                    rid,
+                    lane,
+                    int(dest),
+                    due,
+                    customer,
+                    subject or None,
+                    hint,
+                    bool(bits & 2),
+                    bool(bits & 16),
+                    bool(bits & 4),
+                )
             case 4:
                 instance, rid, host, port, attempt, elapsed = _take(ESTABLISHED, body)
                 return instance, StreamStarted(rid, (host, port), attempt, elapsed)
@@ -172,8 +182,17 @@
                 outcome = _one_of(OUTCOMES, result, "outcome")
                 told = note / 1000.0 if outcome is Outcome.FULL and note else None
                 no_slot = outcome is Outcome.NOT_SENT and note == 1
-                return instance, AttemptEnded(rid, (host, port), attempt, elapsed, bool(final), outcome, told,
-                                              no_slot, _floats(REPLY, body, n))
+                return instance, AttemptEnded(
+                    rid,
+                    (host, port),
+                    attempt,
+                    elapsed,
+                    bool(final),
+                    outcome,
+                    told,
+                    no_slot,
+                    _floats(REPLY, body, n),
+                )
             case 6:
                 instance, rid = _take(RID, body)
                 return instance, MessageWithdrawn(rid)
@@ -182,8 +201,9 @@
                 return instance, TimerFired(token)
             case 8:
                 instance, host, port, result, elapsed, n = _take(HEALTH, body, exact=False)
-                return instance, ProbeEnded((host, port), _one_of(OUTCOMES, result, "outcome"), elapsed,
-                                            _floats(HEALTH, body, n))
+                return instance, ProbeEnded(
+                    (host, port), _one_of(OUTCOMES, result, "outcome"), elapsed, _floats(HEALTH, body, n)
+                )
             case 9:
                 instance, sender, length = _take(BYTES, body, exact=False)
                 return instance, PeerMessage(sender, bytes(_tail(BYTES, body, length)))
@@ -198,8 +218,9 @@
 
 def _entries(body: memoryview) -> Iterable[Endpoint]:
     for host, port, state, kind, added, rate, zone, dest in ENTRY.iter_unpack(body):
-        yield Endpoint((host, port), _one_of(STATES, state, "endpoint state"), kind, dest, zone, rate,
-                       added or None)
+        yield Endpoint(
+            (host, port), _one_of(STATES, state, "endpoint state"), kind, dest, zone, rate, added or None
+        )
 
 
 def settings(text: bytes) -> Settings:
--- a/irisstack/choice.py
+++ b/irisstack/choice.py
@@ -205,7 +205,8 @@
         moved = not events  # whether anything, if only time, may have changed what goes when
         for event in events:
             moved |= not isinstance(event, api.PeerMessage) or self._heard(
-                event.data[:1], self._limits.get(event.data[1:]))
+                event.data[:1], self._limits.get(event.data[1:])
+            )
             match event:
                 case api.AttemptEnded():
                     self._ended(event)
@@ -374,9 +375,17 @@
     def _received(self, event: api.MessageReceived) -> None:
         kind = self._set.classes[event.message_class]
         message = self._messages[event.message] = _Message(
-            event.message, event.message_class, kind, event.destination, event.due,
-            min(event.due, event.due - kind.deadline + kind.aim), event.key if kind.ordered else None,
-            event.attempts, event.maybe_ran, event.ran_in)
+            event.message,
+            event.message_class,
+            kind,
+            event.destination,
+            event.due,
+            min(event.due, event.due - kind.deadline + kind.aim),
+            event.key if kind.ordered else None,
+            event.attempts,
+            event.maybe_ran,
+            event.ran_in,
+        )
         self._held += 1
         destination = self._destination(event.destination)
         kept = max(0.0, 1.0 - (self._now - destination.flow_at) / WINDOW)
@@ -476,11 +485,23 @@
     def _make_room(self) -> None:
         """At the holding limit, refuse the unsent message with least at stake before one is turned away."""
         unsent = [m for m in self._messages.values() if m.in_line]
-        waits = {number: self._line_time(self._destination(number), count)
-                 for number, count in Counter(m.destination for m in unsent).items()}
+        waits = {
+            number: self._line_time(self._destination(number), count)
+            for number, count in Counter(m.destination for m in unsent).items()
+        }
         if unsent:  # one that would fail only if none is left that may come again
-            self._give_up(max(unsent, key=lambda m: (waits[m.destination] > 0.0 and self._may_refuse(m),
-                                                     waits[m.destination], -m.kind.worth, m.aim_at, m.id)))
+            self._give_up(
+                max(
+                    unsent,
+                    key=lambda m: (
+                        waits[m.destination] > 0.0 and self._may_refuse(m),
+                        waits[m.destination],
+                        -m.kind.worth,
+                        m.aim_at,
+                        m.id,
+                    ),
+                )
+            )
 
     def _line_time(self, destination: _Destination, count: int) -> float:
         """How long so many messages for it will be in line, at the pace that holds there now."""
@@ -687,8 +708,10 @@
     def _free_slots(self, wanted: int) -> None:
         """Cut calls stuck at silent destinations when others need their slots, repeatable ones first."""
         # Guards against slots full of calls that wait for their deadline. Could lose an answer still to come.
-        for call in sorted(self._stuck, key=lambda call: sum(
-                message.kind.effect is Effect.UNSAFE for message in call.messages)):
+        for call in sorted(
+            self._stuck,
+            key=lambda call: sum(message.kind.effect is Effect.UNSAFE for message in call.messages),
+        ):
             if wanted and call.left and (call.route.limit.ok_sent < call.sent or self._now > call.lost_at):
                 wanted -= 1
                 self._out.extend(api.Cancel(m.id, m.attempts - 1) for m in call.messages if m.call is call)
@@ -713,9 +736,14 @@
         routes = [route for route in line.routes() if self._gate(route) <= now]
         index = (line.fresh or line.late)[0][-1].index
         # Of equals any: every sender has the list in one order, and all would take the first.
-        route = min(routes, key=lambda r: (
-            r.failed.get(index, 0.0) > now, r.calls + AWAY * (r.zone != self._home) + (
-                0.0 if self._connected(r) else 0.75), self._random.random()))
+        route = min(
+            routes,
+            key=lambda r: (
+                r.failed.get(index, 0.0) > now,
+                r.calls + AWAY * (r.zone != self._home) + (0.0 if self._connected(r) else 0.75),
+                self._random.random(),
+            ),
+        )
         row = self._rows.get(route.limit) or _Row()
         unproven = row.cold_until == NEVER
         call, size, overdue = _Call(route, now), self._most(row, destination.kind), 0.0
@@ -752,7 +780,8 @@
         # Guards against tables full of idle connections: who holds one is not turned away and never learns.
         destination, senders = self._destination(message.destination), self._set.senders
         if self._set.may_tell_peers or any(  # a sender that is turned away tells of it, or one may go now
-                e in self._waiting and self._first_gate(e) <= self._now for e in destination.lines.values()):
+            e in self._waiting and self._first_gate(e) <= self._now for e in destination.lines.values()
+        ):
             return True
         in_use = destination.flow * self._usual(message) / BUSY_PART
         return senders * (1.0 - in_use) <= HANDFUL
--- a/irisstack/cli/config.py
+++ b/irisstack/cli/config.py
@@ -11,8 +11,13 @@
 from irisstack.configuration.document import DocumentError
 from irisstack.configuration.node_file import VARIABLES
 
-kind_option = click.option("--kind", type=click.Choice(["auto", *kinds.KINDS]), default="auto",
-                           show_default=True, help="what the file is; auto goes by its keys")
+kind_option = click.option(
+    "--kind",
+    type=click.Choice(["auto", *kinds.KINDS]),
+    default="auto",
+    show_default=True,
+    help="what the file is; auto goes by its keys",
+)
 file_argument = click.argument("file", type=click.Path(path_type=Path))
 
 
--- a/irisstack/cli/lab.py
+++ b/irisstack/cli/lab.py
@@ -21,10 +21,20 @@
 
 scenario_argument = click.argument("scenario")
 seed_option = click.option("--seed", type=int, help="instead of the scenario's own")
-set_option = click.option("--set", "changes", multiple=True, metavar="KEY=VALUE",
-                          help="a key that is other: --set traffic.rate=60.0")
-out_option = click.option("--out", type=click.Path(path_type=Path), default=RESULTS, show_default=True,
-                          help="the folder that results go to")
+set_option = click.option(
+    "--set",
+    "changes",
+    multiple=True,
+    metavar="KEY=VALUE",
+    help="a key that is other: --set traffic.rate=60.0",
+)
+out_option = click.option(
+    "--out",
+    type=click.Path(path_type=Path),
+    default=RESULTS,
+    show_default=True,
+    help="the folder that results go to",
+)
 
 
 @click.group()
@@ -35,8 +45,14 @@
 @contextmanager
 def _bar(what: str) -> Iterator[Callable[[float], None]]:
     """A progress bar on standard error, from 0.0 to 1.0; nothing where that is no terminal."""
-    with Progress(TextColumn("{task.description}"), BarColumn(), TextColumn("{task.percentage:>3.0f}%"),
-                  TimeRemainingColumn(), console=output.talk(), transient=True) as progress:
+    with Progress(
+        TextColumn("{task.description}"),
+        BarColumn(),
+        TextColumn("{task.percentage:>3.0f}%"),
+        TimeRemainingColumn(),
+        console=output.talk(),
+        transient=True,
+    ) as progress:
         task = progress.add_task(what, total=1.0)
         yield lambda done: progress.update(task, completed=done)
 
@@ -72,14 +88,26 @@
         output.print_json(msgspec.to_builtins(run))
         return
     results = ("delivered", "refused", "failed", "withdrawn", "none")
-    rows = [[name, *(ends.get(result, 0) for result in results), run.by_class[name],
-             *(run.delays[name][i] if run.delays[name] else None for i in (0, 2))]
-            for name, ends in run.ends_by_class.items()]
-    output.table(["class", *results, "worth", "median s", "99 % s"], rows, False,
-                 f"{run.scenario}, {run.policy}, seed {run.seed}")
+    rows = [
+        [
+            name,
+            *(ends.get(result, 0) for result in results),
+            run.by_class[name],
+            *(run.delays[name][i] if run.delays[name] else None for i in (0, 2)),
+        ]
+        for name, ends in run.ends_by_class.items()
+    ]
+    output.table(
+        ["class", *results, "worth", "median s", "99 % s"],
+        rows,
+        False,
+        f"{run.scenario}, {run.policy}, seed {run.seed}",
+    )
     broken = ", ".join(f"{name} ({count})" for name, count in run.breaches.items() if count)
-    click.echo(f"score {run.score:.3f}  whole {run.whole:.3f}  worst 10 s {run.worst_window:.3f}  "
-               f"worst class {run.worst_class:.3f}  attempts in vain a message {run.waste:.3f}")
+    click.echo(
+        f"score {run.score:.3f}  whole {run.whole:.3f}  worst 10 s {run.worst_window:.3f}  "
+        f"worst class {run.worst_class:.3f}  attempts in vain a message {run.waste:.3f}"
+    )
     click.echo(f"rules broken: {broken}" if broken else "all six rules kept")
     if run.not_a_result:
         click.echo(f"not a result: {run.not_a_result}")
@@ -94,9 +122,20 @@
     from irisstack.lab import scenario
 
     found = [scenario.read(path) for path in sorted(scenario.SHIPPED.glob("*.toml"))]
-    output.table(["name", "seconds", "nodes", "destinations", "shows"],
-                 [[s.scenario.name, s.scenario.length_s, s.senders.count, sum(k.count for k in s.kinds),
-                   s.scenario.shows] for s in found], as_json)
+    output.table(
+        ["name", "seconds", "nodes", "destinations", "shows"],
+        [
+            [
+                s.scenario.name,
+                s.scenario.length_s,
+                s.senders.count,
+                sum(k.count for k in s.kinds),
+                s.scenario.shows,
+            ]
+            for s in found
+        ],
+        as_json,
+    )
 
 
 @lab.command()
@@ -109,13 +148,28 @@
 
     found = _scenario(scenario, changes)
     world = build(found)
-    output.table(["what", "value"], [
-        ["name", found.scenario.name], ["messages", len(world.messages)], ["nodes", len(world.senders)],
-        ["destinations", len(world.destinations)], ["endpoints", len(world.endpoints)],
-        ["slots of a node, least and most", f"{min(s.slots for s in world.senders)} to "
-                                            f"{max(s.slots for s in world.senders)}"],
-        *([f"trouble: {i.trouble.kind}", f"{i.begins:.1f} to {i.ends:.1f} s, strikes "
-           f"{len(i.nodes) or len(i.destinations)}"] for i in world.incidents)], as_json)
+    output.table(
+        ["what", "value"],
+        [
+            ["name", found.scenario.name],
+            ["messages", len(world.messages)],
+            ["nodes", len(world.senders)],
+            ["destinations", len(world.destinations)],
+            ["endpoints", len(world.endpoints)],
+            [
+                "slots of a node, least and most",
+                f"{min(s.slots for s in world.senders)} to {max(s.slots for s in world.senders)}",
+            ],
+            *(
+                [
+                    f"trouble: {i.trouble.kind}",
+                    f"{i.begins:.1f} to {i.ends:.1f} s, strikes {len(i.nodes) or len(i.destinations)}",
+                ]
+                for i in world.incidents
+            ),
+        ],
+        as_json,
+    )
 
 
 @lab.command()
@@ -125,8 +179,9 @@
 @click.option("--policy", default="module", show_default=True, help="what decides in the nodes")
 @out_option
 @output.json_option
-def model(scenario: str, seed: int | None, changes: tuple[str, ...], policy: str, out: Path,
-          as_json: bool) -> None:
+def model(
+    scenario: str, seed: int | None, changes: tuple[str, ...], policy: str, out: Path, as_json: bool
+) -> None:
     """Play SCENARIO in virtual time."""
     from irisstack.lab import results
     from irisstack.lab.baselines import POLICIES
@@ -140,8 +195,9 @@
     world = build(found, seed)
     with _bar(found.scenario.name) as progress:
         played = play(world, POLICIES[policy], progress)
-    run, worth, breaches = results.audited(world, played.ledger, way="model", policy=policy, seed=seed,
-                                           cpu_s=played.cpu_s, events=played.events)
+    run, worth, breaches = results.audited(
+        world, played.ledger, way="model", policy=policy, seed=seed, cpu_s=played.cpu_s, events=played.events
+    )
     _keep(out / f"{found.scenario.name}-model-{policy}-{seed}", world, run, worth, breaches, played.ledger)
     _show(run, as_json)
     if not run.rules_kept:
@@ -165,11 +221,13 @@
     """Play a short day with two real nodes; the first thing to do with the program."""
     found = _scenario("short-day", ())
     partners = sum(kind.count for kind in found.kinds)
-    click.echo(f"Two nodes, {partners} partners, {found.scenario.length_s:g} s: {found.scenario.shows}",
-               err=True)
+    click.echo(
+        f"Two nodes, {partners} partners, {found.scenario.length_s:g} s: {found.scenario.shows}", err=True
+    )
     _run(found, None, out, False)
-    click.echo("Change a number and look again: irisstack lab run short-day --set traffic.rate=60.0",
-               err=True)
+    click.echo(
+        "Change a number and look again: irisstack lab run short-day --set traffic.rate=60.0", err=True
+    )
 
 
 def _run(found: "Scenario", seed: int | None, out: Path, as_json: bool) -> None:
@@ -186,8 +244,9 @@
             played = play(world, folder / "nodes", progress)
     except (StageError, OSError) as error:
         output.fail(str(error))
-    run, worth, breaches = results.audited(world, played.ledger, way="sockets", policy="module", seed=seed,
-                                           cpu_s=played.cpu_s)
+    run, worth, breaches = results.audited(
+        world, played.ledger, way="sockets", policy="module", seed=seed, cpu_s=played.cpu_s
+    )
     run.partial, run.not_a_result = played.partial, played.not_a_result
     _keep(folder, world, run, worth, breaches, played.ledger)
     _show(run, as_json)
@@ -197,16 +256,29 @@
 
 @lab.command()
 @scenario_argument
-@click.option("--first", type=click.FloatRange(1.0), default=50.0, show_default=True,
-              help="messages a second of the first step")
+@click.option(
+    "--first",
+    type=click.FloatRange(1.0),
+    default=50.0,
+    show_default=True,
+    help="messages a second of the first step",
+)
 @click.option("--steps", type=click.IntRange(1, 30), default=12, show_default=True)
-@click.option("--seconds", type=click.FloatRange(2.0, 600.0), default=8.0, show_default=True,
-              help="length of a step")
+@click.option(
+    "--seconds", type=click.FloatRange(2.0, 600.0), default=8.0, show_default=True, help="length of a step"
+)
 @set_option
 @out_option
 @output.json_option
-def knee(scenario: str, first: float, steps: int, seconds: float, changes: tuple[str, ...], out: Path,
-         as_json: bool) -> None:
+def knee(
+    scenario: str,
+    first: float,
+    steps: int,
+    seconds: float,
+    changes: tuple[str, ...],
+    out: Path,
+    as_json: bool,
+) -> None:
     """Raise the rate step by step on one real node, without SCENARIO's troubles, until it turns."""
     from irisstack.lab import knee as climbing
     from irisstack.lab.sockets.stage import StageError
@@ -255,15 +327,17 @@
     runs: list[Run] = []
     try:
         with _bar(told.experiment.name) as progress:
-            runs.extend(experiments.sweep(work, folder / "runs.jsonl", workers,
-                                          lambda done, of: progress(done / of)))
+            runs.extend(
+                experiments.sweep(work, folder / "runs.jsonl", workers, lambda done, of: progress(done / of))
+            )
     except OSError as error:
         output.fail(f"{folder}: cannot be written: {error.strerror}")
     except ValueError as error:
         output.fail(str(error))
     except KeyboardInterrupt:
-        output.fail(f"interrupted with {len(runs)} of {len(work)} runs kept in {folder}; "
-                    "the same command goes on")
+        output.fail(
+            f"interrupted with {len(runs)} of {len(work)} runs kept in {folder}; the same command goes on"
+        )
     asked = {job.key: place for place, job in enumerate(work)}
     runs.sort(key=lambda run: asked[run.scenario, run.variant, run.seed, run.fingerprint])
     _write_sweep_page(folder, told.experiment.name, told.experiment.asks, runs)
@@ -274,9 +348,14 @@
     from irisstack.lab import compare
 
     columns = ("scenario", "variant", "runs", "score", "low", "high", "whole", "in vain", "rules broken in")
-    output.table(columns,
-                 [[s.scenario, s.variant, s.runs, s.score, s.low, s.high, s.whole, s.waste, s.broken]
-                  for s in compare.summaries(runs)], as_json)
+    output.table(
+        columns,
+        [
+            [s.scenario, s.variant, s.runs, s.score, s.low, s.high, s.whole, s.waste, s.broken]
+            for s in compare.summaries(runs)
+        ],
+        as_json,
+    )
 
 
 def _write_sweep_page(folder: Path, name: str, asks: str, runs: "list[Run]") -> None:
@@ -305,8 +384,9 @@
 @lab.command()
 @click.argument("a")
 @click.argument("b")
-@click.option("--results", "where", type=click.Path(path_type=Path),
-              help="the sweep whose variants A and B are")
+@click.option(
+    "--results", "where", type=click.Path(path_type=Path), help="the sweep whose variants A and B are"
+)
 @output.json_option
 def compare(a: str, b: str, where: Path | None, as_json: bool) -> None:
     """Compare two variants of a sweep (with --results), or two folders of results A and B, seed by seed."""
@@ -317,8 +397,10 @@
         names = {run.variant for run in runs}
         for name in (a, b):
             if name not in names:
-                output.fail(f"no variant {name!r} in {where}; there are {', '.join(sorted(names))}",
-                            output.ASKED_WRONGLY)
+                output.fail(
+                    f"no variant {name!r} in {where}; there are {', '.join(sorted(names))}",
+                    output.ASKED_WRONGLY,
+                )
         left, right = ([run for run in runs if run.variant == name] for name in (a, b))
     else:
         left, right = _runs(Path(a)), _runs(Path(b))
@@ -326,9 +408,14 @@
     if not found:
         output.fail("nothing to compare: no scenario and seed that both have", output.ASKED_WRONGLY)
     columns = ("scenario", "figure", "pairs", a, b, "difference", "low", "high", "outcome")
-    output.table(columns,
-                 [[d.scenario, d.metric, d.pairs, d.mean_a, d.mean_b, d.difference, d.low, d.high,
-                   d.words(a, b)] for d in found], as_json)
+    output.table(
+        columns,
+        [
+            [d.scenario, d.metric, d.pairs, d.mean_a, d.mean_b, d.difference, d.low, d.high, d.words(a, b)]
+            for d in found
+        ],
+        as_json,
+    )
 
 
 @lab.command()
--- a/irisstack/cli/output.py
+++ b/irisstack/cli/output.py
@@ -53,4 +53,3 @@
     for line in text.splitlines():
         click.echo(f"irisstack: {line}", err=True)
     raise SystemExit(code)
-
--- a/irisstack/cli/root.py
+++ b/irisstack/cli/root.py
@@ -23,10 +23,20 @@
 
 @click.group(context_settings={"help_option_names": ["-h", "--help"]})
 @click.version_option(_version(), prog_name="irisstack")
-@click.option("--log-format", type=click.Choice(["json", "console"]), default="json", show_default=True,
-              help="how log lines are written")
-@click.option("--log-level", type=click.Choice(logs.LEVELS), default="info", show_default=True,
-              help="the least of what is logged")
+@click.option(
+    "--log-format",
+    type=click.Choice(["json", "console"]),
+    default="json",
+    show_default=True,
+    help="how log lines are written",
+)
+@click.option(
+    "--log-level",
+    type=click.Choice(logs.LEVELS),
+    default="info",
+    show_default=True,
+    help="the least of what is logged",
+)
 @click.pass_context
 def root(context: click.Context, log_format: str, log_level: str) -> None:
     """Deliver outbound messages to other firms' systems, a breaker for each destination.
@@ -61,8 +71,9 @@
 def main(arguments: Sequence[str] | None = None) -> int:
     """Run one command; returns its exit code. An interrupted one is told so and has failed."""
     try:
-        root.main(args=None if arguments is None else list(arguments), prog_name="irisstack",
-                  standalone_mode=False)
+        root.main(
+            args=None if arguments is None else list(arguments), prog_name="irisstack", standalone_mode=False
+        )
     except click.exceptions.Exit as stop:
         return stop.exit_code
     except click.ClickException as error:
--- a/irisstack/configuration/document.py
+++ b/irisstack/configuration/document.py
@@ -20,8 +20,14 @@
 class Section(BaseModel):
     """A table of a file. Unknown keys are refused, and a text is never taken for a number."""
 
-    model_config = ConfigDict(extra="forbid", strict=True, frozen=True, populate_by_name=True,
-                              allow_inf_nan=False, use_attribute_docstrings=True)
+    model_config = ConfigDict(
+        extra="forbid",
+        strict=True,
+        frozen=True,
+        populate_by_name=True,
+        allow_inf_nan=False,
+        use_attribute_docstrings=True,
+    )
 
 
 Model = TypeVar("Model", bound=Section)
@@ -40,9 +46,12 @@
 
     def __init__(self, path: Path, problems: Sequence[Problem]) -> None:
         self.path, self.problems = path, tuple(problems)
-        super().__init__("\n".join(
-            f"{path}: {problem.key}: {problem.text}" if problem.key else f"{path}: {problem.text}"
-            for problem in problems))
+        super().__init__(
+            "\n".join(
+                f"{path}: {problem.key}: {problem.text}" if problem.key else f"{path}: {problem.text}"
+                for problem in problems
+            )
+        )
 
 
 def parse(path: Path) -> dict[str, Any]:
@@ -118,11 +127,21 @@
         at = list(_resolved(at, schema))
         if part is None:
             break
-        at = [inner for node in at for inner in (
-            [node["items"]] if isinstance(part, int) and "items" in node
-            else [node["properties"][part]] if part in node.get("properties", {})
-            else [node["additionalProperties"]] if isinstance(node.get("additionalProperties"), dict)
-            else [node] if not isinstance(part, int) else [])]
+        at = [
+            inner
+            for node in at
+            for inner in (
+                [node["items"]]
+                if isinstance(part, int) and "items" in node
+                else [node["properties"][part]]
+                if part in node.get("properties", {})
+                else [node["additionalProperties"]]
+                if isinstance(node.get("additionalProperties"), dict)
+                else [node]
+                if not isinstance(part, int)
+                else []
+            )
+        ]
     return sorted({key for node in at for key in node.get("properties", {})})
 
 
--- a/irisstack/configuration/node_file.py
+++ b/irisstack/configuration/node_file.py
@@ -193,6 +193,10 @@
         return value
 
 
-VARIABLES = {"name": "RELAY_NAME", "listen": "RELAY_LISTEN", "discovery": "RELAY_DISCOVERY",
-             "state": "RELAY_STATE"}
+VARIABLES = {
+    "name": "RELAY_NAME",
+    "listen": "RELAY_LISTEN",
+    "discovery": "RELAY_DISCOVERY",
+    "state": "RELAY_STATE",
+}
 """The variable that stands above each of these keys."""
--- a/irisstack/interface.py
+++ b/irisstack/interface.py
@@ -247,8 +247,16 @@
     data: bytes
 
 
-Event = (EndpointsUpdated | MessageReceived | StreamStarted | AttemptEnded | MessageWithdrawn | TimerFired
-         | ProbeEnded | PeerMessage)
+Event = (
+    EndpointsUpdated
+    | MessageReceived
+    | StreamStarted
+    | AttemptEnded
+    | MessageWithdrawn
+    | TimerFired
+    | ProbeEnded
+    | PeerMessage
+)
 
 
 @dataclass(slots=True, frozen=True)
@@ -336,5 +344,6 @@
     text: str
 
 
-Action = (Send | Cancel | Refuse | Fail | SetTimer | Subscribe | FetchEndpoints | Probe | CloseIdle | TellPeer
-          | Log)
+Action = (
+    Send | Cancel | Refuse | Fail | SetTimer | Subscribe | FetchEndpoints | Probe | CloseIdle | TellPeer | Log
+)
--- a/irisstack/lab/audit/figures.py
+++ b/irisstack/lab/audit/figures.py
@@ -28,7 +28,12 @@
     """The figures of a scenario's world."""
     rules = world.scenario.rules
     return Figures(
-        tuple(world.scenario.classes), world.length, rules.answer_slack_s, rules.drain_grace_s,
-        rules.order_pause_s, rules.wait_slack_s,
+        tuple(world.scenario.classes),
+        world.length,
+        rules.answer_slack_s,
+        rules.drain_grace_s,
+        rules.order_pause_s,
+        rules.wait_slack_s,
         {number: spec.kind.cold.tip_s for number, spec in world.destinations.items()},
-        frozenset(n for n, spec in world.destinations.items() if spec.kind.separate_routes))
+        frozenset(n for n, spec in world.destinations.items() if spec.kind.separate_routes),
+    )
--- a/irisstack/lab/audit/rules.py
+++ b/irisstack/lab/audit/rules.py
@@ -151,8 +151,14 @@
         if kind.repeat == "safe":
             continue
         # In order of time; at one moment an attempt's end comes before the next sending.
-        steps = sorted([*((a.t, 0, a) for a in life.answered), *((s.t, 1, s) for s in life.sent),
-                        *((e.t, 2, e) for e in life.ended)], key=lambda step: step[:2])
+        steps = sorted(
+            [
+                *((a.t, 0, a) for a in life.answered),
+                *((s.t, 1, s) for s in life.sent),
+                *((e.t, 2, e) for e in life.ended),
+            ],
+            key=lambda step: step[:2],
+        )
         open_sends: list[book.Sent] = []
         maybe: float | None = None  # when the first attempt that may have run was sent
         for t, _, step in steps:
@@ -168,11 +174,25 @@
                     first = min(early, default=None)
                     what = "sent again" if isinstance(step, book.Sent) else "refused"
                     if first is not None and kind.repeat == "unsafe":
-                        breaches.append(Breach("no effect twice", t, step.node, step.message,
-                                               f"{what} though an attempt of {first:.3f} may have run"))
+                        breaches.append(
+                            Breach(
+                                "no effect twice",
+                                t,
+                                step.node,
+                                step.message,
+                                f"{what} though an attempt of {first:.3f} may have run",
+                            )
+                        )
                     elif first is not None and t > first + kind.window_s + EPSILON:
-                        breaches.append(Breach("no effect twice", t, step.node, step.message,
-                                               f"{what} {t - first:.3f} s after one that may have run"))
+                        breaches.append(
+                            Breach(
+                                "no effect twice",
+                                t,
+                                step.node,
+                                step.message,
+                                f"{what} {t - first:.3f} s after one that may have run",
+                            )
+                        )
                     if isinstance(step, book.Sent):
                         open_sends.append(step)
     return breaches
@@ -184,8 +204,10 @@
     for ran in found.ran:
         effects[ran.chain] += ran.effect
     return sum(
-        1 for chain, count in effects.items()
-        if count > 1 and figures.classes[found.by_chain[chain][0].handed.message_class].repeat != "safe")
+        1
+        for chain, count in effects.items()
+        if count > 1 and figures.classes[found.by_chain[chain][0].handed.message_class].repeat != "safe"
+    )
 
 
 # ---- 3: drains ----
@@ -207,8 +229,15 @@
                 break
             since = (t if since is None else since) if away else None
         if since is not None and sent.t > since + figures.drain_grace + EPSILON:
-            breaches.append(Breach("drains", sent.t, sent.node, sent.message,
-                                   f"sent to {sent.endpoint}, {sent.t - since:.3f} s after its drain"))
+            breaches.append(
+                Breach(
+                    "drains",
+                    sent.t,
+                    sent.node,
+                    sent.message,
+                    f"sent to {sent.endpoint}, {sent.t - since:.3f} s after its drain",
+                )
+            )
     return breaches
 
 
@@ -240,9 +269,16 @@
         load = [sent for sent in calls[first:] if sent.t <= fall.t]
         by_aware = sum(sent.node in aware for sent in load)
         if load and by_aware >= RULES_SHARE * len(load):
-            breaches.append(Breach("not pushed over", fall.t, -1, -1,
-                                   f"destination {fall.destination} fell: {by_aware} of {len(load)} messages "
-                                   "came from nodes that had seen it fail"))
+            breaches.append(
+                Breach(
+                    "not pushed over",
+                    fall.t,
+                    -1,
+                    -1,
+                    f"destination {fall.destination} fell: {by_aware} of {len(load)} messages "
+                    "came from nodes that had seen it fail",
+                )
+            )
     return breaches
 
 
@@ -260,8 +296,15 @@
         free_at, blocker = 0.0, -1
         for life in sorted(lives, key=lambda one: (one.handed.t, one.handed.message)):
             if life.sent and life.sent[0].t < free_at - EPSILON:
-                breaches.append(Breach("order", life.sent[0].t, life.handed.node, life.handed.message,
-                                       f"sent while message {blocker} of its key was not over"))
+                breaches.append(
+                    Breach(
+                        "order",
+                        life.sent[0].t,
+                        life.handed.node,
+                        life.handed.message,
+                        f"sent while message {blocker} of its key was not over",
+                    )
+                )
             until = _free_after(life, figures)
             if until > free_at:
                 free_at, blocker = until, life.handed.message
@@ -298,9 +341,17 @@
         route = sent.endpoint if sent.destination in figures.separate_routes else -1
         for told, until in waits.get((sent.node, sent.destination, route), ()):
             if told + figures.wait_slack < sent.t < until - EPSILON and not _restarted(
-                    found.states.get(sent.node, ()), told, sent.t):
-                breaches.append(Breach("waits", sent.t, sent.node, sent.message,
-                                       f"sent {until - sent.t:.3f} s before a wait of {told:.3f} was over"))
+                found.states.get(sent.node, ()), told, sent.t
+            ):
+                breaches.append(
+                    Breach(
+                        "waits",
+                        sent.t,
+                        sent.node,
+                        sent.message,
+                        f"sent {until - sent.t:.3f} s before a wait of {told:.3f} was over",
+                    )
+                )
                 break
     return breaches
 
@@ -310,8 +361,13 @@
 
 
 RULES: dict[str, Callable[[Index, Figures], list[Breach]]] = {
-    "one answer": one_answer, "no effect twice": no_effect_twice, "drains": drains_kept,
-    "not pushed over": not_pushed_over, "order": order_kept, "waits": waits_heeded}
+    "one answer": one_answer,
+    "no effect twice": no_effect_twice,
+    "drains": drains_kept,
+    "not pushed over": not_pushed_over,
+    "order": order_kept,
+    "waits": waits_heeded,
+}
 
 
 def check(found: Index, figures: Figures) -> dict[str, list[Breach]]:
--- a/irisstack/lab/audit/worth.py
+++ b/irisstack/lab/audit/worth.py
@@ -84,8 +84,9 @@
     for missed in found.missed:
         count(missed, "none", None)
     for lives in found.by_chain.values():
-        delivered = min((end.t for life in lives for end in life.ended if end.result == "delivered"),
-                        default=None)
+        delivered = min(
+            (end.t for life in lives for end in life.ended if end.result == "delivered"), default=None
+        )
         last = lives[-1].ended[-1].result if lives[-1].ended else "none"
         last = "withdrawn" if last == "unheard" else last
         count(lives[0].handed, "delivered" if delivered is not None else last, delivered)
@@ -104,8 +105,11 @@
         waste=(attempts - ends["delivered"]) / messages if messages else 0.0,
         delays=delays,
         over_time=[(float(second), one[0] / one[1]) for second, one in sorted(per_second.items()) if one[1]],
-        by_destination={number: (int(one[0]), int(one[1]), one[2] / one[3])
-                        for number, one in sorted(per_destination.items())})
+        by_destination={
+            number: (int(one[0]), int(one[1]), one[2] / one[3])
+            for number, one in sorted(per_destination.items())
+        },
+    )
 
 
 def _worst_window(per_second: dict[int, list[float]], total: float, length: float) -> float:
--- a/irisstack/lab/baselines.py
+++ b/irisstack/lab/baselines.py
@@ -48,8 +48,11 @@
         """Whether handing it in again is harmless."""
         if self.maybe_ran is None or self.kind.effect is Effect.SAFE:
             return True
-        return (self.kind.effect is Effect.KEYED and self.kind.dedup_scope is api.DedupScope.DESTINATION
-                and now < self.maybe_ran + self.kind.dedup_window)
+        return (
+            self.kind.effect is Effect.KEYED
+            and self.kind.dedup_scope is api.DedupScope.DESTINATION
+            and now < self.maybe_ran + self.kind.dedup_window
+        )
 
 
 @dataclass(slots=True, eq=False)
@@ -158,8 +161,15 @@
 
     def _received(self, event: api.MessageReceived) -> None:
         kind = self.settings.classes[event.message_class]
-        held = Held(event.message, kind, event.destination, event.due, event.key if kind.ordered else None,
-                    event.attempts, event.maybe_ran)
+        held = Held(
+            event.message,
+            kind,
+            event.destination,
+            event.due,
+            event.key if kind.ordered else None,
+            event.attempts,
+            event.maybe_ran,
+        )
         self._held[held.id] = held
         partner = self._partner(held.destination)
         wait = self.refuses_at_once(partner)
@@ -324,7 +334,7 @@
     """Tried again after exponential backoff with full jitter."""
 
     def again(self, held: Held, outcome: Outcome) -> float | None:
-        most = min(BACKOFF_MOST, BACKOFF_FIRST * 2.0 ** held.attempts)
+        most = min(BACKOFF_MOST, BACKOFF_FIRST * 2.0**held.attempts)
         return self.random.uniform(0.0, most)
 
 
@@ -434,7 +444,12 @@
 
 MODULE = "module"
 POLICIES: dict[str, Maker] = {
-    MODULE: module, "one-try": _maker(OneTry), "backoff": _maker(Backoff),
-    "half-open": _maker(HalfOpenBreaker), "token-bucket": _maker(TokenBucket), "aimd": _maker(Aimd),
-    "seer": _maker(Seer)}
+    MODULE: module,
+    "one-try": _maker(OneTry),
+    "backoff": _maker(Backoff),
+    "half-open": _maker(HalfOpenBreaker),
+    "token-bucket": _maker(TokenBucket),
+    "aimd": _maker(Aimd),
+    "seer": _maker(Seer),
+}
 """Every policy by its name."""
--- a/irisstack/lab/charts.py
+++ b/irisstack/lab/charts.py
@@ -16,7 +16,7 @@
     out = io.StringIO()
     figure.savefig(out, format="svg", metadata={"Date": None}, bbox_inches="tight")
     text = out.getvalue()
-    return text[text.index("<svg"):]
+    return text[text.index("<svg") :]
 
 
 def _axes(size: tuple[float, float] = WIDE) -> tuple[Figure, Axes]:
@@ -27,8 +27,12 @@
     return figure, axes
 
 
-def over_time(lines: Mapping[str, Sequence[tuple[float, float]]], what: str,
-              spans: Sequence[tuple[float, float, str]] = (), top: float | None = None) -> str:
+def over_time(
+    lines: Mapping[str, Sequence[tuple[float, float]]],
+    what: str,
+    spans: Sequence[tuple[float, float, str]] = (),
+    top: float | None = None,
+) -> str:
     """Lines over the seconds of a run, with the times of troubles shaded."""
     figure, axes = _axes()
     for begins, ends, _ in spans:
--- a/irisstack/lab/compare.py
+++ b/irisstack/lab/compare.py
@@ -49,8 +49,9 @@
     if data.size < 2 or np.ptp(data) == 0.0:
         mean = float(data.mean())
         return mean, mean
-    found = stats.bootstrap((data,), np.mean, confidence_level=CONFIDENCE, n_resamples=RESAMPLES,
-                            rng=np.random.default_rng(0)).confidence_interval
+    found = stats.bootstrap(
+        (data,), np.mean, confidence_level=CONFIDENCE, n_resamples=RESAMPLES, rng=np.random.default_rng(0)
+    ).confidence_interval
     return float(found.low), float(found.high)
 
 
@@ -66,8 +67,11 @@
             left = [float(getattr(by_seed_a[key], metric)) for key in keys]
             right = [float(getattr(by_seed_b[key], metric)) for key in keys]
             low, high = interval([y - x for x, y in zip(left, right, strict=True)])
-            found.append(Difference(scenario, metric, len(keys), float(np.mean(left)), float(np.mean(right)),
-                                    low, high))
+            found.append(
+                Difference(
+                    scenario, metric, len(keys), float(np.mean(left)), float(np.mean(right)), low, high
+                )
+            )
     return found
 
 
@@ -96,8 +100,17 @@
     for (scenario, variant), group in groups.items():
         scores = [run.score for run in group]
         low, high = interval(scores)
-        found.append(Summary(scenario, variant, len(group), float(np.mean(scores)), low, high,
-                             float(np.mean([run.whole for run in group])),
-                             float(np.mean([run.waste for run in group])),
-                             sum(not run.rules_kept for run in group)))
+        found.append(
+            Summary(
+                scenario,
+                variant,
+                len(group),
+                float(np.mean(scores)),
+                low,
+                high,
+                float(np.mean([run.whole for run in group])),
+                float(np.mean([run.waste for run in group])),
+                sum(not run.rules_kept for run in group),
+            )
+        )
     return found
--- a/irisstack/lab/experiment.py
+++ b/irisstack/lab/experiment.py
@@ -95,8 +95,11 @@
         for variant in experiment.variants:
             other = changed(scenario, variant.set, path) if variant.set else scenario
             found.append((other, variant, fingerprint(other, variant.policy)))
-    return [Job(scenario, variant.name, variant.policy, seed, mark)
-            for seed in range(1, experiment.experiment.seeds + 1) for scenario, variant, mark in found]
+    return [
+        Job(scenario, variant.name, variant.policy, seed, mark)
+        for seed in range(1, experiment.experiment.seeds + 1)
+        for scenario, variant, mark in found
+    ]
 
 
 def fingerprint(scenario: Scenario, policy: str) -> str:
@@ -109,8 +112,16 @@
     """Play one run in virtual time."""
     world = build(job.scenario, job.seed)
     played = play(world, POLICIES[job.policy])
-    run, _, _ = results.audited(world, played.ledger, way="model", policy=job.policy, seed=job.seed,
-                                variant=job.variant, cpu_s=played.cpu_s, events=played.events)
+    run, _, _ = results.audited(
+        world,
+        played.ledger,
+        way="model",
+        policy=job.policy,
+        seed=job.seed,
+        variant=job.variant,
+        cpu_s=played.cpu_s,
+        events=played.events,
+    )
     run.fingerprint = job.fingerprint
     return run
 
@@ -133,8 +144,12 @@
     return found
 
 
-def sweep(work: list[Job], path: Path, workers: int | None = None,
-          progress: Callable[[int, int], None] = lambda done, of: None) -> Iterator[Run]:
+def sweep(
+    work: list[Job],
+    path: Path,
+    workers: int | None = None,
+    progress: Callable[[int, int], None] = lambda done, of: None,
+) -> Iterator[Run]:
     """Play what a file of results lacks, and append each run to it as it ends."""
     have = {(run.scenario, run.variant, run.seed, run.fingerprint): run for run in kept(path)}
     todo = [job for job in work if job.key not in have]
@@ -145,8 +160,9 @@
         return
     path.parent.mkdir(parents=True, exist_ok=True)
     _end_line(path)
-    pool = ProcessPoolExecutor(workers or os.cpu_count(), multiprocessing.get_context("spawn"),
-                               _ignore_interrupt)
+    pool = ProcessPoolExecutor(
+        workers or os.cpu_count(), multiprocessing.get_context("spawn"), _ignore_interrupt
+    )
     encoder = msgspec.json.Encoder()
     waiting: set[Future[Run]] = set()
     try:
@@ -168,7 +184,7 @@
     """Cut off half a line that a killed sweep has left."""
     if path.exists():
         data = path.read_bytes()
-        whole = data[:data.rfind(b"\n") + 1]
+        whole = data[: data.rfind(b"\n") + 1]
         if whole != data:
             path.write_bytes(whole)
 
--- a/irisstack/lab/knee.py
+++ b/irisstack/lab/knee.py
@@ -40,22 +40,40 @@
         return self.whole < LEAST_WORTH or self.refused > MOST_REFUSED
 
 
-def climb(scenario: Scenario, first: float, steps: int, length: float,
-          progress: Callable[[float], None] = lambda done: None) -> Iterator[Step]:
+def climb(
+    scenario: Scenario,
+    first: float,
+    steps: int,
+    length: float,
+    progress: Callable[[float], None] = lambda done: None,
+) -> Iterator[Step]:
     """Play step after step, to the first that has turned or is no result, or to the last."""
     rate = first
     for number in range(steps):
-        told = changed(scenario, {"traffic.rate": rate, "senders.count": 1, "scenario.length_s": length,
-                                  "troubles": []}, Path(scenario.scenario.name))
+        told = changed(
+            scenario,
+            {"traffic.rate": rate, "senders.count": 1, "scenario.length_s": length, "troubles": []},
+            Path(scenario.scenario.name),
+        )
         world = build(told)
         played = play(world, None, partial(_advance, progress, number, steps))
-        run, worth, _ = results.audited(world, played.ledger, way="sockets", policy="module",
-                                        seed=told.scenario.seed, cpu_s=played.cpu_s)
+        run, worth, _ = results.audited(
+            world, played.ledger, way="sockets", policy="module", seed=told.scenario.seed, cpu_s=played.cpu_s
+        )
         tail = results.percentiles([delay for delays in worth.delays.values() for delay in delays])
         asked = max(1, run.asked)
-        step = Step(rate, run.asked, run.whole, run.ends.get("refused", 0) / asked, tail[0] if tail else 0.0,
-                    tail[2] if tail else 0.0, played.cpu_s / asked * 1000.0, played.cpu_s / length,
-                    run.rules_kept, played.not_a_result)
+        step = Step(
+            rate,
+            run.asked,
+            run.whole,
+            run.ends.get("refused", 0) / asked,
+            tail[0] if tail else 0.0,
+            tail[2] if tail else 0.0,
+            played.cpu_s / asked * 1000.0,
+            played.cpu_s / length,
+            run.rules_kept,
+            played.not_a_result,
+        )
         yield step
         if step.turned or step.not_a_result:
             return
@@ -78,20 +96,49 @@
     return f"No knee up to {last.rate:.0f} messages a second."
 
 
-COLUMNS = ("rate", "messages", "worth", "refused", "median s", "99 % s", "CPU ms a message", "core busy",
-           "result")
+COLUMNS = (
+    "rate",
+    "messages",
+    "worth",
+    "refused",
+    "median s",
+    "99 % s",
+    "CPU ms a message",
+    "core busy",
+    "result",
+)
 
 
 def rows(steps: list[Step]) -> list[list[object]]:
     """The steps as a table's rows."""
-    return [[s.rate, s.messages, s.whole, s.refused, s.median_s, s.tail_s, s.cpu_ms, s.busy,
-             s.not_a_result or ("turned" if s.turned else "good")] for s in steps]
+    return [
+        [
+            s.rate,
+            s.messages,
+            s.whole,
+            s.refused,
+            s.median_s,
+            s.tail_s,
+            s.cpu_ms,
+            s.busy,
+            s.not_a_result or ("turned" if s.turned else "good"),
+        ]
+        for s in steps
+    ]
 
 
 def write_page(path: Path, name: str, steps: list[Step]) -> None:
     """The climb as a page; raises `OSError`."""
-    lines = {"worth": [(s.rate, s.whole) for s in steps], "refused": [(s.rate, s.refused) for s in steps],
-             "core busy": [(s.rate, s.busy) for s in steps]}
-    section = tabled("Steps", COLUMNS, rows(steps), "Stand-ins and load share the machine with the node.",
-                     charts.curves(lines, "messages a second", "share", log_x=True))
+    lines = {
+        "worth": [(s.rate, s.whole) for s in steps],
+        "refused": [(s.rate, s.refused) for s in steps],
+        "core busy": [(s.rate, s.busy) for s in steps],
+    }
+    section = tabled(
+        "Steps",
+        COLUMNS,
+        rows(steps),
+        "Stand-ins and load share the machine with the node.",
+        charts.curves(lines, "messages a second", "share", log_x=True),
+    )
     write(path, page(f"The knee of one node: {name}", "", [("note", verdict(steps))], [section]))
--- a/irisstack/lab/ledger.py
+++ b/irisstack/lab/ledger.py
@@ -121,7 +121,7 @@
     due: float
 
 
-Entry = (HandedIn | Missed | TakenOn | Sent | Ran | Answered | Ended | Told | Outage | Fell | NodeState)
+Entry = HandedIn | Missed | TakenOn | Sent | Ran | Answered | Ended | Told | Outage | Fell | NodeState
 Ledger = list[Entry]
 
 
--- a/irisstack/lab/partner.py
+++ b/irisstack/lab/partner.py
@@ -143,7 +143,6 @@
         self._at = now
         return self._level > max(LEAST_DEPTH, bearable * self._cold.tip_s)
 
-
     def room(self, now: float) -> float:
         """Calls that it would bear now, with a fifth to spare."""
         share = self.share(now)
@@ -206,9 +205,11 @@
     def takes(self, now: float, coming: int) -> bool:
         """Whether limit and strength would take one more call, with so many on their way."""
         heaviest = 1.0 + self.kind.shared_part * (self.kind.shared_calls - 1)
-        return (now >= self.fallen_until
-                and (self.limiter is None or self.limiter.room(now) >= coming + 1)
-                and self.strength.room(now) >= heaviest * (coming + 1))
+        return (
+            now >= self.fallen_until
+            and (self.limiter is None or self.limiter.room(now) >= coming + 1)
+            and self.strength.room(now) >= heaviest * (coming + 1)
+        )
 
     def fall(self, now: float) -> None:
         """Pushed over: all that it holds is lost, and it is down for a while."""
@@ -251,8 +252,17 @@
     def room(self, now: float) -> int:
         """Calls that it would take in now and answer."""
         c = self.conditions
-        if (c.silent or c.host_gone or c.refuses_connections or c.draining or now < c.shut_until
-                or c.fails >= 0.5 or c.loses_answers >= 0.5 or c.spoils_answers >= 0.5 or c.resets >= 0.5):
+        if (
+            c.silent
+            or c.host_gone
+            or c.refuses_connections
+            or c.draining
+            or now < c.shut_until
+            or c.fails >= 0.5
+            or c.loses_answers >= 0.5
+            or c.spoils_answers >= 0.5
+            or c.resets >= 0.5
+        ):
             return 0
         return self.spec.at_once + min(1, self.spec.queue) - len(self._running) - len(self._line)
 
@@ -292,8 +302,11 @@
         if conditions.draining:
             self._answer(now, call, Answer("refused"))
             return
-        fails = max((conditions.failing_classes.get(item.message_class, 0.0) for item in call.items),
-                    default=0.0) if conditions.failing_classes else 0.0
+        fails = (
+            max((conditions.failing_classes.get(item.message_class, 0.0) for item in call.items), default=0.0)
+            if conditions.failing_classes
+            else 0.0
+        )
         if (fails or conditions.fails) and self._chance() < max(fails, conditions.fails):
             if self._chance() < conditions.runs:
                 self._carry_out(now, call)
@@ -325,8 +338,9 @@
     def _start(self, now: float, call: PartnerCall) -> None:
         destination, kind = self.destination, self.destination.kind
         self._running.add(call)
-        work = sorted((item.work * destination.classes[item.message_class].work_s for item in call.items),
-                      reverse=True)
+        work = sorted(
+            (item.work * destination.classes[item.message_class].work_s for item in call.items), reverse=True
+        )
         seconds = (work[0] + kind.shared_part * sum(work[1:])) * destination.spec.pace
         seconds *= self.conditions.slower / destination.strength.share(now)
         self._host.after(seconds + (kind.handshake_s if call.fresh else 0.0), self._finish, call)
@@ -341,8 +355,11 @@
         self._running.remove(call)
         self._carry_out(now, call)
         conditions = self.conditions
-        if conditions.silent or conditions.host_gone or (
-                conditions.loses_answers and self._chance() < conditions.loses_answers):
+        if (
+            conditions.silent
+            or conditions.host_gone
+            or (conditions.loses_answers and self._chance() < conditions.loses_answers)
+        ):
             pass  # carried out, and nobody hears of it
         elif conditions.spoils_answers and self._chance() < conditions.spoils_answers:
             self._end(call)
--- a/irisstack/lab/report.py
+++ b/irisstack/lab/report.py
@@ -34,8 +34,9 @@
     numeric: set[int] = field(default_factory=set)
 
 
-def tabled(title: str, columns: Sequence[str], rows: Sequence[Sequence[Any]], note: str = "",
-           svg: str = "") -> Section:
+def tabled(
+    title: str, columns: Sequence[str], rows: Sequence[Sequence[Any]], note: str = "", svg: str = ""
+) -> Section:
     """A section with a table; numbers stand to the right."""
     numeric = {i for i in range(len(columns)) if any(isinstance(row[i], int | float) for row in rows)}
     return Section(title, note, svg, columns, [[_text(value) for value in row] for row in rows], numeric)
@@ -64,38 +65,71 @@
         lines.append(("bad", f"Rules broken: {told}. A run that breaks a rule counts for nothing."))
     else:
         lines.append(("good", "All six rules were kept."))
-    lines.append(("note", f"Score {run.score:.3f}: worth of the whole run {run.whole:.3f}, of its worst 10 s "
-                          f"{run.worst_window:.3f}, of its worst-served class {run.worst_class:.3f}."))
+    lines.append(
+        (
+            "note",
+            f"Score {run.score:.3f}: worth of the whole run {run.whole:.3f}, of its worst 10 s "
+            f"{run.worst_window:.3f}, of its worst-served class {run.worst_class:.3f}.",
+        )
+    )
     return lines
 
 
-def of_run(world: World, run: Run, worth: Worth, breaches: dict[str, list[Breach]],
-           entries: book.Ledger) -> str:
+def of_run(
+    world: World, run: Run, worth: Worth, breaches: dict[str, list[Breach]], entries: book.Ledger
+) -> str:
     """The page of one run."""
     spans = [(i.begins, i.ends, i.trouble.kind) for i in world.incidents]
-    ends = [[name, *(count.get(result, 0) for result in RESULTS), run.by_class[name]]
-            for name, count in run.ends_by_class.items()]
+    ends = [
+        [name, *(count.get(result, 0) for result in RESULTS), run.by_class[name]]
+        for name, count in run.ends_by_class.items()
+    ]
     sections = [
-        tabled("What became of the messages", ["class", *RESULTS, "worth"], ends,
-               f"{run.asked} messages, {run.attempts} attempts, {run.waste:.3f} attempts in vain for each."),
-        tabled("Troubles", ["what", "from s", "to s", "strikes"],
-               [[i.trouble.kind, i.begins, i.ends, _struck(i.destinations, i.nodes)]
-                for i in world.incidents]),
-        Section("Worth over time", "Of the messages asked for in each second. Troubles are shaded.",
-                charts.over_time({"worth": worth.over_time}, "share", spans, 1.02)),
-        Section("Messages under way", "Owed by the nodes, and of these in calls.",
-                charts.over_time(_under_way(entries), "messages", spans)),
+        tabled(
+            "What became of the messages",
+            ["class", *RESULTS, "worth"],
+            ends,
+            f"{run.asked} messages, {run.attempts} attempts, {run.waste:.3f} attempts in vain for each.",
+        ),
+        tabled(
+            "Troubles",
+            ["what", "from s", "to s", "strikes"],
+            [[i.trouble.kind, i.begins, i.ends, _struck(i.destinations, i.nodes)] for i in world.incidents],
+        ),
+        Section(
+            "Worth over time",
+            "Of the messages asked for in each second. Troubles are shaded.",
+            charts.over_time({"worth": worth.over_time}, "share", spans, 1.02),
+        ),
+        Section(
+            "Messages under way",
+            "Owed by the nodes, and of these in calls.",
+            charts.over_time(_under_way(entries), "messages", spans),
+        ),
         Section("Ends each second", "", charts.over_time(_ends(entries), "a second", spans)),
-        tabled("Seconds until delivery", ["class", *(f"{p:g} %" for p in PERCENTILES)],
-               [[name, *values] for name, values in run.delays.items() if values],
-               "Counted from when a message was first due to be handed in."),
+        tabled(
+            "Seconds until delivery",
+            ["class", *(f"{p:g} %" for p in PERCENTILES)],
+            [[name, *values] for name, values in run.delays.items() if values],
+            "Counted from when a message was first due to be handed in.",
+        ),
         tabled("Rules", ["rule", "broken"], [[name, count] for name, count in run.breaches.items()]),
-        tabled("What broke them", ["rule", "s", "node", "message", "what"],
-               [[b.rule, b.t, b.node, b.message, b.text]
-                for broken in breaches.values() for b in broken[:MOST_BREACHES]],
-               f"The first {MOST_BREACHES} of each rule; the ledger has all."),
-        tabled("Destinations", ["number", "kind", "messages", "delivered", "worth"],
-               _destinations(world, worth), f"The {MOST_ROWS} with the least worth, where there are more."),
+        tabled(
+            "What broke them",
+            ["rule", "s", "node", "message", "what"],
+            [
+                [b.rule, b.t, b.node, b.message, b.text]
+                for broken in breaches.values()
+                for b in broken[:MOST_BREACHES]
+            ],
+            f"The first {MOST_BREACHES} of each rule; the ledger has all.",
+        ),
+        tabled(
+            "Destinations",
+            ["number", "kind", "messages", "delivered", "worth"],
+            _destinations(world, worth),
+            f"The {MOST_ROWS} with the least worth, where there are more.",
+        ),
         tabled("Made with", ["what", "version"], [*run.versions.items(), ("seed", str(run.seed))]),
     ]
     name = f"{run.scenario}: {run.policy}, {'virtual time' if run.way == 'model' else 'real sockets'}"
@@ -147,8 +181,10 @@
         if isinstance(entry, book.Ended):
             counts[entry.result][int(entry.t)] += 1
     last = max((max(count) for count in counts.values()), default=0)
-    return {name: [(float(second), float(count[second])) for second in range(last + 1)]
-            for name, count in sorted(counts.items())}
+    return {
+        name: [(float(second), float(count[second])) for second in range(last + 1)]
+        for name, count in sorted(counts.items())
+    }
 
 
 def write(path: Path, text: str) -> None:
--- a/irisstack/lab/results.py
+++ b/irisstack/lab/results.py
@@ -81,19 +81,46 @@
     return [histogram.get_value_at_percentile(percent) / 1000.0 for percent in PERCENTILES]
 
 
-def audited(world: World, entries: book.Ledger, *, way: str, policy: str, seed: int, variant: str = "",
-            cpu_s: float = 0.0, events: int = 0) -> tuple[Run, worth.Worth, dict[str, list[rules.Breach]]]:
+def audited(
+    world: World,
+    entries: book.Ledger,
+    *,
+    way: str,
+    policy: str,
+    seed: int,
+    variant: str = "",
+    cpu_s: float = 0.0,
+    events: int = 0,
+) -> tuple[Run, worth.Worth, dict[str, list[rules.Breach]]]:
     """A ledger's figures and what broke which rule."""
     figures: Figures = figures_of(world)
     found = rules.index(entries)
     breaches = rules.check(found, figures)
     got = worth.of(found, figures)
     run = Run(
-        way, world.scenario.scenario.name, variant or policy, policy, seed, got.score, got.whole,
-        got.worst_window, got.worst_class, got.by_class, got.ends, got.ends_by_class, got.asked, got.attempts,
-        got.waste, {name: len(broken) for name, broken in breaches.items()},
-        rules.effects_twice(found, figures), len(found.falls),
-        {name: percentiles(delays) for name, delays in got.delays.items()}, cpu_s, events, versions())
+        way,
+        world.scenario.scenario.name,
+        variant or policy,
+        policy,
+        seed,
+        got.score,
+        got.whole,
+        got.worst_window,
+        got.worst_class,
+        got.by_class,
+        got.ends,
+        got.ends_by_class,
+        got.asked,
+        got.attempts,
+        got.waste,
+        {name: len(broken) for name, broken in breaches.items()},
+        rules.effects_twice(found, figures),
+        len(found.falls),
+        {name: percentiles(delays) for name, delays in got.delays.items()},
+        cpu_s,
+        events,
+        versions(),
+    )
     return run, got, breaches
 
 
--- a/irisstack/lab/scenario.py
+++ b/irisstack/lab/scenario.py
@@ -211,9 +211,27 @@
     """Something that goes wrong."""
 
     kind: Literal[
-        "fails_fast", "shut", "silent", "slow", "pauses", "resets", "answers_lost", "answers_spoilt",
-        "connect_refused", "host_gone", "limit_lowered", "idle_dropped", "class_fails", "replaced", "hot",
-        "list_stale", "list_down", "killed", "stopped", "stalled"]
+        "fails_fast",
+        "shut",
+        "silent",
+        "slow",
+        "pauses",
+        "resets",
+        "answers_lost",
+        "answers_spoilt",
+        "connect_refused",
+        "host_gone",
+        "limit_lowered",
+        "idle_dropped",
+        "class_fails",
+        "replaced",
+        "hot",
+        "list_stale",
+        "list_down",
+        "killed",
+        "stopped",
+        "stalled",
+    ]
     at_s: DrawnSeconds
     for_s: DrawnSeconds = 0.0
     """How long it lasts; a killed node is down for so long, `replaced` is spread over it."""
@@ -241,8 +259,18 @@
 
 
 DEFAULT_STRENGTH = {
-    "fails_fast": 0.9, "slow": 8.0, "pauses": 0.4, "resets": 0.5, "answers_lost": 0.9, "answers_spoilt": 0.9,
-    "limit_lowered": 0.5, "idle_dropped": 2.0, "class_fails": 1.0, "hot": 0.2, "list_stale": 4.0}
+    "fails_fast": 0.9,
+    "slow": 8.0,
+    "pauses": 0.4,
+    "resets": 0.5,
+    "answers_lost": 0.9,
+    "answers_spoilt": 0.9,
+    "limit_lowered": 0.5,
+    "idle_dropped": 2.0,
+    "class_fails": 1.0,
+    "hot": 0.2,
+    "list_stale": 4.0,
+}
 """Where a trouble's strength is not told."""
 SHARES = {"fails_fast", "resets", "answers_lost", "answers_spoilt", "limit_lowered", "class_fails", "hot"}
 """Troubles whose strength is a part of something."""
@@ -295,8 +323,9 @@
             where = f"troubles[{i}]"
             latest = trouble.at_s[1] if isinstance(trouble.at_s, list) else trouble.at_s
             if latest >= self.scenario.length_s:
-                wrong.append(f"{where}.at_s: it begins at {latest:g} s, after the end at "
-                             f"{self.scenario.length_s:g} s")
+                wrong.append(
+                    f"{where}.at_s: it begins at {latest:g} s, after the end at {self.scenario.length_s:g} s"
+                )
             if trouble.of_kind is not None and trouble.of_kind not in kinds:
                 wrong.append(f"{where}.of_kind: there is no kind {trouble.of_kind!r}")
             if (trouble.kind == "class_fails") != (trouble.message_class is not None):
@@ -311,8 +340,9 @@
                 wrong.append(f"{where}.destinations: {trouble.kind} strikes no destination")
             strength = trouble.strength[1] if isinstance(trouble.strength, list) else trouble.strength
             if strength is not None and trouble.kind in SHARES and strength > 1.0:
-                wrong.append(f"{where}.strength: for {trouble.kind} a part from 0 to 1 is due, "
-                             f"not {strength:g}")
+                wrong.append(
+                    f"{where}.strength: for {trouble.kind} a part from 0 to 1 is due, not {strength:g}"
+                )
             if strength is not None and trouble.kind not in DEFAULT_STRENGTH:
                 wrong.append(f"{where}.strength: {trouble.kind} has none")
         if wrong:
--- a/irisstack/lab/sockets/clients.py
+++ b/irisstack/lab/sockets/clients.py
@@ -56,10 +56,18 @@
         self.waiting -= 1
         id_, handing = self._stage.hand(message, node, due, tries)
         # The platform's protocol carries no key to keep order by, so that none is asked for here.
-        self._stage.ledger.append(book.HandedIn(now, node, handing.number, message.number,
-                                                message.message_class, message.destination, due))
-        headers = {"X-Request-ID": id_, "X-Priority-Class": kind.name, "X-Tenant-Id": TENANT,
-                   "X-Timeout": f"{max(0.001, due - now):.3f}", "X-Consignee": f"dest={message.destination}"}
+        self._stage.ledger.append(
+            book.HandedIn(
+                now, node, handing.number, message.number, message.message_class, message.destination, due
+            )
+        )
+        headers = {
+            "X-Request-ID": id_,
+            "X-Priority-Class": kind.name,
+            "X-Tenant-Id": TENANT,
+            "X-Timeout": f"{max(0.001, due - now):.3f}",
+            "X-Consignee": f"dest={message.destination}",
+        }
         if kind.repeat == "keyed":
             headers["Idempotency-Key"] = f"{message.number:032x}"
         if mark:
@@ -147,8 +155,9 @@
             return
         self.waiting -= 1
         if tries == 1:
-            self._stage.ledger.append(book.Missed(now, message.number, message.message_class,
-                                                  message.destination, due))
+            self._stage.ledger.append(
+                book.Missed(now, message.number, message.message_class, message.destination, due)
+            )
 
     def _refused(self, now: float, handing: Handing, advice: float) -> None:
         pause = self._behaviour.comes_again(handing.tries, advice, handing.due - now)
--- a/irisstack/lab/sockets/elsewhere.py
+++ b/irisstack/lab/sockets/elsewhere.py
@@ -65,9 +65,15 @@
             loads[least] += spec.traffic
         for number, share in enumerate(share for share in shares if share):
             self._workers.append(_Worker(self, number, folder / f"partners-{number}.jsonl.gz"))
-            self._workers[-1].say({
-                "scenario": stage.world.scenario.model_dump(), "seed": seed, "process": number,
-                "destinations": share, "ledger": str(self._workers[-1].ledger)})
+            self._workers[-1].say(
+                {
+                    "scenario": stage.world.scenario.model_dump(),
+                    "seed": seed,
+                    "process": number,
+                    "destinations": share,
+                    "ledger": str(self._workers[-1].ledger),
+                }
+            )
         for worker in self._workers:
             if not worker.ready.wait(START_WITHIN):
                 self.end()
@@ -86,8 +92,10 @@
                 self._stage.ledger.extend(book.read(worker.ledger))
             else:
                 self._stage.fault("a process of partners was lost, with what it had seen")
-        return (max((worker.late[0] for worker in self._workers), default=0.0),
-                max((worker.late[1] for worker in self._workers), default=0.0))
+        return (
+            max((worker.late[0] for worker in self._workers), default=0.0),
+            max((worker.late[1] for worker in self._workers), default=0.0),
+        )
 
     def heard(self, news: dict[str, Any]) -> None:
         """A line from one of the processes."""
@@ -95,7 +103,8 @@
             self._stage.touched_elsewhere(number, over=over)
         if "ready" in news:
             self.addresses.update(
-                {int(number): (host, port) for number, (host, port) in news["ready"].items()})
+                {int(number): (host, port) for number, (host, port) in news["ready"].items()}
+            )
         if "listed" in news:
             endpoint, destination, phase, host, port = news["listed"]
             self._listed(endpoint, destination, phase, (host, port))
@@ -112,8 +121,11 @@
         self.late = (0.0, 0.0)
         self._troupe = troupe
         self._process = green.Popen(
-            [sys.executable, "-m", "irisstack.lab.sockets.partner_process"], stdin=subprocess.PIPE,
-            stdout=subprocess.PIPE, start_new_session=True)
+            [sys.executable, "-m", "irisstack.lab.sockets.partner_process"],
+            stdin=subprocess.PIPE,
+            stdout=subprocess.PIPE,
+            start_new_session=True,
+        )
         self._reader = gevent.spawn(self._read)
 
     def say(self, line: dict[str, Any]) -> None:
--- a/irisstack/lab/sockets/http.py
+++ b/irisstack/lab/sockets/http.py
@@ -65,8 +65,12 @@
         if not self._told.done:
             return None
         self._told.done = False
-        return Request(self._parser.get_method().decode("latin-1"), self._told.target, self._told.headers,
-                       b"".join(self._told.parts))
+        return Request(
+            self._parser.get_method().decode("latin-1"),
+            self._told.target,
+            self._told.headers,
+            b"".join(self._told.parts),
+        )
 
 
 class ReplyReader:
@@ -82,8 +86,12 @@
         if not self._told.done:
             return None
         self._told.done = False
-        return Reply(self._parser.get_status_code(), self._told.headers, b"".join(self._told.parts),
-                     self._parser.should_keep_alive())
+        return Reply(
+            self._parser.get_status_code(),
+            self._told.headers,
+            b"".join(self._told.parts),
+            self._parser.should_keep_alive(),
+        )
 
 
 def reply(status: int, headers: Mapping[str, str] | None = None, body: bytes = b"") -> bytes:
--- a/irisstack/lab/sockets/nodes.py
+++ b/irisstack/lab/sockets/nodes.py
@@ -68,19 +68,33 @@
         self._state.mkdir(exist_ok=True)
         settings = settings_object(self._stage.world, self.number)
         settings["invariants"] = {k: v for k, v in settings["invariants"].items() if v is not None}
-        self._config.write_text(json.dumps({
-            "name": f"n{self.number}", "listen": f"{HOST}:{self.address[1]}", "discovery": self._platform,
-            "state": str(self._state), "seed": f"{(self.number + 1) * 1000 + self._life:x}",
-            "limits": {"sockets": DESCRIPTORS, "disk_mb": DISK_MB, "memory_mb": MEMORY_MB},
-            "known": dict(known), "settings": settings}))
+        self._config.write_text(
+            json.dumps(
+                {
+                    "name": f"n{self.number}",
+                    "listen": f"{HOST}:{self.address[1]}",
+                    "discovery": self._platform,
+                    "state": str(self._state),
+                    "seed": f"{(self.number + 1) * 1000 + self._life:x}",
+                    "limits": {"sockets": DESCRIPTORS, "disk_mb": DISK_MB, "memory_mb": MEMORY_MB},
+                    "known": dict(known),
+                    "settings": settings,
+                }
+            )
+        )
         self._life += 1
         self._expected = False
         environment = {key: value for key, value in os.environ.items() if not key.startswith("RELAY_")}
         with (self._folder / f"node-{self.number}.log").open("ab") as log:
             self._process = green.Popen(
-                [sys.executable, "-m", "irisstack", "run"], stdout=log, stderr=subprocess.STDOUT,
-                stdin=subprocess.DEVNULL, env={**environment, "RELAY_CONFIG": str(self._config)},
-                start_new_session=True, preexec_fn=_end_with_parent)
+                [sys.executable, "-m", "irisstack", "run"],
+                stdout=log,
+                stderr=subprocess.STDOUT,
+                stdin=subprocess.DEVNULL,
+                env={**environment, "RELAY_CONFIG": str(self._config)},
+                start_new_session=True,
+                preexec_fn=_end_with_parent,
+            )
         gevent.spawn(self._watch, self._process)
 
     def _watch(self, process: "green.Popen[bytes]") -> None:
--- a/irisstack/lab/sockets/partner_process.py
+++ b/irisstack/lab/sockets/partner_process.py
@@ -52,8 +52,11 @@
         sys.stdout.write(json.dumps(news) + "\n")
         sys.stdout.flush()
 
-    strikes = Strikes(stage, partners, lambda endpoint, destination, phase, address: say(
-        listed=[endpoint, destination, phase, *address]))
+    strikes = Strikes(
+        stage,
+        partners,
+        lambda endpoint, destination, phase, address: say(listed=[endpoint, destination, phase, *address]),
+    )
     say(ready={number: server.address for number, server in partners.servers.items()})
     begun = json.loads(lines.readline() or b"{}")
     if "began" not in begun:
@@ -62,7 +65,9 @@
     strikes.plan()
     lateness = Lateness()
     helpers: list[gevent.Greenlet[..., None]] = [
-        gevent.spawn(lateness.watch), gevent.spawn(_tell_news, stage, say)]
+        gevent.spawn(lateness.watch),
+        gevent.spawn(_tell_news, stage, say),
+    ]
     lines.readline()  # "stop", or the end of the other process
     gevent.killall(helpers)
     partners.stop()
--- a/irisstack/lab/sockets/partners.py
+++ b/irisstack/lab/sockets/partners.py
@@ -159,8 +159,15 @@
         for handing in call.handings:
             handing.called = True
             self._stage.touch(handing)
-            self._stage.ledger.append(book.Sent(now, handing.node, handing.number, self.endpoint.spec.number,
-                                                self.endpoint.destination.spec.number))
+            self._stage.ledger.append(
+                book.Sent(
+                    now,
+                    handing.node,
+                    handing.number,
+                    self.endpoint.spec.number,
+                    self.endpoint.destination.spec.number,
+                )
+            )
         if connection.calls > 1 and self.endpoint.dropped(idle):
             self._partners.cut(now, self.endpoint, call)
             return
@@ -241,8 +248,11 @@
         self.stage = stage
         world = stage.world
         self._one_way = world.one_way()
-        self.destinations = {n: Destination(spec, world, self) for n, spec in world.destinations.items()
-                             if only is None or n in only}
+        self.destinations = {
+            n: Destination(spec, world, self)
+            for n, spec in world.destinations.items()
+            if only is None or n in only
+        }
         self.servers: dict[int, EndpointServer] = {}
         self.fell_over: Callable[[float, int], None] = lambda now, destination: None
         for destination in self.destinations.values():
@@ -276,19 +286,26 @@
             self.stage.fault(f"a message for another destination came to destination {place}")
             return None
         items: list[Item] = [handing.item for handing in known]
-        return SocketCall(known[0].node, items, connection.calls == 1, connection=connection,
-                          handings=tuple(known), ids=tuple(ids), shared=shared)
-
-    def tell(self, call: SocketCall, t: float, verdict: book.Verdict, wait: float = 0.0, *,
-             over: bool = False) -> None:
+        return SocketCall(
+            known[0].node,
+            items,
+            connection.calls == 1,
+            connection=connection,
+            handings=tuple(known),
+            ids=tuple(ids),
+            shared=shared,
+        )
+
+    def tell(
+        self, call: SocketCall, t: float, verdict: book.Verdict, wait: float = 0.0, *, over: bool = False
+    ) -> None:
         """A call's end goes into the ledger, once; `over`: its messages are delivered all the same."""
         if call.told:
             return
         call.told = True
         endpoint = call.connection.server.endpoint.spec.number if call.connection is not None else -1
         for handing in call.handings:
-            self.stage.ledger.append(
-                book.Answered(t, handing.node, handing.number, endpoint, verdict, wait))
+            self.stage.ledger.append(book.Answered(t, handing.node, handing.number, endpoint, verdict, wait))
             if (verdict == "ok" or over) and not handing.over:
                 self.stage.end(handing, "delivered", at=t)
 
@@ -322,7 +339,7 @@
     ids: list[str] = []
     at = 0
     while at < len(body):
-        head, found, _ = body[at:at + 512].partition(b"\r\n")
+        head, found, _ = body[at : at + 512].partition(b"\r\n")
         words = head.split(b" ")
         if not found or len(words) != 3 or not words[2].isdigit() or int(words[2]) > MOST_BODY:
             return [*ids, ""]
--- a/irisstack/lab/sockets/platform.py
+++ b/irisstack/lab/sockets/platform.py
@@ -23,7 +23,10 @@
 BEAT = 2.0
 """Seconds between the empty lines of a watch."""
 STATES: dict[str, Literal["ready", "draining", "gone"]] = {
-    "SERVING": "ready", "DRAINING": "draining", "DELETED": "gone"}
+    "SERVING": "ready",
+    "DRAINING": "draining",
+    "DELETED": "gone",
+}
 
 
 class Platform:
@@ -33,8 +36,10 @@
         self._stage = stage
         self._late = stage.world.draws.stream("list")
         self._changes: list[tuple[int, dict[str, Any]]] = []
-        self._members = {number: self._member(number, spec.destination, "SERVING", addresses[number])
-                         for number, spec in stage.world.endpoints.items()}
+        self._members = {
+            number: self._member(number, spec.destination, "SERVING", addresses[number])
+            for number, spec in stage.world.endpoints.items()
+        }
         self._revision = 1
         self._changed = Event()
         self._streams: set[socket.socket] = set()
@@ -63,9 +68,16 @@
 
     def _member(self, number: int, place: int, phase: str, address: tuple[str, int]) -> dict[str, Any]:
         destination, (host, port) = self._stage.world.destinations[place], address
-        return {"id": f"s-{number}", "host_port": f"{host}:{port}", "locality": ZONE,
-                "flavor": destination.kind.name, "cell": destination.number, "phase": phase,
-                "size": destination.limit or destination.capacity, "up_since_ms": 0}
+        return {
+            "id": f"s-{number}",
+            "host_port": f"{host}:{port}",
+            "locality": ZONE,
+            "flavor": destination.kind.name,
+            "cell": destination.number,
+            "phase": phase,
+            "size": destination.limit or destination.capacity,
+            "up_since_ms": 0,
+        }
 
     def change(self, number: int, place: int, phase: str, address: tuple[str, int]) -> None:
         """An endpoint is so from now on; the list hears of it late."""
--- a/irisstack/lab/sockets/play.py
+++ b/irisstack/lab/sockets/play.py
@@ -40,8 +40,13 @@
     partial: bool
 
 
-def play(world: World, logs: Path | None = None, progress: Callable[[float], None] | None = None, *,
-         processes: int = 2) -> Played:
+def play(
+    world: World,
+    logs: Path | None = None,
+    progress: Callable[[float], None] | None = None,
+    *,
+    processes: int = 2,
+) -> Played:
     """Play a world; everything that it starts has ended when it returns, also after an interrupt.
 
     The partners live in so many processes of their own, or in this one for 0.
@@ -62,8 +67,9 @@
     Partners and platform see ends apart from each other, and a notice may cross a delivery. Two ends of which
     neither is a delivery are the node's own, and stay for the auditor.
     """
-    delivered = {entry.message for entry in entries
-                 if isinstance(entry, book.Ended) and entry.result == "delivered"}
+    delivered = {
+        entry.message for entry in entries if isinstance(entry, book.Ended) and entry.result == "delivered"
+    }
     ended: set[int] = set()
     kept: book.Ledger = []
     for entry in sorted(entries, key=lambda entry: entry.t):
@@ -78,27 +84,35 @@
 class _Run:
     """The run while it is played."""
 
-    def __init__(self, world: World, folder: Path, progress: Callable[[float], None] | None, processes: int,
-                 seed: int) -> None:
+    def __init__(
+        self, world: World, folder: Path, progress: Callable[[float], None] | None, processes: int, seed: int
+    ) -> None:
         self._world = world
         self._progress = progress
         self._stage = Stage(world)
         self._stage.began = time.monotonic()
-        self._troupe: Troupe = (Elsewhere(self._stage, folder, processes, seed) if processes
-                                else Here(self._stage))
+        self._troupe: Troupe = (
+            Elsewhere(self._stage, folder, processes, seed) if processes else Here(self._stage)
+        )
         self._platform = Platform(self._stage, self._troupe.addresses)
-        self._nodes = [NodeProcess(spec.number, folder, self._stage, self._platform.address(spec.number))
-                       for spec in world.senders]
-        self._clients = Clients(self._stage, [node.address for node in self._nodes],
-                                lambda: [node.number for node in self._nodes if node.up])
+        self._nodes = [
+            NodeProcess(spec.number, folder, self._stage, self._platform.address(spec.number))
+            for spec in world.senders
+        ]
+        self._clients = Clients(
+            self._stage,
+            [node.address for node in self._nodes],
+            lambda: [node.number for node in self._nodes if node.up],
+        )
         self._lateness = Lateness()
         self._interrupted = False
 
     def play(self) -> Played:
         partial = False
         helpers: list[gevent.Greenlet[..., None]] = []
-        interrupts = [gevent.signal_handler(number, self._interrupt)
-                      for number in (signal.SIGINT, signal.SIGTERM)]
+        interrupts = [
+            gevent.signal_handler(number, self._interrupt) for number in (signal.SIGINT, signal.SIGTERM)
+        ]
         try:
             known = self._platform.known()
             for node in self._nodes:
@@ -127,10 +141,16 @@
         late, most = max(self._lateness.at(0.99), elsewhere[0]), max(self._lateness.most, elsewhere[1])
         faults = list(self._stage.faults)
         if late > LATE or most > VERY_LATE:
-            faults.append(f"the laboratory itself ran late ({late * 1000:.0f} ms at one time in a "
-                          f"hundred, {most * 1000:.0f} ms at the most)")
-        return Played(_first_ends(self._stage.ledger), sum(node.cpu_s for node in self._nodes),
-                      "; ".join(faults), partial)
+            faults.append(
+                f"the laboratory itself ran late ({late * 1000:.0f} ms at one time in a "
+                f"hundred, {most * 1000:.0f} ms at the most)"
+            )
+        return Played(
+            _first_ends(self._stage.ledger),
+            sum(node.cpu_s for node in self._nodes),
+            "; ".join(faults),
+            partial,
+        )
 
     def _wait(self) -> None:
         world = self._world
--- a/irisstack/lab/sockets/strikes.py
+++ b/irisstack/lab/sockets/strikes.py
@@ -34,8 +34,9 @@
                 continue
             if incident.trouble.kind == "replaced":
                 stream = self._stage.world.draws.stream("replaced", incident.begins)
-                times = {number: between([incident.begins, incident.ends], stream)
-                         for number in incident.endpoints}
+                times = {
+                    number: between([incident.begins, incident.ends], stream) for number in incident.endpoints
+                }
                 for number, time in times.items():
                     if number in self._partners.servers:
                         self._stage.at(time, self._replace, number)
--- a/irisstack/lab/sweep_page.py
+++ b/irisstack/lab/sweep_page.py
@@ -16,22 +16,39 @@
     for one in found:
         points.setdefault(one.scenario, {})[one.variant] = (one.low, one.score, one.high)
     variants = list(dict.fromkeys(one.variant for one in found))
-    sections = [tabled(
-        "Scores",
-        ["scenario", "variant", "runs", "score", "low", "high", "whole", "in vain", "rules broken in"],
-        [[s.scenario, s.variant, s.runs, s.score, s.low, s.high, s.whole, s.waste, s.broken] for s in found],
-        "Means over the seeds, with 95 % intervals by the bootstrap. A run that breaks a rule counts for "
-        "nothing, whatever its score.", charts.intervals(points, "score"))]
+    sections = [
+        tabled(
+            "Scores",
+            ["scenario", "variant", "runs", "score", "low", "high", "whole", "in vain", "rules broken in"],
+            [
+                [s.scenario, s.variant, s.runs, s.score, s.low, s.high, s.whole, s.waste, s.broken]
+                for s in found
+            ],
+            "Means over the seeds, with 95 % intervals by the bootstrap. A run that breaks a rule counts for "
+            "nothing, whatever its score.",
+            charts.intervals(points, "score"),
+        )
+    ]
     first = variants[0] if variants else ""
     for other in variants[1:]:
-        rows = compare.differences([run for run in runs if run.variant == first],
-                                   [run for run in runs if run.variant == other])
-        sections.append(tabled(
-            f"{other} beside {first}",
-            ["scenario", "figure", "pairs", first, other, "low", "high", "outcome"],
-            [[d.scenario, d.metric, d.pairs, d.mean_a, d.mean_b, d.low, d.high, d.words(first, other)]
-             for d in rows], "Differences seed by seed, with their 95 % intervals."))
+        rows = compare.differences(
+            [run for run in runs if run.variant == first], [run for run in runs if run.variant == other]
+        )
+        sections.append(
+            tabled(
+                f"{other} beside {first}",
+                ["scenario", "figure", "pairs", first, other, "low", "high", "outcome"],
+                [
+                    [d.scenario, d.metric, d.pairs, d.mean_a, d.mean_b, d.low, d.high, d.words(first, other)]
+                    for d in rows
+                ],
+                "Differences seed by seed, with their 95 % intervals.",
+            )
+        )
     broken = sum(not run.rules_kept for run in runs)
-    verdict = ("bad", f"Rules were broken in {broken} of {len(runs)} runs.") if broken else (
-        "good", f"All six rules were kept in all {len(runs)} runs.")
+    verdict = (
+        ("bad", f"Rules were broken in {broken} of {len(runs)} runs.")
+        if broken
+        else ("good", f"All six rules were kept in all {len(runs)} runs.")
+    )
     write_page(path, page(name, asks, [verdict], sections))
--- a/irisstack/lab/troubles.py
+++ b/irisstack/lab/troubles.py
@@ -58,11 +58,19 @@
 
 
 FIELDS = {
-    "silent": ("silent",), "shut": ("shut_until", "shut_tells"), "connect_refused": ("refuses_connections",),
-    "host_gone": ("host_gone",), "fails_fast": ("fails",), "slow": ("slower",),
-    "pauses": ("pause_every", "pause_for"), "resets": ("resets",), "answers_lost": ("loses_answers",),
-    "answers_spoilt": ("spoils_answers",), "idle_dropped": ("idle_drop",),
-    "class_fails": ("failing_classes",)}
+    "silent": ("silent",),
+    "shut": ("shut_until", "shut_tells"),
+    "connect_refused": ("refuses_connections",),
+    "host_gone": ("host_gone",),
+    "fails_fast": ("fails",),
+    "slow": ("slower",),
+    "pauses": ("pause_every", "pause_for"),
+    "resets": ("resets",),
+    "answers_lost": ("loses_answers",),
+    "answers_spoilt": ("spoils_answers",),
+    "idle_dropped": ("idle_drop",),
+    "class_fails": ("failing_classes",),
+}
 """The conditions that each trouble sets."""
 
 
--- a/irisstack/lab/virtual/listing.py
+++ b/irisstack/lab/virtual/listing.py
@@ -29,8 +29,9 @@
         self._clock = clock
         self._told: EndpointList = world.scenario.endpoint_list
         self._late = world.draws.stream("list")
-        self._entries = {number: self._entry(spec, api.EndpointState.READY)
-                         for number, spec in world.endpoints.items()}
+        self._entries = {
+            number: self._entry(spec, api.EndpointState.READY) for number, spec in world.endpoints.items()
+        }
         self._version = 1
         self._nodes: dict[int, Post] = {}
         self._watching: set[int] = set()
@@ -40,8 +41,15 @@
 
     def _entry(self, spec: EndpointSpec, state: api.EndpointState) -> api.Endpoint:
         destination = self._world.destinations[spec.destination]
-        return api.Endpoint(address(spec.number), state, destination.kind_index, destination.number, 0,
-                            destination.limit or destination.capacity, None)
+        return api.Endpoint(
+            address(spec.number),
+            state,
+            destination.kind_index,
+            destination.number,
+            0,
+            destination.limit or destination.capacity,
+            None,
+        )
 
     def snapshot(self, scope: api.UpdateScope) -> api.EndpointsUpdated:
         """The whole list as it stands."""
--- a/irisstack/lab/virtual/node.py
+++ b/irisstack/lab/virtual/node.py
@@ -26,9 +26,15 @@
 NOT_RUN = frozenset((api.Outcome.FULL, api.Outcome.CONNECT_FAILED, api.Outcome.NOT_SENT))
 OUTCOMES = {"ok": api.Outcome.OK, "error": api.Outcome.ERROR, "refused": api.Outcome.FULL}
 VERDICTS: dict[api.Outcome, book.Verdict] = {
-    api.Outcome.OK: "ok", api.Outcome.ERROR: "error", api.Outcome.FULL: "refused",
-    api.Outcome.TIMEOUT: "timeout", api.Outcome.RESET: "reset", api.Outcome.CANCELLED: "cancelled",
-    api.Outcome.CONNECT_FAILED: "not_sent", api.Outcome.NOT_SENT: "not_sent"}
+    api.Outcome.OK: "ok",
+    api.Outcome.ERROR: "error",
+    api.Outcome.FULL: "refused",
+    api.Outcome.TIMEOUT: "timeout",
+    api.Outcome.RESET: "reset",
+    api.Outcome.CANCELLED: "cancelled",
+    api.Outcome.CONNECT_FAILED: "not_sent",
+    api.Outcome.NOT_SENT: "not_sent",
+}
 
 
 @dataclass(slots=True, eq=False)
@@ -96,8 +102,15 @@
 class Node:
     """One node and its lives."""
 
-    def __init__(self, number: int, settings: api.Settings, policy: Policy, clock: Clock, outside: Outside,
-                 ledger: book.Ledger) -> None:
+    def __init__(
+        self,
+        number: int,
+        settings: api.Settings,
+        policy: Policy,
+        clock: Clock,
+        outside: Outside,
+        ledger: book.Ledger,
+    ) -> None:
         self.number = number
         self.settings = settings
         self.life = 0
@@ -136,8 +149,17 @@
     def _received(self, owed: Owed) -> api.MessageReceived:
         key = owed.order_key if owed.order_key >= 0 else None
         return api.MessageReceived(
-            owed.id, owed.item.message_class, owed.destination, owed.due, 0, key, is_retry=owed.is_retry,
-            from_dead_sender=owed.from_dead, attempts=owed.attempts, maybe_ran=owed.maybe_ran)
+            owed.id,
+            owed.item.message_class,
+            owed.destination,
+            owed.due,
+            0,
+            key,
+            is_retry=owed.is_retry,
+            from_dead_sender=owed.from_dead,
+            attempts=owed.attempts,
+            maybe_ran=owed.maybe_ran,
+        )
 
     def kill(self, now: float, policy: Policy, *, disk_lost: bool) -> api.EndpointsUpdated:
         """The process is gone at once; returns the list as it held it. The next life runs on `policy`."""
@@ -165,8 +187,11 @@
         if disk_lost:
             lost, self.owed = list(self.owed.values()), {}
             self._outside.lost(now, lost)
-        known = api.EndpointsUpdated(api.UpdateScope.CACHED, 0, tuple(
-            entry for entry in self._listed.values() if entry.state is not api.EndpointState.GONE))
+        known = api.EndpointsUpdated(
+            api.UpdateScope.CACHED,
+            0,
+            tuple(entry for entry in self._listed.values() if entry.state is not api.EndpointState.GONE),
+        )
         self._listed = {}
         return known
 
@@ -232,8 +257,9 @@
         self._inbox.append(event)
         if not self._turn_set:
             self._turn_set = True
-            self._clock.at(max(now, self._turned + self.settings.tick, self._asleep_until), self._turn,
-                           self.life)
+            self._clock.at(
+                max(now, self._turned + self.settings.tick, self._asleep_until), self._turn, self.life
+            )
 
     # ---- the turn ----
 
@@ -283,7 +309,7 @@
         for endpoint, messages in sends.items():
             most = self.settings.kinds[self._listed[endpoint].kind].max_batch
             for start in range(0, len(messages), most):
-                self._depart(now, endpoint, messages[start:start + most])
+                self._depart(now, endpoint, messages[start : start + most])
 
     def _timer(self, now: float, life: int, token: int) -> None:
         if life == self.life and self.alive:
@@ -299,8 +325,16 @@
 
     def _depart(self, now: float, endpoint: int, messages: Sequence[tuple[Owed, float | None]]) -> None:
         entry = self._listed[endpoint]
-        call = OutCall(self.number, [owed.item for owed, _ in messages], False, sender=self, life=self.life,
-                       endpoint=endpoint, destination=entry.destination, sent=now)
+        call = OutCall(
+            self.number,
+            [owed.item for owed, _ in messages],
+            False,
+            sender=self,
+            life=self.life,
+            endpoint=endpoint,
+            destination=entry.destination,
+            sent=now,
+        )
         call.pending = {}
         for owed, give_up in messages:
             call.give_up = max(call.give_up, min(owed.due, give_up or owed.due))
@@ -336,8 +370,11 @@
     def _leave(self, now: float, call: OutCall) -> None:
         """The call's bytes go out, unless the list or a wait has forbidden it meanwhile."""
         entry = self._listed.get(call.endpoint)
-        if (entry is None or entry.state is not api.EndpointState.READY
-                or now < self._held.get(self._waits_for(call), 0.0)):
+        if (
+            entry is None
+            or entry.state is not api.EndpointState.READY
+            or now < self._held.get(self._waits_for(call), 0.0)
+        ):
             self._finish(now, call, api.Outcome.NOT_SENT)
             return
         call.left_at = now
@@ -395,8 +432,15 @@
             outcome = api.Outcome.CANCELLED if call.left_at is not None else api.Outcome.NOT_SENT
             self._finish(now, call, outcome)
 
-    def _finish(self, now: float, call: OutCall, outcome: api.Outcome, answer: Answer | None = None, *,
-                keep: bool = False) -> None:
+    def _finish(
+        self,
+        now: float,
+        call: OutCall,
+        outcome: api.Outcome,
+        answer: Answer | None = None,
+        *,
+        keep: bool = False,
+    ) -> None:
         """All messages of the call that have no outcome yet get this one."""
         call.ended_here = True
         if not keep and call.connected:
@@ -406,12 +450,14 @@
         for owed, attempt in pending.values():
             self._outcome(now, call, owed, attempt, outcome, answer)
 
-    def _outcome(self, now: float, call: OutCall, owed: Owed, attempt: int, outcome: api.Outcome,
-                 answer: Answer | None) -> None:
+    def _outcome(
+        self, now: float, call: OutCall, owed: Owed, attempt: int, outcome: api.Outcome, answer: Answer | None
+    ) -> None:
         wait = answer.wait if answer is not None else 0.0
         if call.left_at is not None:
             self._ledger.append(
-                book.Answered(now, self.number, owed.id, call.endpoint, VERDICTS[outcome], wait))
+                book.Answered(now, self.number, owed.id, call.endpoint, VERDICTS[outcome], wait)
+            )
         del self._out[owed.id]
         owed.call = None
         if outcome not in NOT_RUN and owed.maybe_ran is None:
@@ -420,9 +466,20 @@
         final = outcome is api.Outcome.OK or not is_owed
         if outcome is api.Outcome.OK:
             self._end(now, owed.id, "delivered", 0.0)
-        self._post(now, api.AttemptEnded(
-            owed.id, address(call.endpoint), attempt, now - call.sent, final, outcome, wait or None, False,
-            answer.report if answer is not None else ()))
+        self._post(
+            now,
+            api.AttemptEnded(
+                owed.id,
+                address(call.endpoint),
+                attempt,
+                now - call.sent,
+                final,
+                outcome,
+                wait or None,
+                False,
+                answer.report if answer is not None else (),
+            ),
+        )
 
     # ---- connections ----
 
--- a/irisstack/lab/virtual/play.py
+++ b/irisstack/lab/virtual/play.py
@@ -57,7 +57,8 @@
         self._ledger: book.Ledger = []
         self._destinations = {n: Destination(spec, world, self) for n, spec in world.destinations.items()}
         self._endpoints: dict[int, Endpoint] = {
-            number: endpoint for d in self._destinations.values() for number, endpoint in d.endpoints.items()}
+            number: endpoint for d in self._destinations.values() for number, endpoint in d.endpoints.items()
+        }
         self._behaviour = Behaviour(world.scenario.clients, world.draws)
         self._one_way = world.one_way()
         self._listing = Listing(world, self._clock)
@@ -72,7 +73,8 @@
         for spec in world.senders:
             settings = settings_of(world, spec.number)
             self._nodes.append(
-                Node(spec.number, settings, self._policy(settings), self._clock, self, self._ledger))
+                Node(spec.number, settings, self._policy(settings), self._clock, self, self._ledger)
+            )
 
     def _policy(self, settings: api.Settings) -> Policy:
         return self._make(settings, int(self._seeds.integers(1 << 62)), self)
@@ -99,8 +101,13 @@
             gc.enable()
         if self._progress is not None:
             self._progress(1.0)
-        return Played(self._ledger, sum(node.events_in for node in self._nodes), clock.done,
-                      sum(node.turns for node in self._nodes), time.process_time() - cpu)
+        return Played(
+            self._ledger,
+            sum(node.events_in for node in self._nodes),
+            clock.done,
+            sum(node.turns for node in self._nodes),
+            time.process_time() - cpu,
+        )
 
     def _tick(self, now: float, last: float) -> None:
         assert self._progress is not None
@@ -109,8 +116,11 @@
             self._clock.after(self._world.length / 50.0, self._tick, last)
 
     def _over(self) -> bool:
-        return (self._clock.now > self._world.length and not self._waiting
-                and not any(node.owed for node in self._nodes))
+        return (
+            self._clock.now > self._world.length
+            and not self._waiting
+            and not any(node.owed for node in self._nodes)
+        )
 
     # ---- clients ----
 
@@ -134,18 +144,30 @@
                 else:
                     self._waiting -= 1
                     if tries == 1 and not from_dead:
-                        self._ledger.append(book.Missed(now, message.number, message.message_class,
-                                                        message.destination, due))
+                        self._ledger.append(
+                            book.Missed(now, message.number, message.message_class, message.destination, due)
+                        )
                 return
             node = up[message.number % len(up)]
         self._waiting -= 1
         number, self._next_id = self._next_id, self._next_id + 1
         self._handed[number] = message, tries
-        self._ledger.append(book.HandedIn(now, node.number, number, message.number, message.message_class,
-                                          message.destination, due, message.order_key))
+        self._ledger.append(
+            book.HandedIn(
+                now,
+                node.number,
+                number,
+                message.number,
+                message.message_class,
+                message.destination,
+                due,
+                message.order_key,
+            )
+        )
         item = Item(number, message.number, message.message_class, message.work)
-        owed = Owed(number, node.number, item, message.destination, due, message.order_key, tries > 1,
-                    from_dead)
+        owed = Owed(
+            number, node.number, item, message.destination, due, message.order_key, tries > 1, from_dead
+        )
         node.hand_in(now, owed, leaves=self._behaviour.leaves())
 
     def ended(self, now: float, owed: Owed, result: book.Result, wait: float) -> None:
--- a/irisstack/lab/world.py
+++ b/irisstack/lab/world.py
@@ -117,11 +117,18 @@
     """Draw a world; the scenario's own seed unless told."""
     draws = Draws(scenario.scenario.seed if seed is None else seed)
     destinations = _destinations(scenario, draws)
-    incidents = tuple(_incident(i, trouble, scenario, destinations, draws)
-                      for i, trouble in enumerate(scenario.troubles))
+    incidents = tuple(
+        _incident(i, trouble, scenario, destinations, draws) for i, trouble in enumerate(scenario.troubles)
+    )
     senders = _senders(scenario, draws)
-    world = World(scenario, draws, destinations, senders,
-                  _messages(scenario, destinations, senders, incidents, draws), incidents)
+    world = World(
+        scenario,
+        draws,
+        destinations,
+        senders,
+        _messages(scenario, destinations, senders, incidents, draws),
+        incidents,
+    )
     world.endpoints = {e.number: e for d in destinations.values() for e in d.endpoints}
     world.next_endpoint = len(world.endpoints) + 1
     return world
@@ -159,9 +166,15 @@
             at_once = max(1, round(capacity * work * pace / many))
             pace = at_once * many / (capacity * work)
             specs = tuple(
-                EndpointSpec(endpoint + j, number, at_once, max(1, round(kind.queue * at_once)),
-                             kind.connections * at_once)
-                for j in range(many))
+                EndpointSpec(
+                    endpoint + j,
+                    number,
+                    at_once,
+                    max(1, round(kind.queue * at_once)),
+                    kind.connections * at_once,
+                )
+                for j in range(many)
+            )
             endpoint += many
             found[number] = DestinationSpec(number, index, kind, traffic, pace, capacity, limit, specs)
     return found
@@ -174,17 +187,23 @@
     slots, room = between(told.slots, stream), between(told.room_s, stream)
     busy = scenario.traffic.rate * (mean_work(scenario) + 2.0 * _middle(scenario.network.one_way_s))
     return tuple(
-        SenderSpec(i, part, max(told.least_slots, math.ceil(part * busy * slots)),
-                   max(told.least_room, math.ceil(part * scenario.traffic.rate * room)))
-        for i, part in enumerate(parts.tolist()))
+        SenderSpec(
+            i,
+            part,
+            max(told.least_slots, math.ceil(part * busy * slots)),
+            max(told.least_room, math.ceil(part * scenario.traffic.rate * room)),
+        )
+        for i, part in enumerate(parts.tolist())
+    )
 
 
 def _middle(value: float | list[float]) -> float:
     return sum(value) / 2.0 if isinstance(value, list) else value
 
 
-def _incident(index: int, trouble: Trouble, scenario: Scenario, destinations: dict[int, DestinationSpec],
-              draws: Draws) -> Incident:
+def _incident(
+    index: int, trouble: Trouble, scenario: Scenario, destinations: dict[int, DestinationSpec], draws: Draws
+) -> Incident:
     stream = draws.stream("trouble", index, trouble.kind)
     begins = between(trouble.at_s, stream)
     ends = begins + between(trouble.for_s, stream)
@@ -196,10 +215,13 @@
         nodes = _some(range(scenario.senders.count), trouble.share, stream)
         return Incident(trouble, begins, ends, nodes=nodes, strength=drawn)
     struck = tuple(trouble.destinations) or _some(
-        [n for n, d in destinations.items() if trouble.of_kind in (None, d.kind.name)], trouble.share, stream)
+        [n for n, d in destinations.items() if trouble.of_kind in (None, d.kind.name)], trouble.share, stream
+    )
     endpoints = tuple(
-        endpoint.number for number in struck
-        for endpoint in destinations[number].endpoints[:trouble.endpoints])
+        endpoint.number
+        for number in struck
+        for endpoint in destinations[number].endpoints[: trouble.endpoints]
+    )
     return Incident(trouble, begins, ends, struck, endpoints, strength=drawn)
 
 
@@ -209,12 +231,22 @@
     return tuple(sorted(int(n) for n in stream.choice(np.asarray(of), size=count, replace=False)))
 
 
-def _messages(scenario: Scenario, destinations: dict[int, DestinationSpec], senders: tuple[SenderSpec, ...],
-              incidents: tuple[Incident, ...], draws: Draws) -> list[Message]:
+def _messages(
+    scenario: Scenario,
+    destinations: dict[int, DestinationSpec],
+    senders: tuple[SenderSpec, ...],
+    incidents: tuple[Incident, ...],
+    draws: Draws,
+) -> list[Message]:
     """Everything that is handed in, in order of time."""
     traffic, length = scenario.traffic, scenario.scenario.length_s
-    times = _poisson(traffic.rate * (1.0 - traffic.clumped), traffic.swing, traffic.wave_s, length,
-                     draws.stream("arrivals"))
+    times = _poisson(
+        traffic.rate * (1.0 - traffic.clumped),
+        traffic.swing,
+        traffic.wave_s,
+        length,
+        draws.stream("arrivals"),
+    )
     numbers = np.asarray(list(destinations))
     flow = np.asarray([d.traffic for d in destinations.values()])
     where = draws.stream("arrivals", "where").choice(numbers, size=times.size, p=flow / flow.sum())
@@ -228,8 +260,9 @@
     for i, incident in enumerate(incidents):
         if incident.trouble.kind == "hot":
             stream = draws.stream("hot", i)
-            more = incident.begins + _poisson(traffic.rate * incident.strength, 0.0, 1.0,
-                                              incident.ends - incident.begins, stream)
+            more = incident.begins + _poisson(
+                traffic.rate * incident.strength, 0.0, 1.0, incident.ends - incident.begins, stream
+            )
             times = np.concatenate([times, more])
             where = np.concatenate([where, stream.choice(np.asarray(incident.destinations), size=more.size)])
 
@@ -245,21 +278,29 @@
     keys = draws.stream("order").random(times.size)
     orders = np.asarray([kind.order_keys for kind in scenario.classes])[kinds]
     order_keys = np.where(orders > 0, where * 1000 + (keys * orders).astype(int), -1)
-    columns = zip(times.tolist(), kinds.tolist(), where.tolist(), by.tolist(), work.tolist(),
-                  order_keys.tolist(), strict=True)
+    columns = zip(
+        times.tolist(),
+        kinds.tolist(),
+        where.tolist(),
+        by.tolist(),
+        work.tolist(),
+        order_keys.tolist(),
+        strict=True,
+    )
     return [Message(i + 1, *row) for i, row in enumerate(columns)]
 
 
 def _work(scenario: Scenario, kinds: np.ndarray, draws: Draws) -> np.ndarray:
     """Times its class's mean, log-normal with that mean at one."""
     spread = np.asarray([kind.work_spread for kind in scenario.classes])[kinds]
-    sigma = np.sqrt(np.log1p(spread ** 2))
+    sigma = np.sqrt(np.log1p(spread**2))
     normal = draws.stream("work").standard_normal(kinds.size)
-    return np.asarray(np.minimum(np.exp(sigma * normal - sigma ** 2 / 2.0), LONGEST_WORK))
+    return np.asarray(np.minimum(np.exp(sigma * normal - sigma**2 / 2.0), LONGEST_WORK))
 
 
-def _poisson(rate: float, swing: float, wave: float, length: float,
-             stream: np.random.Generator) -> np.ndarray:
+def _poisson(
+    rate: float, swing: float, wave: float, length: float, stream: np.random.Generator
+) -> np.ndarray:
     """Times of independent arrivals; with a swing the rate goes up and down in waves (by thinning)."""
     most = rate * (1.0 + swing)
     count = int(stream.poisson(most * length)) if most > 0.0 else 0
--- a/irisstack/node/buffer.py
+++ b/irisstack/node/buffer.py
@@ -24,7 +24,7 @@
     def receive(self, source: Receiver) -> int:
         """Read once from a socket; returns how many bytes came, 0 at the end."""
         self._make_room()
-        with memoryview(self._data) as whole, whole[self._end:] as space:
+        with memoryview(self._data) as whole, whole[self._end :] as space:
             count = source.recv_into(space)
         self._end += count
         return count
@@ -33,7 +33,7 @@
         """Move what is left to the front before growing: a busy connection keeps its size."""
         if self._start:
             left = len(self)
-            self._data[:left] = self._data[self._start:self._end]
+            self._data[:left] = self._data[self._start : self._end]
             self._start, self._end = 0, left
         if self._end == len(self._data):
             self._data.extend(bytes(len(self._data)))
@@ -45,7 +45,7 @@
 
     def take(self, size: int) -> bytes:
         """The next bytes, which leave the buffer."""
-        taken = bytes(self._data[self._start:self._start + size])
+        taken = bytes(self._data[self._start : self._start + size])
         self._start += len(taken)
         if self._start == self._end:
             self._start = self._end = 0
--- a/irisstack/node/config.py
+++ b/irisstack/node/config.py
@@ -98,8 +98,12 @@
         config = Config(
             name=told("RELAY_NAME", "name", "node"),
             listen=host_port(told("RELAY_LISTEN", "listen"), "listen"),
-            discovery=host_port(raw.text("discovery") if anew and raw.value("discovery") is not None
-                                else told("RELAY_DISCOVERY", "discovery"), "discovery"),
+            discovery=host_port(
+                raw.text("discovery")
+                if anew and raw.value("discovery") is not None
+                else told("RELAY_DISCOVERY", "discovery"),
+                "discovery",
+            ),
             state=Path(told("RELAY_STATE", "state")),
             seed=_seed(raw.text("seed", "0")),
             sockets=limits.whole("sockets", DEFAULT_SOCKETS),
--- a/irisstack/node/decider.py
+++ b/irisstack/node/decider.py
@@ -72,11 +72,20 @@
 class Decider:
     """Turns what comes into events, and actions into what is done."""
 
-    def __init__(self, settings: api.Settings, seed: int, store: Store, counters: Counters, *,
-                 call: Callable[[api.Address, Command], None],
-                 ask: Callable[[api.Action], None], notice: Callable[[Entry], None], room: int,
-                 tell: Callable[[int | None, bytes], None] | None = None,
-                 trial: api.Settings | None = None) -> None:
+    def __init__(
+        self,
+        settings: api.Settings,
+        seed: int,
+        store: Store,
+        counters: Counters,
+        *,
+        call: Callable[[api.Address, Command], None],
+        ask: Callable[[api.Action], None],
+        notice: Callable[[Entry], None],
+        room: int,
+        tell: Callable[[int | None, bytes], None] | None = None,
+        trial: api.Settings | None = None,
+    ) -> None:
         self._settings = settings
         self._sender = Sender(settings, seed)
         if trial is not None:
@@ -132,10 +141,17 @@
         ran = None if entry.ran_at is None else now + entry.ran_at - unix
         zones = self._settings.zones
         return api.MessageReceived(
-            entry.number, self._classes[entry.message_class], entry.destination, now + entry.due - unix,
-            entry.tenant, is_retry=entry.is_retry, from_dead_sender=entry.from_dead_sender,
-            attempts=entry.attempts, maybe_ran=ran,
-            ran_in=zones.index(entry.ran_in) if entry.ran_in in zones else None)
+            entry.number,
+            self._classes[entry.message_class],
+            entry.destination,
+            now + entry.due - unix,
+            entry.tenant,
+            is_retry=entry.is_retry,
+            from_dead_sender=entry.from_dead_sender,
+            attempts=entry.attempts,
+            maybe_ran=ran,
+            ran_in=zones.index(entry.ran_in) if entry.ran_in in zones else None,
+        )
 
     # ---- the loop ----
 
@@ -193,8 +209,9 @@
 
     # ---- events ----
 
-    def _arrived(self, arrival: Arrival, turn: _Turn, events: list[api.Event], now: float,
-                 unix: float) -> None:
+    def _arrived(
+        self, arrival: Arrival, turn: _Turn, events: list[api.Event], now: float, unix: float
+    ) -> None:
         store = self._store
         self._counters.add("received")
         if self._destinations and arrival.destination not in self._destinations:
@@ -204,9 +221,18 @@
         if (number := store.by_id.get(arrival.id)) is not None:
             turn.again.append((arrival, number))
             return
-        entry = Entry(store.next_number, arrival.id, arrival.key,
-                      self._settings.classes[arrival.message_class].name, arrival.tenant, arrival.destination,
-                      unix + arrival.due - now, arrival.is_retry, arrival.from_dead_sender, arrival.body)
+        entry = Entry(
+            store.next_number,
+            arrival.id,
+            arrival.key,
+            self._settings.classes[arrival.message_class].name,
+            arrival.tenant,
+            arrival.destination,
+            unix + arrival.due - now,
+            arrival.is_retry,
+            arrival.from_dead_sender,
+            arrival.body,
+        )
         if self.refusing or not store.fits(entry, unix):
             self._counters.add("turned_away")
             turn.answers.append((arrival, HTTPStatus.SERVICE_UNAVAILABLE, self._come_again))
@@ -214,8 +240,13 @@
         store.next_number += 1
         store.take(entry)
         turn.arrivals[entry.number] = arrival
-        log.debug("message_received", id=entry.id, message_class=entry.message_class,
-                  destination=entry.destination, due_s=round(arrival.due - now, 3))
+        log.debug(
+            "message_received",
+            id=entry.id,
+            message_class=entry.message_class,
+            destination=entry.destination,
+            due_s=round(arrival.due - now, 3),
+        )
         events.append(self._received(entry, now, unix))
 
     def _ended(self, ended: Ended, turn: _Turn, events: list[api.Event], now: float) -> None:
@@ -224,9 +255,17 @@
         entry = self._store.entries.get(ended.number)
         owed = entry is not None and entry.owed
         if entry is not None:
-            log.debug("attempt_ended", id=entry.id, endpoint=name_of(peer_of(ended.address)),
-                      attempt=ended.attempt, outcome=result.outcome.name, reached=result.reached.name,
-                      elapsed_s=round(now - sent, 3), wait_s=result.retry_after, report=result.report)
+            log.debug(
+                "attempt_ended",
+                id=entry.id,
+                endpoint=name_of(peer_of(ended.address)),
+                attempt=ended.attempt,
+                outcome=result.outcome.name,
+                reached=result.reached.name,
+                elapsed_s=round(now - sent, 3),
+                wait_s=result.retry_after,
+                report=result.report,
+            )
         if owed:
             ran = result.outcome not in NOT_RUN
             turn.records.append(self._store.end(ended.number, ended.attempt, ran))
@@ -235,9 +274,19 @@
                 turn.records.append(self._over(ended.number, name))
         if result.retry_after:
             self._hold(ended.address, now + result.retry_after)
-        events.append(api.AttemptEnded(
-            ended.number, ended.address, ended.attempt, now - sent, result.over or not owed, result.outcome,
-            result.retry_after, result.no_free_slot, result.report))
+        events.append(
+            api.AttemptEnded(
+                ended.number,
+                ended.address,
+                ended.attempt,
+                now - sent,
+                result.over or not owed,
+                result.outcome,
+                result.retry_after,
+                result.no_free_slot,
+                result.report,
+            )
+        )
 
     def _what_became(self, number: int) -> HTTPStatus:
         """The answer to the same handing in once more: it is not taken twice."""
@@ -263,15 +312,21 @@
             return
         self._listed.update((endpoint.address, endpoint) for endpoint in update.endpoints)
         here = {e.address for e in update.endpoints if e.state is not api.EndpointState.GONE}
-        gone = self._listed if update.scope is not api.UpdateScope.DELTA else {
-            e.address for e in update.endpoints}
+        gone = (
+            self._listed
+            if update.scope is not api.UpdateScope.DELTA
+            else {e.address for e in update.endpoints}
+        )
         for address in set(gone) - here:
             self._gone.setdefault(address, now)
         for address in here & self._gone.keys():
             del self._gone[address]
         out = {address for address, _ in self._where.values()}
-        forgotten = [address for address, since in self._gone.items()
-                     if since + self._remembered < now and address not in out]
+        forgotten = [
+            address
+            for address, since in self._gone.items()
+            if since + self._remembered < now and address not in out
+        ]
         for address in forgotten:
             del self._gone[address], self._listed[address]
         self._destinations = {endpoint.destination for endpoint in self._listed.values()}
@@ -306,8 +361,13 @@
     def _final(self, number: int, result: str, wait: float | None, turn: _Turn) -> None:
         """An end that is not delivery: the answer itself where the client still waits, else a notice."""
         arrival = turn.arrivals.pop(number, None)
-        log.debug("message_given_up", id=self._store.entries[number].id, result=result, wait_s=wait,
-                  taken_on=arrival is None)
+        log.debug(
+            "message_given_up",
+            id=self._store.entries[number].id,
+            result=result,
+            wait_s=wait,
+            taken_on=arrival is None,
+        )
         if arrival is not None:
             status = HTTPStatus.TOO_MANY_REQUESTS if result == "bounced" else HTTPStatus.INTERNAL_SERVER_ERROR
             turn.answers.append((arrival, status, wait))
@@ -358,20 +418,27 @@
         for send in sends:
             entry = self._store.entries.get(send.message)
             if entry is None or not entry.owed:  # withdrawn in this very turn
-                self._next.append(api.AttemptEnded(
-                    send.message, send.endpoint, 0, 0.0, True, api.Outcome.NOT_SENT))
+                self._next.append(
+                    api.AttemptEnded(send.message, send.endpoint, 0, 0.0, True, api.Outcome.NOT_SENT)
+                )
                 continue
             if self.holding:
                 continue
             self._where[send.message] = send.endpoint, now
-            log.debug("attempt_decided", id=entry.id, endpoint=name_of(peer_of(send.endpoint)),
-                      attempt=entry.attempts)
+            log.debug(
+                "attempt_decided",
+                id=entry.id,
+                endpoint=name_of(peer_of(send.endpoint)),
+                attempt=entry.attempts,
+            )
             due = now + entry.due - unix
             give_up = min(due, send.give_up_at or due)
             by_endpoint.setdefault(send.endpoint, []).append(
-                Outgoing(entry.number, entry.attempts, entry.id, entry.key, entry.body, give_up, due,
-                         send.leave_by))
+                Outgoing(
+                    entry.number, entry.attempts, entry.id, entry.key, entry.body, give_up, due, send.leave_by
+                )
+            )
         for address, messages in by_endpoint.items():
             most = self._kind(address).max_batch
             for start in range(0, len(messages), most):
-                self._call(address, Call(messages[start:start + most], unix, self._zone(address)))
+                self._call(address, Call(messages[start : start + most], unix, self._zone(address)))
--- a/irisstack/node/discovery.py
+++ b/irisstack/node/discovery.py
@@ -79,9 +79,14 @@
             address = (socket.inet_aton(host), port)
         since = float(member.get("up_since_ms", 0)) / 1000.0
         endpoint = api.Endpoint(
-            address, state, self._kinds[member["flavor"]], int(member["cell"]),
-            self._zone(member.get("locality", "")), float(member.get("size", 1.0)),
-            since - time.time() + time.monotonic() if since else None)
+            address,
+            state,
+            self._kinds[member["flavor"]],
+            int(member["cell"]),
+            self._zone(member.get("locality", "")),
+            float(member.get("size", 1.0)),
+            since - time.time() + time.monotonic() if since else None,
+        )
         owner = self._owners.get(address)
         lines: list[api.Endpoint] = []
         if before is not None and before != address and self._owners.get(before) == id_:
@@ -115,8 +120,14 @@
     Where the list comes unasked (`pushed`) the module never subscribes, and the watch is held all along.
     """
 
-    def __init__(self, peer: HostPort, reader: ListReader, post: Callable[[api.EndpointsUpdated], None],
-                 revision: int, pushed: bool) -> None:
+    def __init__(
+        self,
+        peer: HostPort,
+        reader: ListReader,
+        post: Callable[[api.EndpointsUpdated], None],
+        revision: int,
+        pushed: bool,
+    ) -> None:
         self._peer = peer
         self._reader = reader
         self._post = post
--- a/irisstack/node/endpoint.py
+++ b/irisstack/node/endpoint.py
@@ -63,8 +63,9 @@
         An attempt that has ended has no call out any more, and a call is ended for all of its messages or for
         none: whose own time is up must be told its end, so that the others' attempts end with it.
         """
-        return min(max(message.give_up for message in self.messages),
-                   min(message.due for message in self.messages))
+        return min(
+            max(message.give_up for message in self.messages), min(message.due for message in self.messages)
+        )
 
     @property
     def leave_by(self) -> float:
@@ -147,8 +148,9 @@
             self._socket.close()
             self._socket = None
 
-    def carry(self, call: Call, leaving: Callable[[Call], bool],
-              end: Callable[[Outgoing, Result], None]) -> bool:
+    def carry(
+        self, call: Call, leaving: Callable[[Call], bool], end: Callable[[Outgoing, Result], None]
+    ) -> bool:
         """Carry one call to its end and tell each message's; returns whether the connection can be kept."""
         ids = [message.id for message in call.messages]
         reached, ending = Reached.NOTHING, Ending.BROKEN
@@ -219,7 +221,8 @@
             path = "/v1/messages:batch"
             body = b"".join(
                 f"{m.id} {m.key or '-'} {len(m.body)}\r\n".encode("latin-1") + m.body + b"\r\n"
-                for m in call.messages)
+                for m in call.messages
+            )
         self._socket.settimeout(min(left, max(0.001, call.leave_by - time.monotonic())))
         self._socket.sendall(http.request("POST", path, name_of(self._peer), headers, body))
 
@@ -262,9 +265,20 @@
 class Endpoint:
     """The actor of one endpoint."""
 
-    def __init__(self, address: Address, peer: HostPort, post: Callable[[Ended], None], store: Store,
-                 counters: Counters, *, connect_timeout: float, idle_limit: float, most_idle: int,
-                 most_calls: int, report_fields: Sequence[str]) -> None:
+    def __init__(
+        self,
+        address: Address,
+        peer: HostPort,
+        post: Callable[[Ended], None],
+        store: Store,
+        counters: Counters,
+        *,
+        connect_timeout: float,
+        idle_limit: float,
+        most_idle: int,
+        most_calls: int,
+        report_fields: Sequence[str],
+    ) -> None:
         self.address = address
         self._peer = peer
         self._post = post
--- a/irisstack/node/http.py
+++ b/irisstack/node/http.py
@@ -182,8 +182,9 @@
         return taken
 
 
-def request(method: str, path: str, host: str, headers: Iterable[tuple[str, str]] = (),
-            body: bytes = b"") -> bytes:
+def request(
+    method: str, path: str, host: str, headers: Iterable[tuple[str, str]] = (), body: bytes = b""
+) -> bytes:
     """A whole request."""
     lines = [f"{method} {path} HTTP/1.1", f"Host: {host}", *(f"{name}: {value}" for name, value in headers)]
     if body or method == "POST":
@@ -191,8 +192,9 @@
     return "\r\n".join([*lines, "", ""]).encode("latin-1") + body
 
 
-def answer(status: HTTPStatus, headers: Iterable[tuple[str, str]] = (), body: bytes = b"",
-           close: bool = False) -> bytes:
+def answer(
+    status: HTTPStatus, headers: Iterable[tuple[str, str]] = (), body: bytes = b"", close: bool = False
+) -> bytes:
     """A whole answer."""
     lines = [f"HTTP/1.1 {status.value} {status.phrase}", *(f"{name}: {value}" for name, value in headers)]
     if close:
--- a/irisstack/node/intake.py
+++ b/irisstack/node/intake.py
@@ -262,8 +262,14 @@
 class Intake:
     """The listening socket and its connections."""
 
-    def __init__(self, listen: HostPort, settings: api.Settings, post: Callable[[Arrival], None],
-                 counters: Counters, most: int) -> None:
+    def __init__(
+        self,
+        listen: HostPort,
+        settings: api.Settings,
+        post: Callable[[Arrival], None],
+        counters: Counters,
+        most: int,
+    ) -> None:
         self.post = post
         self.classes = {kind.name: i for i, kind in enumerate(settings.classes)}
         self._kinds = settings.classes
@@ -331,8 +337,11 @@
         """
         now = time.monotonic()
         for phase, least in (*((phase, phase.value) for phase in _Phase), (_Phase.IDLE, 0.0)):
-            ready = [c for c in self._connections.values()
-                     if c.phase is phase and not c.stopped and c.since + least <= now]
+            ready = [
+                c
+                for c in self._connections.values()
+                if c.phase is phase and not c.stopped and c.since + least <= now
+            ]
             if ready:
                 min(ready, key=lambda c: c.since).stop()
                 return True
@@ -354,8 +363,18 @@
             raise _Malformed("X-Tenant-Id: unknown")
         retried = request.headers.get("x-retried", "")
         left = min(_seconds(request), self._kinds[index].deadline)
-        return Arrival(client, id_, key, index, self._tenants.get(tenant, 0), _destination(request),
-                       time.monotonic() + left, retried == "1", retried == "again", bytes(request.body))
+        return Arrival(
+            client,
+            id_,
+            key,
+            index,
+            self._tenants.get(tenant, 0),
+            _destination(request),
+            time.monotonic() + left,
+            retried == "1",
+            retried == "again",
+            bytes(request.body),
+        )
 
 
 def _word(request: http.Message, name: str) -> str:
--- a/irisstack/node/notices.py
+++ b/irisstack/node/notices.py
@@ -90,8 +90,9 @@
             if peer != self._peer:
                 raise ConnectionAbortedError("the platform has moved")
             connection.settimeout(max(0.001, until - time.monotonic()))
-            connection.sendall(http.request("POST", "/reports", name_of(peer),
-                                            [("Content-Type", "application/json")], body))
+            connection.sendall(
+                http.request("POST", "/reports", name_of(peer), [("Content-Type", "application/json")], body)
+            )
             while (answer := reader.advance(buffer)) is None:
                 if (left := until - time.monotonic()) <= 0.0 and sockets.quiet(connection):
                     raise TimeoutError("no whole answer")
--- a/irisstack/node/objects.py
+++ b/irisstack/node/objects.py
@@ -36,7 +36,7 @@
                 self._depth -= 1
             self._looked = token.end()
             if self._depth <= 0:
-                whole.append(bytes(self._rest[start:self._looked]).strip())
+                whole.append(bytes(self._rest[start : self._looked]).strip())
                 start, self._depth = self._looked, 0
                 if not whole[-1].startswith(b"{"):
                     raise ValueError(f"no object: {whole[-1][:40]!r}")
--- a/irisstack/node/peers.py
+++ b/irisstack/node/peers.py
@@ -23,8 +23,13 @@
 class Peers:
     """One datagram socket at the node's own address. Notes may be lost, late or doubled; none is answered."""
 
-    def __init__(self, listen: HostPort, peers: Sequence[HostPort], post: Callable[[api.PeerMessage], bool],
-                 counters: Counters) -> None:
+    def __init__(
+        self,
+        listen: HostPort,
+        peers: Sequence[HostPort],
+        post: Callable[[api.PeerMessage], bool],
+        counters: Counters,
+    ) -> None:
         self._peers = tuple(peers)
         self._numbers = {peer: number for number, peer in enumerate(peers)}
         self._post = post
@@ -59,7 +64,7 @@
 
     def tell(self, peer: int | None, data: bytes) -> None:
         """Send to one peer or to all; one that cannot be reached costs a count."""
-        for to in self._peers if peer is None else self._peers[peer:peer + 1]:
+        for to in self._peers if peer is None else self._peers[peer : peer + 1]:
             try:
                 self._socket.sendto(data, to)
                 self._counters.add("notes_told")
--- a/irisstack/node/service.py
+++ b/irisstack/node/service.py
@@ -50,8 +50,9 @@
         self._notices = Notices(config.discovery, self._store, self.counters)
         reader = ListReader(settings)
         known = self._known(reader)
-        self._discovery = Discovery(config.discovery, reader, self._listed, known.version,
-                                    pushed=not settings.discovery_on_request)
+        self._discovery = Discovery(
+            config.discovery, reader, self._listed, known.version, pushed=not settings.discovery_on_request
+        )
         self._endpoints: dict[api.Address, Endpoint] = {}
         self._retired: list[Endpoint] = []  # no longer offered, their last calls still out
         self._listed_now: set[api.Address] = set()
@@ -61,15 +62,23 @@
         self._most_idle = config.sockets - self._most_clients - settings.max_calls - OWN_DESCRIPTORS
         most_batch = max((kind.max_batch for kind in settings.kinds), default=1)
         self._decider = Decider(
-            settings, config.seed, self._store, self.counters, call=self._to_endpoint,
-            ask=self._discovery.mailbox.put, notice=self._notices.owe,
-            room=self._most_clients + settings.max_calls * most_batch + 64, tell=self._tell,
-            trial=config.trial)
+            settings,
+            config.seed,
+            self._store,
+            self.counters,
+            call=self._to_endpoint,
+            ask=self._discovery.mailbox.put,
+            notice=self._notices.owe,
+            room=self._most_clients + settings.max_calls * most_batch + 64,
+            tell=self._tell,
+            trial=config.trial,
+        )
         self._peers: Peers | None = None
         if config.peers:
             self._peers = Peers(config.listen, config.peers, self._decider.heard, self.counters)
-        self._intake = Intake(config.listen, settings, self._decider.mailbox.put, self.counters,
-                              self._most_clients)
+        self._intake = Intake(
+            config.listen, settings, self._decider.mailbox.put, self.counters, self._most_clients
+        )
         self._follow(known)
         self._decider.recover(known)
 
@@ -93,8 +102,13 @@
         parts = [gevent.spawn(run) for run in runs]
         for part in parts:
             part.link_exception(self._broken)
-        log.info("serving", name=self._config.name, listen=name_of(self._config.listen),
-                 discovery=name_of(self._config.discovery), **self.counters.snapshot())
+        log.info(
+            "serving",
+            name=self._config.name,
+            listen=name_of(self._config.listen),
+            discovery=name_of(self._config.discovery),
+            **self.counters.snapshot(),
+        )
         self._stop.wait()
         if any(part.dead for part in parts):
             return 1
@@ -117,8 +131,12 @@
             if new.discovery != self._config.discovery:
                 self._discovery.mailbox.put(Moved(new.discovery))
                 self._notices.move(new.discovery)
-            waiting = [field.name for field in fields(Config) if field.name not in FOLLOWED
-                       and getattr(new, field.name) != getattr(self._config, field.name)]
+            waiting = [
+                field.name
+                for field in fields(Config)
+                if field.name not in FOLLOWED
+                and getattr(new, field.name) != getattr(self._config, field.name)
+            ]
             log.info("configuration_taken", discovery=name_of(new.discovery), await_restart=waiting)
             self._config = replace(self._config, discovery=new.discovery)
 
@@ -139,8 +157,13 @@
         while (passed := time.monotonic() - asked) < END_BY:
             self._decider.holding = passed > SEND_UNTIL
             owed = any(entry.owed for entry in self._store.entries.values())
-            if (self._intake.stage is Stage.CLOSED and self._intake.empty and not self._decider.calls_out
-                    and self._notices.idle and (self._decider.holding or not owed)):
+            if (
+                self._intake.stage is Stage.CLOSED
+                and self._intake.empty
+                and not self._decider.calls_out
+                and self._notices.idle
+                and (self._decider.holding or not owed)
+            ):
                 break
             if passed > ACCEPT_FOR:
                 self._intake.close()
@@ -191,10 +214,17 @@
     def _start_endpoint(self, address: api.Address) -> Endpoint:
         settings = self._config.settings
         endpoint = Endpoint(
-            address, peer_of(address), self._decider.mailbox.put, self._store, self.counters,
-            connect_timeout=settings.connect_timeout, idle_limit=settings.keepalive,
-            most_idle=max(1, self._most_idle // max(1, len(self._listed_now))), most_calls=settings.max_calls,
-            report_fields=settings.report_fields)
+            address,
+            peer_of(address),
+            self._decider.mailbox.put,
+            self._store,
+            self.counters,
+            connect_timeout=settings.connect_timeout,
+            idle_limit=settings.keepalive,
+            most_idle=max(1, self._most_idle // max(1, len(self._listed_now))),
+            most_calls=settings.max_calls,
+            report_fields=settings.report_fields,
+        )
         endpoint.worker.start()
         if address in self._listed_now:
             self._endpoints[address] = endpoint
--- a/irisstack/node/store.py
+++ b/irisstack/node/store.py
@@ -265,7 +265,7 @@
     def _append(self, data: bytes) -> None:
         self._sizes[self._current] += len(data)
         while data:
-            data = data[os.write(self._file, data):]
+            data = data[os.write(self._file, data) :]
 
     def _path(self, segment: int) -> Path:
         return self._folder / f"{segment:010d}.log"
--- a/irisstack/settings.py
+++ b/irisstack/settings.py
@@ -69,7 +69,7 @@
         values = self.items(key)
         if names and len(values) > len(names):
             raise SettingsError(f"{self.path(key)}: {len(names)} values at most are due, not {len(values)}")
-        return [*values, *[default] * len(names)][:len(names)]
+        return [*values, *[default] * len(names)][: len(names)]
 
     def texts(self, key: str) -> list[str]:
         for i, value in enumerate(self.items(key)):
@@ -93,7 +93,8 @@
 def read(raw: Reader) -> Settings:
     """The settings from the object that an instance is handed."""
     allowed, extra, rules, report, tariffs = (
-        raw.part(key) for key in ("allowed", "extra", "invariants", "report", "tariffs"))
+        raw.part(key) for key in ("allowed", "extra", "invariants", "report", "tariffs")
+    )
     names, zones = raw.texts("shapes"), raw.texts("failureDomains")
     batches, apart = extra.for_each("batchByKind", names, 1), extra.for_each("separateRoutes", names, False)
     for i, (most, alone) in enumerate(zip(batches, apart, strict=True)):
@@ -113,8 +114,10 @@
     return Settings(
         classes=classes,
         kinds=kinds,
-        tenants=tuple(Tenant(t.text("name"), t.number("allowancePerS", 0.0), t.number("share", 0.0))
-                      for t in raw.parts("tenants")),
+        tenants=tuple(
+            Tenant(t.text("name"), t.number("allowancePerS", 0.0), t.number("share", 0.0))
+            for t in raw.parts("tenants")
+        ),
         zones=tuple(zones),
         zone=zone,
         cross_zone_price=cross_zone_price,
--- a/irisstack/watch.py
+++ b/irisstack/watch.py
@@ -29,8 +29,9 @@
 class Watching(Sender):
     """A sender that decides by its settings and watches for where those on trial differ."""
 
-    def __init__(self, settings: api.Settings, trial: api.Settings, seed: int,
-                 count: Callable[[Kind], None]) -> None:
+    def __init__(
+        self, settings: api.Settings, trial: api.Settings, seed: int, count: Callable[[Kind], None]
+    ) -> None:
         super().__init__(settings, seed)
         self._trial = trial
         self._count = count
@@ -62,8 +63,11 @@
             return
         sent = next(act for act in self._out[before:] if isinstance(act, api.Send))
         index = self._messages[sent.message].index
-        home = [route.address for route in free if route.zone == self._trial_home
-                and route.failed.get(index, 0.0) <= self._now]
+        home = [
+            route.address
+            for route in free
+            if route.zone == self._trial_home and route.failed.get(index, 0.0) <= self._now
+        ]
         if home and sent.endpoint not in home:
             self._count(Kind.OTHER_ZONE)
 
--- a/tests/__main__.py
+++ b/tests/__main__.py
@@ -7,6 +7,7 @@
 ROOT = Path(__file__).resolve().parent.parent
 CHECKS = (
     ("-m", "ruff", "check", "."),
+    ("-m", "ruff", "format", "--check", "."),
     ("-m", "mypy"),
     ("-c", "import sys; from importlinter.cli import lint_imports_command; sys.exit(lint_imports_command())"),
     ("-m", "pytest"),
--- a/tests/cli/test_commands.py
+++ b/tests/cli/test_commands.py
@@ -13,10 +13,19 @@
 EXAMPLE = Path(__file__).resolve().parents[2] / "examples" / "config.json"
 
 
-@pytest.mark.parametrize(("words", "code"), [
-    (["--version"], 0), (["config", "check", str(EXAMPLE)], 0), (["config", "schema"], 0),
-    (["completion", "bash"], 0), (["config", "check", "/nowhere.toml"], 1), (["config", "check"], 2),
-    (["--log-level", "loud", "config", "schema"], 2), (["fly"], 2)])
+@pytest.mark.parametrize(
+    ("words", "code"),
+    [
+        (["--version"], 0),
+        (["config", "check", str(EXAMPLE)], 0),
+        (["config", "schema"], 0),
+        (["completion", "bash"], 0),
+        (["config", "check", "/nowhere.toml"], 1),
+        (["config", "check"], 2),
+        (["--log-level", "loud", "config", "schema"], 2),
+        (["fly"], 2),
+    ],
+)
 def test_exit_codes(words: list[str], code: int, capfd: pytest.CaptureFixture[str]) -> None:
     assert main(words) == code
     out, err = capfd.readouterr()
@@ -26,7 +35,8 @@
 
 
 def test_show_tells_where_each_value_comes_from(
-        capfd: pytest.CaptureFixture[str], monkeypatch: pytest.MonkeyPatch) -> None:
+    capfd: pytest.CaptureFixture[str], monkeypatch: pytest.MonkeyPatch
+) -> None:
     monkeypatch.setenv("RELAY_LISTEN", "127.0.0.1:99")
     assert main(["config", "show", "--json", str(EXAMPLE)]) == 0
     rows = {row["key"]: (row["value"], row["from"]) for row in json.loads(capfd.readouterr().out)}
@@ -45,8 +55,13 @@
 
 
 def test_a_plain_run_loads_no_library_of_the_tools() -> None:
-    done = subprocess.run([sys.executable, "-c", LOADED], capture_output=True, text=True, check=True,
-                          env={key: value for key, value in os.environ.items() if key != "RELAY_CONFIG"})
+    done = subprocess.run(
+        [sys.executable, "-c", LOADED],
+        capture_output=True,
+        text=True,
+        check=True,
+        env={key: value for key, value in os.environ.items() if key != "RELAY_CONFIG"},
+    )
     code, *loaded = done.stdout.split()
     assert code == "2"  # no RELAY_CONFIG: the node itself has started and said so
     assert "RELAY_CONFIG" in done.stderr
@@ -56,8 +71,10 @@
 
 
 def test_without_the_tools_the_command_line_says_what_to_install() -> None:
-    hidden = ("import sys; sys.modules['click'] = None; from irisstack.__main__ import main; "
-              "sys.exit(main(['config']))")
+    hidden = (
+        "import sys; sys.modules['click'] = None; from irisstack.__main__ import main; "
+        "sys.exit(main(['config']))"
+    )
     done = subprocess.run([sys.executable, "-c", hidden], capture_output=True, text=True, check=False)
     assert done.returncode == 2
     assert "irisstack[tools]" in done.stderr
@@ -70,8 +87,16 @@
     raw = json.loads(EXAMPLE.read_bytes())
     lines = [f"{key} = {json.dumps(raw[key])}" for key in ("name", "listen", "discovery", "seed")]
     lanes = raw["settings"].pop("lanes")
-    lines += [f"state = {json.dumps(str(tmp_path))}", "[limits]", "sockets = 256", "[settings]",
-              'shapes = ["toy"]', "[settings.allowed]", "mostHeld = 9", "attemptsCap = 6"]
+    lines += [
+        f"state = {json.dumps(str(tmp_path))}",
+        "[limits]",
+        "sockets = 256",
+        "[settings]",
+        'shapes = ["toy"]',
+        "[settings.allowed]",
+        "mostHeld = 9",
+        "attemptsCap = 6",
+    ]
     lines += [f"[settings.extra]\nmaxCalls = {raw['settings']['extra']['maxCalls']}"]
     for lane in lanes:
         lines += ["[[settings.lanes]]", *(f"{key} = {json.dumps(value)}" for key, value in lane.items())]
--- a/tests/cli/test_lab_commands.py
+++ b/tests/cli/test_lab_commands.py
@@ -16,17 +16,23 @@
     Path("small.toml").write_text(SMALL)
 
 
-@pytest.mark.parametrize(("words", "code", "due"), [
-    (["model", "none.toml"], 2, "cannot be read"),
-    (["model", "small.toml", "--policy", "luck"], 2, "one of module"),
-    (["model", "small.toml", "--set", "traffic.rate=-1"], 2, "traffic.rate"),
-    (["model", "small.toml", "--set", "traffic.rate"], 2, "KEY=VALUE is due"),
-    (["check", "small.toml", "--set", "traffic.speed=1"], 2, "no such key"),
-    (["run", "small.toml", "--set", "senders.count=65"], 1, "64 at the most"),
-    (["compare", "a", "b"], 2, "no results there"), (["report", "a"], 2, "no results there"),
-    (["sweep", "small.toml"], 2, "experiment: is due")])
+@pytest.mark.parametrize(
+    ("words", "code", "due"),
+    [
+        (["model", "none.toml"], 2, "cannot be read"),
+        (["model", "small.toml", "--policy", "luck"], 2, "one of module"),
+        (["model", "small.toml", "--set", "traffic.rate=-1"], 2, "traffic.rate"),
+        (["model", "small.toml", "--set", "traffic.rate"], 2, "KEY=VALUE is due"),
+        (["check", "small.toml", "--set", "traffic.speed=1"], 2, "no such key"),
+        (["run", "small.toml", "--set", "senders.count=65"], 1, "64 at the most"),
+        (["compare", "a", "b"], 2, "no results there"),
+        (["report", "a"], 2, "no results there"),
+        (["sweep", "small.toml"], 2, "experiment: is due"),
+    ],
+)
 def test_bad_input_is_one_clear_message(
-        words: list[str], code: int, due: str, capfd: pytest.CaptureFixture[str]) -> None:
+    words: list[str], code: int, due: str, capfd: pytest.CaptureFixture[str]
+) -> None:
     assert main(["lab", *words]) == code
     err = capfd.readouterr().err
     assert due in err
@@ -54,7 +60,7 @@
 
 
 def test_a_broken_rule_is_a_failure(capfd: pytest.CaptureFixture[str]) -> None:
-    cold = 'cold = { start = 0.1, warm_s = 8.0, tip_multiple = 1.2, tip_s = 0.5 }\nshared_calls = 3'
+    cold = "cold = { start = 0.1, warm_s = 8.0, tip_multiple = 1.2, tip_s = 0.5 }\nshared_calls = 3"
     text = SMALL.replace("shared_calls = 3", cold).replace("rate = 20.0", "rate = 120.0")
     Path("cold.toml").write_text(text + trouble("shut", at_s=3.0, for_s=4.0, share=1.0, tells_wait=0.0))
     assert main(["lab", "model", "cold.toml", "--policy", "backoff"]) == 1
@@ -64,10 +70,13 @@
 def test_a_sweep_and_a_comparison(capfd: pytest.CaptureFixture[str]) -> None:
     Path("two.toml").write_text(
         '[experiment]\nname = "two"\nscenarios = ["small.toml"]\nseeds = 2\n'
-        '[[variants]]\nname = "module"\n[[variants]]\nname = "once"\npolicy = "one-try"\n')
+        '[[variants]]\nname = "module"\n[[variants]]\nname = "once"\npolicy = "one-try"\n'
+    )
     assert main(["lab", "sweep", "two.toml", "--workers", "2", "--json"]) == 0
     assert [(row["variant"], row["runs"]) for row in json.loads(capfd.readouterr().out)] == [
-        ("module", 2), ("once", 2)]
+        ("module", 2),
+        ("once", 2),
+    ]
     assert main(["lab", "compare", "module", "once", "--results", "lab-results/two", "--json"]) == 0
     assert {row["pairs"] for row in json.loads(capfd.readouterr().out)} == {2}
     assert main(["lab", "compare", "module", "twice", "--results", "lab-results/two"]) == 2
--- a/tests/configuration/test_document.py
+++ b/tests/configuration/test_document.py
@@ -27,24 +27,43 @@
 
 CASES: list[tuple[str, Callable[[dict[str, Any]], Any], dict[str, str]]] = [
     ("a key that is due", without("lanes"), {"settings.lanes": "is due"}),
-    ("a near miss", lambda s: s["allowed"].update(mostHeldd=3),
-     {"settings.allowed.mostHeldd": "is 'mostHeld' meant?"}),
-    ("a near miss in a list", lambda s: s["lanes"][1].update(reapeat="x"),
-     {"settings.lanes[1].reapeat": "is 'repeat' meant?"}),
-    ("a text for a number", lambda s: s["extra"].update(maxCalls="10"),
-     {"settings.extra.maxCalls": "not '10'"}),
-    ("a number below its least", lambda s: s["allowed"].update(attemptsCap=0),
-     {"settings.allowed.attemptsCap": "not 0"}),
-    ("two figures that contradict each other", lambda s: s["lanes"][0].update(hardLimit=1.0),
-     {"settings.lanes[0]": "hardLimit (1) is below slo (3)"}),
-    ("three at once", lambda s: (s.pop("shapes"), s["lanes"][0].update(slo=-1.0), s.update(weights="heavy")),
-     {"settings.shapes": "is due", "settings.lanes[0].slo": "not -1", "settings.weights": "not 'heavy'"}),
+    (
+        "a near miss",
+        lambda s: s["allowed"].update(mostHeldd=3),
+        {"settings.allowed.mostHeldd": "is 'mostHeld' meant?"},
+    ),
+    (
+        "a near miss in a list",
+        lambda s: s["lanes"][1].update(reapeat="x"),
+        {"settings.lanes[1].reapeat": "is 'repeat' meant?"},
+    ),
+    (
+        "a text for a number",
+        lambda s: s["extra"].update(maxCalls="10"),
+        {"settings.extra.maxCalls": "not '10'"},
+    ),
+    (
+        "a number below its least",
+        lambda s: s["allowed"].update(attemptsCap=0),
+        {"settings.allowed.attemptsCap": "not 0"},
+    ),
+    (
+        "two figures that contradict each other",
+        lambda s: s["lanes"][0].update(hardLimit=1.0),
+        {"settings.lanes[0]": "hardLimit (1) is below slo (3)"},
+    ),
+    (
+        "three at once",
+        lambda s: (s.pop("shapes"), s["lanes"][0].update(slo=-1.0), s.update(weights="heavy")),
+        {"settings.shapes": "is due", "settings.lanes[0].slo": "not -1", "settings.weights": "not 'heavy'"},
+    ),
 ]
 
 
 @pytest.mark.parametrize(("what", "spoil", "due"), CASES, ids=[case[0] for case in CASES])
 def test_all_problems_are_told_with_their_keys(
-        tmp_path: Path, what: str, spoil: Callable[[dict[str, Any]], Any], due: dict[str, str]) -> None:
+    tmp_path: Path, what: str, spoil: Callable[[dict[str, Any]], Any], due: dict[str, str]
+) -> None:
     raw = json.loads(EXAMPLE.read_bytes())
     spoil(raw["settings"])
     path = tmp_path / "node.json"
@@ -55,9 +74,16 @@
         assert text in found[key]
 
 
-@pytest.mark.parametrize(("name", "content", "text"), [
-    ("a.toml", b"x = ", "no TOML"), ("a.json", b"{", "no JSON"), ("a.json", b"[]", "a table"),
-    ("a.toml", b"\xff", "no TOML"), ("a.json", b"[" * 100_000, "no JSON")])
+@pytest.mark.parametrize(
+    ("name", "content", "text"),
+    [
+        ("a.toml", b"x = ", "no TOML"),
+        ("a.json", b"{", "no JSON"),
+        ("a.json", b"[]", "a table"),
+        ("a.toml", b"\xff", "no TOML"),
+        ("a.json", b"[" * 100_000, "no JSON"),
+    ],
+)
 def test_a_file_of_another_form_is_one_problem(tmp_path: Path, name: str, content: bytes, text: str) -> None:
     (tmp_path / name).write_bytes(content)
     assert text in problems(tmp_path / name)[""]
--- a/tests/lab/sockets/test_play.py
+++ b/tests/lab/sockets/test_play.py
@@ -24,29 +24,35 @@
 from irisstack.lab.sockets.stage import Stage, StageError
 from tests.lab.support import SMALL, small_world, trouble
 
-DAY = (trouble("silent", at_s=1.5, for_s=2.0, destinations=[1])
-       + trouble("killed", at_s=3.0, for_s=0.5, share=0.5)
-       + trouble("replaced", at_s=4.0, for_s=1.0, destinations=[2], endpoints=1)
-       + trouble("shut", at_s=5.0, for_s=1.5, destinations=[3], tells_wait=1.0)
-       + trouble("resets", at_s=6.0, for_s=1.0, destinations=[1])
-       + trouble("connect_refused", at_s=6.5, for_s=1.0, destinations=[2])
-       + trouble("answers_spoilt", at_s=7.0, for_s=1.0, destinations=[3])
-       + trouble("list_down", at_s=3.5, for_s=0.4)
-       + trouble("stalled", at_s=8.0, for_s=0.3, share=0.5))
+DAY = (
+    trouble("silent", at_s=1.5, for_s=2.0, destinations=[1])
+    + trouble("killed", at_s=3.0, for_s=0.5, share=0.5)
+    + trouble("replaced", at_s=4.0, for_s=1.0, destinations=[2], endpoints=1)
+    + trouble("shut", at_s=5.0, for_s=1.5, destinations=[3], tells_wait=1.0)
+    + trouble("resets", at_s=6.0, for_s=1.0, destinations=[1])
+    + trouble("connect_refused", at_s=6.5, for_s=1.0, destinations=[2])
+    + trouble("answers_spoilt", at_s=7.0, for_s=1.0, destinations=[3])
+    + trouble("list_down", at_s=3.5, for_s=0.4)
+    + trouble("stalled", at_s=8.0, for_s=0.3, share=0.5)
+)
 
 
 def test_a_troubled_day_on_real_sockets_keeps_the_rules(tmp_path: Path) -> None:
     # Little room, so that messages are refused while there is time to come again.
-    world = small_world(tmp_path, DAY, scenario__length_s=10.0, endpoint_list__mode="on_request",
-                        senders__room_s=2.0)
+    world = small_world(
+        tmp_path, DAY, scenario__length_s=10.0, endpoint_list__mode="on_request", senders__room_s=2.0
+    )
     played = play(world, tmp_path / "nodes")
     assert not [fault for fault in played.not_a_result.split("; ") if fault and "ran late" not in fault]
     found = rules.index(played.ledger)
     checked = rules.check(found, figures.figures_of(world))
     assert {name: breaches for name, breaches in checked.items() if breaches} == {}
     assert len(found.by_chain) + len(found.missed) == len(world.messages)
-    delivered = {life.handed.chain for life in found.lives.values()
-                 if any(end.result == "delivered" for end in life.ended)}
+    delivered = {
+        life.handed.chain
+        for life in found.lives.values()
+        if any(end.result == "delivered" for end in life.ended)
+    }
     assert len(delivered) > 0.7 * len(world.messages)
     assert {told.state for told in found.told} >= {"draining", "ready"}
     assert any(len(group) > 1 for group in found.by_chain.values())  # refused ones came again
@@ -58,14 +64,18 @@
 def test_a_partner_that_forgets_its_keys_is_seen(tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> None:
     """The auditor is not blind on sockets: a partner that forgets its keys shows as effects twice."""
     monkeypatch.setattr(Destination, "remembers", lambda self, now, item: False)
-    world = small_world(tmp_path, trouble("answers_lost", at_s=0.5, for_s=3.0, share=1.0, strength=1.0),
-                        scenario__length_s=4.0)
+    world = small_world(
+        tmp_path,
+        trouble("answers_lost", at_s=0.5, for_s=3.0, share=1.0, strength=1.0),
+        scenario__length_s=4.0,
+    )
     found = rules.index(play(world, tmp_path / "nodes", processes=0).ledger)
     assert rules.effects_twice(found, figures.figures_of(world)) > 0
 
 
 def test_a_call_to_the_wrong_place_makes_the_run_no_result(
-        tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> None:
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
     world = small_world(tmp_path, scenario__length_s=1.0)
     first = partners.Partners.__init__
 
@@ -91,7 +101,8 @@
     running = subprocess.Popen(command, stderr=subprocess.PIPE, stdout=subprocess.PIPE, text=True)
     logs = folder / "out" / "small-sockets-1" / "nodes"
     while running.poll() is None and not all(
-            (log := logs / f"node-{n}.log").exists() and b"serving" in log.read_bytes() for n in (0, 1)):
+        (log := logs / f"node-{n}.log").exists() and b"serving" in log.read_bytes() for n in (0, 1)
+    ):
         time.sleep(0.05)
     return running, _children(running.pid)
 
@@ -135,7 +146,8 @@
 
 @pytest.mark.parametrize(("reads", "verdict"), [(True, "ok"), (False, "crossed")])
 def test_an_answer_was_heard_unless_its_reader_closed_before_it_came(
-        tmp_path: Path, reads: bool, verdict: str) -> None:
+    tmp_path: Path, reads: bool, verdict: str
+) -> None:
     """A node that closes after reading was answered; one that closes with the answer unread resets."""
     stage = Stage(small_world(tmp_path))
     stage.began = time.monotonic()
@@ -174,4 +186,8 @@
     served.stop()
     ends = [entry for entry in _first_ends(stage.ledger) if isinstance(entry, book.Ended)]
     assert sorted((entry.message, entry.result) for entry in ends) == [
-        (1, "failed"), (2, "failed"), (2, "refused"), (3, "delivered")]
+        (1, "failed"),
+        (2, "failed"),
+        (2, "refused"),
+        (3, "delivered"),
+    ]
--- a/tests/lab/test_audit.py
+++ b/tests/lab/test_audit.py
@@ -46,8 +46,9 @@
 
     def hear(self, event: api.Event) -> api.Event | None:
         if isinstance(event, api.AttemptEnded) and event.outcome is not api.Outcome.OK:
-            return api.AttemptEnded(event.message, event.endpoint, event.attempt, event.elapsed, event.final,
-                                    api.Outcome.NOT_SENT)
+            return api.AttemptEnded(
+                event.message, event.endpoint, event.attempt, event.elapsed, event.final, api.Outcome.NOT_SENT
+            )
         return event
 
 
@@ -66,8 +67,14 @@
 
     def hear(self, event: api.Event) -> api.Event | None:
         if isinstance(event, api.AttemptEnded) and event.outcome is api.Outcome.FULL:
-            return api.AttemptEnded(event.message, event.endpoint, event.attempt, event.elapsed, event.final,
-                                    api.Outcome.CANCELLED)
+            return api.AttemptEnded(
+                event.message,
+                event.endpoint,
+                event.attempt,
+                event.elapsed,
+                event.final,
+                api.Outcome.CANCELLED,
+            )
         return event
 
 
@@ -76,8 +83,13 @@
 
     def hear(self, event: api.Event) -> api.Event | None:
         if isinstance(event, api.MessageReceived) and event.key is not None:
-            return api.MessageReceived(event.message, event.message_class, event.destination, event.due,
-                                       key=1_000_000 + event.message)
+            return api.MessageReceived(
+                event.message,
+                event.message_class,
+                event.destination,
+                event.due,
+                key=1_000_000 + event.message,
+            )
         return event
 
 
@@ -86,8 +98,17 @@
 
     def hear(self, event: api.Event) -> api.Event | None:
         if isinstance(event, api.AttemptEnded) and event.retry_after:
-            return api.AttemptEnded(event.message, event.endpoint, event.attempt, event.elapsed, event.final,
-                                    event.outcome, None, False, event.report)
+            return api.AttemptEnded(
+                event.message,
+                event.endpoint,
+                event.attempt,
+                event.elapsed,
+                event.final,
+                event.outcome,
+                None,
+                False,
+                event.report,
+            )
         return event
 
 
@@ -102,31 +123,44 @@
 WITHHOLDS = {"drains": "_tell", "waits": "_waits_for"}
 
 
-def broken(folder: Path, make: Callable[[api.Settings, int, Truth], Policy], extra: str,
-           **changes: Any) -> dict[str, int]:
+def broken(
+    folder: Path, make: Callable[[api.Settings, int, Truth], Policy], extra: str, **changes: Any
+) -> dict[str, int]:
     played = small_world(folder, extra, **changes)
     found = rules.check(rules.index(play(played, make).ledger), figures.figures_of(played))
     return {name: len(breaches) for name, breaches in found.items() if breaches}
 
 
-@pytest.mark.parametrize(("rule", "wrong", "extra", "changes"), [
-    ("one answer", Forgets, SILENT, {}),
-    ("no effect twice", Repeats, CRASHES, {}),
-    ("not pushed over", Pushes, SHUT_UNTOLD, {
-        "traffic__rate": 120.0, "kinds__0__cold": {
-            "start": 0.1, "warm_s": 8.0, "tip_multiple": 1.2, "tip_s": 0.5}}),
-    ("order", Overtakes, SLOW, {}),
-])
+@pytest.mark.parametrize(
+    ("rule", "wrong", "extra", "changes"),
+    [
+        ("one answer", Forgets, SILENT, {}),
+        ("no effect twice", Repeats, CRASHES, {}),
+        (
+            "not pushed over",
+            Pushes,
+            SHUT_UNTOLD,
+            {
+                "traffic__rate": 120.0,
+                "kinds__0__cold": {"start": 0.1, "warm_s": 8.0, "tip_multiple": 1.2, "tip_s": 0.5},
+            },
+        ),
+        ("order", Overtakes, SLOW, {}),
+    ],
+)
 def test_a_wrong_module_is_caught_by_its_rule_and_the_right_one_is_not(
-        tmp_path: Path, rule: str, wrong: type[Wrong], extra: str, changes: dict[str, Any]) -> None:
+    tmp_path: Path, rule: str, wrong: type[Wrong], extra: str, changes: dict[str, Any]
+) -> None:
     assert rule in broken(tmp_path, wrong, extra, **changes)
     assert broken(tmp_path, module, extra, **changes) == {}
 
 
-@pytest.mark.parametrize(("rule", "wrong", "extra"), [
-    ("drains", Stubborn, DRAINS), ("waits", Impatient, SHUT)])
+@pytest.mark.parametrize(
+    ("rule", "wrong", "extra"), [("drains", Stubborn, DRAINS), ("waits", Impatient, SHUT)]
+)
 def test_a_wrong_node_that_withholds_nothing_is_caught(
-        tmp_path: Path, monkeypatch: pytest.MonkeyPatch, rule: str, wrong: type[Wrong], extra: str) -> None:
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch, rule: str, wrong: type[Wrong], extra: str
+) -> None:
     assert broken(tmp_path, module, extra) == {}
     assert broken(tmp_path, wrong, extra) == {}  # the node's own guard holds
     from irisstack.lab.virtual import node
@@ -134,8 +168,14 @@
     real = node.Node._leave
 
     def leave(self: node.Node, now: float, call: node.OutCall) -> None:
-        listed, self._listed = self._listed, {call.endpoint: api.Endpoint(
-            address(call.endpoint), api.EndpointState.READY, 0, call.destination, 0, 1.0, None)}
+        listed, self._listed = (
+            self._listed,
+            {
+                call.endpoint: api.Endpoint(
+                    address(call.endpoint), api.EndpointState.READY, 0, call.destination, 0, 1.0, None
+                )
+            },
+        )
         held, self._held = self._held, {}
         real(self, now, call)
         self._listed, self._held = listed, held
@@ -147,44 +187,83 @@
 HANDED = book.HandedIn(0.0, 0, 1, 1, 1, 1, 8.0)
 
 
-@pytest.mark.parametrize(("rule", "records"), [
-    ("one answer", [book.Ended(1.0, 0, 1, "refused"), book.Ended(2.0, 0, 1, "failed")]),
-    ("one answer", [book.Ended(9.0, 0, 1, "failed")]),
-    ("one answer", [book.Ended(1.0, 0, 1, "failed"), book.Sent(2.0, 0, 1, 1, 1),
-                    book.Answered(3.0, 0, 1, 1, "ok")]),
-    ("one answer", [book.TakenOn(0.0, 0, 1), book.NodeState(1.0, 0, "killed"),
-                    book.NodeState(2.0, 0, "ready")]),
-    ("no effect twice", [book.Sent(1.0, 0, 1, 1, 1), book.Ended(2.0, 0, 1, "refused")]),
-    ("waits", [book.Sent(1.0, 0, 1, 1, 1), book.Answered(1.1, 0, 1, 1, "refused", 2.0),
-               book.Sent(2.0, 0, 1, 2, 1), book.Answered(2.1, 0, 1, 2, "ok"),
-               book.Ended(2.1, 0, 1, "delivered")]),
-])
+@pytest.mark.parametrize(
+    ("rule", "records"),
+    [
+        ("one answer", [book.Ended(1.0, 0, 1, "refused"), book.Ended(2.0, 0, 1, "failed")]),
+        ("one answer", [book.Ended(9.0, 0, 1, "failed")]),
+        (
+            "one answer",
+            [book.Ended(1.0, 0, 1, "failed"), book.Sent(2.0, 0, 1, 1, 1), book.Answered(3.0, 0, 1, 1, "ok")],
+        ),
+        (
+            "one answer",
+            [book.TakenOn(0.0, 0, 1), book.NodeState(1.0, 0, "killed"), book.NodeState(2.0, 0, "ready")],
+        ),
+        ("no effect twice", [book.Sent(1.0, 0, 1, 1, 1), book.Ended(2.0, 0, 1, "refused")]),
+        (
+            "waits",
+            [
+                book.Sent(1.0, 0, 1, 1, 1),
+                book.Answered(1.1, 0, 1, 1, "refused", 2.0),
+                book.Sent(2.0, 0, 1, 2, 1),
+                book.Answered(2.1, 0, 1, 2, "ok"),
+                book.Ended(2.1, 0, 1, "delivered"),
+            ],
+        ),
+    ],
+)
 def test_planted_records(tmp_path: Path, rule: str, records: list[book.Entry]) -> None:
     found = rules.check(rules.index([HANDED, *records]), figures.figures_of(small_world(tmp_path)))
     assert {name for name, breaches in found.items() if breaches} == {rule}
 
 
-@pytest.mark.parametrize("records", [
-    [book.TakenOn(0.0, 0, 1), book.NodeState(7.0, 0, "killed"), book.NodeState(9.0, 0, "ready"),
-     book.Ended(10.0, 0, 1, "failed")],
-    [book.NodeState(1.0, 0, "lost"), book.NodeState(2.0, 0, "ready")],
-    [book.Sent(1.0, 0, 1, 1, 1), book.Answered(1.2, 0, 1, 1, "refused", 1.0),
-     book.NodeState(1.3, 0, "killed"), book.NodeState(1.4, 0, "ready"), book.Sent(1.5, 0, 1, 1, 1),
-     book.Answered(1.6, 0, 1, 1, "ok"), book.Ended(1.6, 0, 1, "delivered")],
-])
+@pytest.mark.parametrize(
+    "records",
+    [
+        [
+            book.TakenOn(0.0, 0, 1),
+            book.NodeState(7.0, 0, "killed"),
+            book.NodeState(9.0, 0, "ready"),
+            book.Ended(10.0, 0, 1, "failed"),
+        ],
+        [book.NodeState(1.0, 0, "lost"), book.NodeState(2.0, 0, "ready")],
+        [
+            book.Sent(1.0, 0, 1, 1, 1),
+            book.Answered(1.2, 0, 1, 1, "refused", 1.0),
+            book.NodeState(1.3, 0, "killed"),
+            book.NodeState(1.4, 0, "ready"),
+            book.Sent(1.5, 0, 1, 1, 1),
+            book.Answered(1.6, 0, 1, 1, "ok"),
+            book.Ended(1.6, 0, 1, "delivered"),
+        ],
+    ],
+)
 def test_a_restart_excuses_what_it_must(tmp_path: Path, records: list[book.Entry]) -> None:
     found = rules.check(rules.index([HANDED, *records]), figures.figures_of(small_world(tmp_path)))
     assert not any(found.values())
 
 
-@pytest.mark.parametrize(("message_class", "verdict", "broken"), [
-    (0, "ok", {"one answer"}), (0, "crossed", set()), (1, "crossed", {"no effect twice"})])
+@pytest.mark.parametrize(
+    ("message_class", "verdict", "broken"),
+    [(0, "ok", {"one answer"}), (0, "crossed", set()), (1, "crossed", {"no effect twice"})],
+)
 def test_an_answer_that_crosses_a_giving_up_need_not_have_been_heard(
-        tmp_path: Path, message_class: int, verdict: book.Verdict, broken: set[str]) -> None:
-    found = rules.check(rules.index([
-        book.HandedIn(0.0, 0, 1, 1, message_class, 1, 8.0), book.Sent(1.0, 0, 1, 1, 1),
-        book.Answered(1.2, 0, 1, 1, verdict), book.Ended(1.2, 0, 1, "delivered"), book.Sent(1.5, 0, 1, 1, 1),
-        book.Answered(1.6, 0, 1, 1, "ok")]), figures.figures_of(small_world(tmp_path)))
+    tmp_path: Path, message_class: int, verdict: book.Verdict, broken: set[str]
+) -> None:
+    found = rules.check(
+        rules.index(
+            [
+                book.HandedIn(0.0, 0, 1, 1, message_class, 1, 8.0),
+                book.Sent(1.0, 0, 1, 1, 1),
+                book.Answered(1.2, 0, 1, 1, verdict),
+                book.Ended(1.2, 0, 1, "delivered"),
+                book.Sent(1.5, 0, 1, 1, 1),
+                book.Answered(1.6, 0, 1, 1, "ok"),
+            ]
+        ),
+        figures.figures_of(small_world(tmp_path)),
+    )
     assert {name for name, breaches in found.items() if breaches} == broken
 
 
@@ -195,7 +274,16 @@
 
 def test_a_retry_belongs_to_its_first_try_and_an_unreached_node_counts(tmp_path: Path) -> None:
     again = book.HandedIn(1.0, 0, 2, 1, 1, 1, 8.0)
-    got = worth.of(rules.index([
-        HANDED, book.Ended(0.5, 0, 1, "refused"), again, book.Ended(1.5, 0, 2, "delivered"),
-        book.Missed(8.0, 3, 1, 1, 8.0)]), figures.figures_of(small_world(tmp_path)))
+    got = worth.of(
+        rules.index(
+            [
+                HANDED,
+                book.Ended(0.5, 0, 1, "refused"),
+                again,
+                book.Ended(1.5, 0, 2, "delivered"),
+                book.Missed(8.0, 3, 1, 1, 8.0),
+            ]
+        ),
+        figures.figures_of(small_world(tmp_path)),
+    )
     assert (got.asked, got.ends, got.whole) == (2, {"delivered": 1, "none": 1}, 0.5)
--- a/tests/lab/test_experiment.py
+++ b/tests/lab/test_experiment.py
@@ -61,11 +61,15 @@
         experiment.kept(tmp_path / "runs.jsonl")
 
 
-@pytest.mark.parametrize(("old", "new", "due"), [
-    ('name = "busier"', 'name = "module"', "stands twice"),
-    ('"traffic.rate" = 30.0', '"traffic.rat" = 3.0', "rat"),
-    ('scenarios = ["small.toml"]', 'scenarios = ["none.toml"]', "cannot be read"),
-    ("seeds = 3", "seeds = 0", "experiment.seeds")])
+@pytest.mark.parametrize(
+    ("old", "new", "due"),
+    [
+        ('name = "busier"', 'name = "module"', "stands twice"),
+        ('"traffic.rate" = 30.0', '"traffic.rat" = 3.0', "rat"),
+        ('scenarios = ["small.toml"]', 'scenarios = ["none.toml"]', "cannot be read"),
+        ("seeds = 3", "seeds = 0", "experiment.seeds"),
+    ],
+)
 def test_a_bad_experiment_is_refused(tmp_path: Path, old: str, new: str, due: str) -> None:
     assert old in FILE
     with pytest.raises(DocumentError, match=due):
@@ -73,16 +77,45 @@
 
 
 def run_of(seed: int, score: float, variant: str = "a", waste: float = 0.1) -> Run:
-    return Run("model", "s", variant, "module", seed, score, score, score, score, {}, {}, {}, 1, 1, waste,
-               {"waits": 0}, 0, 0, {}, 0.0, 0, {})
-
-
-@pytest.mark.parametrize(("steps", "words"), [
-    ([0.05, 0.06, 0.04, 0.05, 0.055], "b is better"), ([-0.05, -0.06, -0.04, -0.05, -0.055], "a is better"),
-    ([0.05, -0.05, 0.04, -0.04, 0.0], "no difference seen"), ([0.0] * 5, "no difference seen"),
-    ([0.5], "no difference seen")])
+    return Run(
+        "model",
+        "s",
+        variant,
+        "module",
+        seed,
+        score,
+        score,
+        score,
+        score,
+        {},
+        {},
+        {},
+        1,
+        1,
+        waste,
+        {"waits": 0},
+        0,
+        0,
+        {},
+        0.0,
+        0,
+        {},
+    )
+
+
+@pytest.mark.parametrize(
+    ("steps", "words"),
+    [
+        ([0.05, 0.06, 0.04, 0.05, 0.055], "b is better"),
+        ([-0.05, -0.06, -0.04, -0.05, -0.055], "a is better"),
+        ([0.05, -0.05, 0.04, -0.04, 0.0], "no difference seen"),
+        ([0.0] * 5, "no difference seen"),
+        ([0.5], "no difference seen"),
+    ],
+)
 def test_a_difference_is_claimed_only_where_its_interval_leaves_zero_out(
-        steps: list[float], words: str) -> None:
+    steps: list[float], words: str
+) -> None:
     a = [run_of(seed, 0.5 + seed / 100) for seed in range(len(steps))]
     b = [run_of(seed, 0.5 + seed / 100 + step, "b") for seed, step in enumerate(steps)]
     found = compare.differences(a, b[::-1], ("score",))[0]  # paired by seed, not by place
@@ -92,8 +125,10 @@
 
 
 def test_less_waste_is_better() -> None:
-    a, b = ([run_of(seed, 0.5, name, waste + seed / 1000) for seed in range(5)]
-            for name, waste in (("a", 0.2), ("b", 0.1)))
+    a, b = (
+        [run_of(seed, 0.5, name, waste + seed / 1000) for seed in range(5)]
+        for name, waste in (("a", 0.2), ("b", 0.1))
+    )
     b[0].waste += 0.01
     assert compare.differences(a, b, ("waste",))[0].words("a", "b") == "b is better"
 
--- a/tests/lab/test_partner.py
+++ b/tests/lab/test_partner.py
@@ -105,15 +105,23 @@
     assert bench.effects == [(1, True), (2, False), (3, True)]
 
 
-@pytest.mark.parametrize(("condition", "value", "answers", "ended", "ran"), [
-    ("silent", True, [], [], True), ("host_gone", True, [], [], False),
-    ("draining", True, ["refused"], [], False),
-    ("shut_until", 5.0, ["refused"], [], False), ("fails", 1.0, ["error"], [], True),
-    ("resets", 1.0, [], ["cut"], True), ("loses_answers", 1.0, [], [], True),
-    ("spoils_answers", 1.0, [], ["spoilt"], True), ("failing_classes", {0: 1.0}, ["error"], [], True)])
+@pytest.mark.parametrize(
+    ("condition", "value", "answers", "ended", "ran"),
+    [
+        ("silent", True, [], [], True),
+        ("host_gone", True, [], [], False),
+        ("draining", True, ["refused"], [], False),
+        ("shut_until", 5.0, ["refused"], [], False),
+        ("fails", 1.0, ["error"], [], True),
+        ("resets", 1.0, [], ["cut"], True),
+        ("loses_answers", 1.0, [], [], True),
+        ("spoils_answers", 1.0, [], ["spoilt"], True),
+        ("failing_classes", {0: 1.0}, ["error"], [], True),
+    ],
+)
 def test_what_each_condition_does_to_a_call(
-        tmp_path: Path, condition: str, value: object, answers: list[str], ended: list[str],
-        ran: bool) -> None:
+    tmp_path: Path, condition: str, value: object, answers: list[str], ended: list[str], ran: bool
+) -> None:
     bench = Bench(tmp_path)
     setattr(bench.endpoint.conditions, condition, value)
     bench.endpoint.conditions.runs = 1.0
--- a/tests/lab/test_scenario.py
+++ b/tests/lab/test_scenario.py
@@ -9,24 +9,28 @@
 from tests.lab.support import SMALL, small, small_world, trouble
 
 
-@pytest.mark.parametrize(("extra", "changed", "due"), [
-    ("", ("rate = 20.0", "rate = -1.0"), "traffic.rate"),
-    ("", ("rate = 20.0", "rate = 20.0\nwaves = 3"), "traffic.waves: no such key"),
-    ("", ('name = "order"', 'name = "notice"'), "the name 'notice' stands twice"),
-    ("", ("window_s = 6.0", ""), "a keyed class needs window_s"),
-    ("", ("deadline_s = 8.0", "deadline_s = 0.5"), "deadline_s (0.5) is below aim_s (1)"),
-    ("", ("capacity = 2.0", "capacity = [3.0, 2.0]"), "the low end comes first"),
-    (trouble("silent", at_s=12.5), None, "begins at 12.5 s, after the end at 12 s"),
-    (trouble("class_fails", at_s=1.0, message_class="memo"), None, "nobody sends a class 'memo'"),
-    (trouble("slow", at_s=1.0, of_kind="bank"), None, "there is no kind 'bank'"),
-    (trouble("slow", at_s=1.0, destinations=[4]), None, "troubles[0].destinations: there are 3"),
-    (trouble("killed", at_s=1.0, destinations=[1]), None, "killed strikes no destination"),
-    (trouble("resets", at_s=1.0, strength=1.5), None, "for resets a part from 0 to 1 is due, not 1.5"),
-    (trouble("shut", at_s=1.0, strength=0.5), None, "shut has none"),
-    (trouble("explodes", at_s=1.0), None, "troubles[0].kind"),
-])
+@pytest.mark.parametrize(
+    ("extra", "changed", "due"),
+    [
+        ("", ("rate = 20.0", "rate = -1.0"), "traffic.rate"),
+        ("", ("rate = 20.0", "rate = 20.0\nwaves = 3"), "traffic.waves: no such key"),
+        ("", ('name = "order"', 'name = "notice"'), "the name 'notice' stands twice"),
+        ("", ("window_s = 6.0", ""), "a keyed class needs window_s"),
+        ("", ("deadline_s = 8.0", "deadline_s = 0.5"), "deadline_s (0.5) is below aim_s (1)"),
+        ("", ("capacity = 2.0", "capacity = [3.0, 2.0]"), "the low end comes first"),
+        (trouble("silent", at_s=12.5), None, "begins at 12.5 s, after the end at 12 s"),
+        (trouble("class_fails", at_s=1.0, message_class="memo"), None, "nobody sends a class 'memo'"),
+        (trouble("slow", at_s=1.0, of_kind="bank"), None, "there is no kind 'bank'"),
+        (trouble("slow", at_s=1.0, destinations=[4]), None, "troubles[0].destinations: there are 3"),
+        (trouble("killed", at_s=1.0, destinations=[1]), None, "killed strikes no destination"),
+        (trouble("resets", at_s=1.0, strength=1.5), None, "for resets a part from 0 to 1 is due, not 1.5"),
+        (trouble("shut", at_s=1.0, strength=0.5), None, "shut has none"),
+        (trouble("explodes", at_s=1.0), None, "troubles[0].kind"),
+    ],
+)
 def test_a_bad_scenario_is_refused(
-        tmp_path: Path, extra: str, changed: tuple[str, str] | None, due: str) -> None:
+    tmp_path: Path, extra: str, changed: tuple[str, str] | None, due: str
+) -> None:
     text = SMALL.replace(*changed, 1) if changed else SMALL
     assert changed is None or text != SMALL
     path = tmp_path / "bad.toml"
--- a/tests/lab/test_virtual.py
+++ b/tests/lab/test_virtual.py
@@ -15,13 +15,27 @@
 from tests.lab.support import small_world, trouble
 
 TROUBLES: dict[str, dict[str, Any]] = {
-    "fails_fast": {"share": 0.5}, "shut": {"share": 0.5}, "silent": {"share": 0.5}, "slow": {"share": 0.5},
-    "pauses": {"share": 0.5}, "resets": {"share": 0.5}, "answers_lost": {"share": 0.5},
-    "answers_spoilt": {"share": 0.5}, "connect_refused": {"share": 0.5}, "host_gone": {"share": 0.5},
-    "idle_dropped": {"share": 1.0, "strength": 0.2}, "class_fails": {"message_class": "order"},
-    "replaced": {"share": 1.0, "endpoints": 1}, "hot": {"destinations": [2]}, "list_stale": {},
+    "fails_fast": {"share": 0.5},
+    "shut": {"share": 0.5},
+    "silent": {"share": 0.5},
+    "slow": {"share": 0.5},
+    "pauses": {"share": 0.5},
+    "resets": {"share": 0.5},
+    "answers_lost": {"share": 0.5},
+    "answers_spoilt": {"share": 0.5},
+    "connect_refused": {"share": 0.5},
+    "host_gone": {"share": 0.5},
+    "idle_dropped": {"share": 1.0, "strength": 0.2},
+    "class_fails": {"message_class": "order"},
+    "replaced": {"share": 1.0, "endpoints": 1},
+    "hot": {"destinations": [2]},
+    "list_stale": {},
     "list_down": {},
-    "killed": {"share": 0.5}, "stopped": {"share": 1.0}, "stalled": {"share": 1.0}, "limit_lowered": {}}
+    "killed": {"share": 0.5},
+    "stopped": {"share": 1.0},
+    "stalled": {"share": 1.0},
+    "limit_lowered": {},
+}
 
 PLAY = """
 import sys, hashlib
@@ -43,8 +57,13 @@
     extra = trouble("silent", at_s=3.0, for_s=2.0, share=0.5) + trouble("killed", at_s=6.0, for_s=1.0)
     here = [digest(play(small_world(tmp_path, extra), module).ledger) for _ in range(2)]
     next_seed = digest(play(small_world(tmp_path, extra, seed=2), module).ledger)
-    other = subprocess.run([sys.executable, "-c", PLAY, str(tmp_path), extra], capture_output=True, text=True,
-                           check=True, cwd=Path(__file__).resolve().parents[2])
+    other = subprocess.run(
+        [sys.executable, "-c", PLAY, str(tmp_path), extra],
+        capture_output=True,
+        text=True,
+        check=True,
+        cwd=Path(__file__).resolve().parents[2],
+    )
     assert {*here, other.stdout.strip()} == {here[0]}
     assert next_seed != here[0]
 
@@ -68,10 +87,13 @@
 
 @pytest.mark.parametrize("name", sorted(set(baselines.POLICIES) - {baselines.MODULE}))
 def test_every_baseline_keeps_the_rules_that_it_claims(tmp_path: Path, name: str) -> None:
-    extra = (trouble("silent", at_s=2.0, for_s=3.0, share=0.5)
-             + trouble("resets", at_s=5.0, for_s=3.0, share=1.0) + trouble("killed", at_s=4.0, for_s=1.0)
-             + trouble("replaced", at_s=6.0, share=1.0, endpoints=1)
-             + trouble("shut", at_s=8.0, for_s=2.0, share=0.5))
+    extra = (
+        trouble("silent", at_s=2.0, for_s=3.0, share=0.5)
+        + trouble("resets", at_s=5.0, for_s=3.0, share=1.0)
+        + trouble("killed", at_s=4.0, for_s=1.0)
+        + trouble("replaced", at_s=6.0, share=1.0, endpoints=1)
+        + trouble("shut", at_s=8.0, for_s=2.0, share=0.5)
+    )
     world = small_world(tmp_path, extra)
     found = rules.check(rules.index(play(world, baselines.POLICIES[name]).ledger), figures.figures_of(world))
     assert {rule for rule, breaches in found.items() if breaches} <= {"not pushed over"}
@@ -80,7 +102,8 @@
 def test_a_killed_nodes_folder_outlives_it_and_a_lost_one_does_not(tmp_path: Path) -> None:
     for lost in (False, True):
         extra = trouble("silent", at_s=2.0, for_s=3.0, share=1.0) + trouble(
-            "killed", at_s=4.0, for_s=0.5, share=1.0, **({"disk_lost": True} if lost else {}))
+            "killed", at_s=4.0, for_s=0.5, share=1.0, **({"disk_lost": True} if lost else {})
+        )
         found = rules.index(play(small_world(tmp_path, extra), module).ledger)
         open_ones = sum(not life.ended for life in found.lives.values())
         kept = sum(life.handed.t < 4.0 < 4.5 < life.ended[0].t for life in found.lives.values() if life.ended)
--- a/tests/node/test_list_clock.py
+++ b/tests/node/test_list_clock.py
@@ -27,18 +27,29 @@
 
 
 def member(number: int) -> dict[str, Any]:
-    return {"id": f"s{number}", "host_port": f"10.0.0.{number}:7070", "locality": "z", "flavor": "plain",
-            "cell": number, "phase": "SERVING", "size": 2.5, "up_since_ms": 0}
+    return {
+        "id": f"s{number}",
+        "host_port": f"10.0.0.{number}:7070",
+        "locality": "z",
+        "flavor": "plain",
+        "cell": number,
+        "phase": "SERVING",
+        "size": 2.5,
+        "up_since_ms": 0,
+    }
 
 
 def document(revision: int, indent: int | None = None) -> str:
-    return json.dumps({"revision": revision, "complete": True, "members": [member(1), member(2)]},
-                      indent=indent) + "\n"
+    return (
+        json.dumps({"revision": revision, "complete": True, "members": [member(1), member(2)]}, indent=indent)
+        + "\n"
+    )
 
 
 @contextmanager
-def follower(post: Callable[[api.EndpointsUpdated], None], pushed: bool = False) -> Iterator[
-        tuple[Discovery, socket.socket]]:
+def follower(
+    post: Callable[[api.EndpointsUpdated], None], pushed: bool = False
+) -> Iterator[tuple[Discovery, socket.socket]]:
     """What follows the list, and where it looks for it."""
     with listening() as server:
         part = Discovery(server.getsockname(), ListReader(read(Reader(SETTINGS))), post, 4, pushed)
@@ -81,7 +92,8 @@
 @pytest.mark.parametrize("watch", [True, False], ids=["watch", "fetch"])
 @pytest.mark.parametrize(("at_once", "then"), FALLEN_SILENT.values(), ids=FALLEN_SILENT)
 def test_a_call_that_falls_silent_is_given_up_however_its_bytes_trickle(
-        monkeypatch: pytest.MonkeyPatch, at_once: bytes, then: bytes, watch: bool) -> None:
+    monkeypatch: pytest.MonkeyPatch, at_once: bytes, then: bytes, watch: bool
+) -> None:
     monkeypatch.setattr(discovery, "SILENCE", 0.3)
     told: list[api.EndpointsUpdated] = []
     with follower(told.append) as (part, server):
@@ -151,7 +163,9 @@
             connection.sendall(HEAD + chunk(document(9)) + b"0\r\n\r\n")
             until(lambda: len(told) == 2)
     assert [(update.scope, update.version) for update in told] == [
-        (api.UpdateScope.FULL, 9), (api.UpdateScope.FAILED, 9)]
+        (api.UpdateScope.FULL, 9),
+        (api.UpdateScope.FAILED, 9),
+    ]
 
 
 def test_a_watch_that_ends_between_reading_and_handing_on_is_told_again() -> None:
@@ -233,7 +247,8 @@
 
 @pytest.mark.parametrize(("said", "good_for"), LISTS.values(), ids=LISTS)
 def test_a_list_that_is_spoilt_or_contradicts_itself_costs_no_more_than_itself(
-        said: Any, good_for: int | None) -> None:
+    said: Any, good_for: int | None
+) -> None:
     told: list[api.EndpointsUpdated] = []
     with follower(told.append) as (part, server):
         part.mailbox.put(api.Subscribe(True))
--- a/tests/node/test_notices.py
+++ b/tests/node/test_notices.py
@@ -23,7 +23,8 @@
 @pytest.mark.parametrize("answer", NO_ANSWERS.values(), ids=NO_ANSWERS)
 @pytest.mark.parametrize("trickles", [False, True], ids=["then silence", "then a trickle"])
 def test_an_answer_that_never_ends_does_not_hold_up_the_notices(
-        tmp_path: Path, monkeypatch: pytest.MonkeyPatch, answer: bytes, trickles: bool) -> None:
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch, answer: bytes, trickles: bool
+) -> None:
     monkeypatch.setattr(notices, "PATIENCE", 0.3)
     store = Store(tmp_path, 3_000_000, 1000.0)
     take(store, 1)
--- a/tests/node/test_objects.py
+++ b/tests/node/test_objects.py
@@ -6,7 +6,7 @@
 
 from irisstack.node.objects import ObjectStream
 
-OBJECTS = [{"revision": 1, "members": [{"id": "a}\"{[\\", "x": {}}]}, {}, {"é": ["\\\"", "]"]}]
+OBJECTS = [{"revision": 1, "members": [{"id": 'a}"{[\\', "x": {}}]}, {}, {"é": ['\\"', "]"]}]
 LAYOUTS = {
     "a line each": "\n".join(json.dumps(each) for each in OBJECTS) + "\n",
     "indented": "\n\n".join(json.dumps(each, indent=2) for each in OBJECTS) + "\r\n",
--- a/tests/node/test_repeats.py
+++ b/tests/node/test_repeats.py
@@ -27,9 +27,18 @@
 
 
 def actor(server: socket.socket, ended: list[Ended], store: Store, connect_timeout: float = 5.0) -> Endpoint:
-    part = Endpoint((bytes([127, 0, 0, 1]), 1), server.getsockname(), ended.append, store, Counters(),
-                    connect_timeout=connect_timeout, idle_limit=60.0, most_idle=5, most_calls=5,
-                    report_fields=())
+    part = Endpoint(
+        (bytes([127, 0, 0, 1]), 1),
+        server.getsockname(),
+        ended.append,
+        store,
+        Counters(),
+        connect_timeout=connect_timeout,
+        idle_limit=60.0,
+        most_idle=5,
+        most_calls=5,
+        report_fields=(),
+    )
     part.worker.start()
     return part
 
@@ -47,7 +56,8 @@
 
 @pytest.mark.parametrize("late", ["in the mailbox", "on the way up", "in the writing"])
 def test_a_repeat_whose_window_ends_before_its_last_byte_does_not_run(
-        tmp_path: Path, monkeypatch: pytest.MonkeyPatch, late: str) -> None:
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch, late: str
+) -> None:
     """It is held back, or broken off while a part of it is missing: neither can have run."""
     ended: list[Ended] = []
     store = Store(tmp_path, 3_000_000, 1000.0)
@@ -86,7 +96,8 @@
 
 
 def test_a_shared_call_that_never_comes_up_ends_with_its_first_message(
-        tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> None:
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
     """Waited for as long as a connection may take, the message was told its end after its time."""
     given: list[float] = []
 
@@ -99,8 +110,12 @@
     with listening() as server:
         part = actor(server, ended, Store(tmp_path, 3_000_000, 1000.0), connect_timeout=50.0)
         due = time.monotonic() + 5.0
-        part.mailbox.put(Call([Outgoing(1, 0, "m1", "", b"", due, due),
-                               Outgoing(2, 0, "m2", "", b"", FOREVER, FOREVER)], 1001.0))
+        part.mailbox.put(
+            Call(
+                [Outgoing(1, 0, "m1", "", b"", due, due), Outgoing(2, 0, "m2", "", b"", FOREVER, FOREVER)],
+                1001.0,
+            )
+        )
         until(lambda: len(ended) == 2)
         part.worker.kill()
     assert 0.0 < given[0] <= 5.0
@@ -126,7 +141,8 @@
 
 @pytest.mark.parametrize("crossing", CROSSINGS.values(), ids=CROSSINGS)
 def test_what_comes_on_a_connection_after_it_was_chosen_is_no_answer_to_the_next_call(
-        tmp_path: Path, crossing: Callable[[socket.socket], object]) -> None:
+    tmp_path: Path, crossing: Callable[[socket.socket], object]
+) -> None:
     ended: list[Ended] = []
     with listening() as server:
         part = actor(server, ended, Store(tmp_path, 3_000_000, 1000.0))
@@ -156,12 +172,20 @@
     assert ended[1].result.outcome is Outcome.ERROR
 
 
-@pytest.mark.parametrize("spoilt", [
-    b"HTTP/1.1 20", b"HTTP/1.1 500 No\r\nContent-Length: 5\r\n\r\nab", b"HTTP/1.1 503 Busy\r\nContent-Le",
-    b"HTTP/1.1 500 No\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nab",
-    b"HTTP/1.1 500 No\r\nContent-Length: -1\r\n\r\n",
-    b"HTTP/1.1 500 No\r\nContent-Length: x\r\n\r\n", b"\r\n\r\n\x00", b"HTTP/1.1 100 Go on\r\n\r\n" * 30],
-    ids=range(8))
+@pytest.mark.parametrize(
+    "spoilt",
+    [
+        b"HTTP/1.1 20",
+        b"HTTP/1.1 500 No\r\nContent-Length: 5\r\n\r\nab",
+        b"HTTP/1.1 503 Busy\r\nContent-Le",
+        b"HTTP/1.1 500 No\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nab",
+        b"HTTP/1.1 500 No\r\nContent-Length: -1\r\n\r\n",
+        b"HTTP/1.1 500 No\r\nContent-Length: x\r\n\r\n",
+        b"\r\n\r\n\x00",
+        b"HTTP/1.1 100 Go on\r\n\r\n" * 30,
+    ],
+    ids=range(8),
+)
 def test_an_answer_cut_or_spoilt_anywhere_leaves_open_whether_it_ran(tmp_path: Path, spoilt: bytes) -> None:
     ended: list[Ended] = []
     with listening() as server:
@@ -178,7 +202,8 @@
 
 @pytest.mark.parametrize("more", [b"x", raw(200), b"\r\n"], ids=["extra bytes", "twice", "an empty line"])
 def test_a_good_answer_with_more_behind_it_counts_and_its_connection_is_not_used_again(
-        tmp_path: Path, more: bytes) -> None:
+    tmp_path: Path, more: bytes
+) -> None:
     ended: list[Ended] = []
     with listening() as server:
         part = actor(server, ended, Store(tmp_path, 3_000_000, 1000.0))
@@ -199,7 +224,8 @@
 @pytest.mark.parametrize("ended", [None, True, False], ids=["still out", "may have run", "never ran"])
 @pytest.mark.parametrize(("zone", "known_as"), [("z", 0), ("a zone of other settings", None), ("", None)])
 def test_the_next_life_knows_when_and_where_the_first_attempt_that_may_have_run_went(
-        tmp_path: Path, ended: bool | None, zone: str, known_as: int | None) -> None:
+    tmp_path: Path, ended: bool | None, zone: str, known_as: int | None
+) -> None:
     store = Store(tmp_path, 3_000_000, 1000.0)
     take(store, 1)
     store.out([(1, 0)], 1001.0, "where it never ran")
@@ -210,8 +236,16 @@
         store.out([(1, 2)], 1004.0, "later")
         store.write([store.end(1, 2, ended)], 1005.0)
     again = Store(tmp_path, 3_000_000, 1006.0)
-    decider = Decider(read(Reader(SETTINGS)), 1, again, Counters(), call=lambda *_: None, ask=lambda _: None,
-                      notice=lambda _: None, room=10)
+    decider = Decider(
+        read(Reader(SETTINGS)),
+        1,
+        again,
+        Counters(),
+        call=lambda *_: None,
+        ask=lambda _: None,
+        notice=lambda _: None,
+        room=10,
+    )
     told = decider._received(again.entries[1], 10.0, 1010.0)
     if ended is False:
         assert (told.maybe_ran, told.ran_in) == (None, None)
--- a/tests/node/test_shutdown.py
+++ b/tests/node/test_shutdown.py
@@ -82,19 +82,30 @@
 CROSSING = message("m2")
 
 
-@pytest.mark.parametrize(("before", "phase", "at_once", "later", "heard"), [
-    (b"", intake._Phase.FRESH, b"", CROSSING, [REFUSED]),
-    (b"", intake._Phase.FRESH, CROSSING, b"", [REFUSED]),
-    (CROSSING[:30], intake._Phase.READING, b"", CROSSING[30:], [REFUSED]),
-    (CROSSING[:-1], intake._Phase.READING, CROSSING[-1:], b"", [REFUSED]),
-    (message("m1"), intake._Phase.IDLE, b"", b"", []),
-    (message("m1"), intake._Phase.IDLE, CROSSING, b"", [REFUSED]),
-    (message("m1"), intake._Phase.IDLE, CROSSING[:30], CROSSING[30:], [REFUSED]),
-], ids=["connected", "connected, asks that moment", "half a request", "all but a byte, that moment",
-        "at rest", "at rest, asks that moment", "at rest, begins that moment"])
+@pytest.mark.parametrize(
+    ("before", "phase", "at_once", "later", "heard"),
+    [
+        (b"", intake._Phase.FRESH, b"", CROSSING, [REFUSED]),
+        (b"", intake._Phase.FRESH, CROSSING, b"", [REFUSED]),
+        (CROSSING[:30], intake._Phase.READING, b"", CROSSING[30:], [REFUSED]),
+        (CROSSING[:-1], intake._Phase.READING, CROSSING[-1:], b"", [REFUSED]),
+        (message("m1"), intake._Phase.IDLE, b"", b"", []),
+        (message("m1"), intake._Phase.IDLE, CROSSING, b"", [REFUSED]),
+        (message("m1"), intake._Phase.IDLE, CROSSING[:30], CROSSING[30:], [REFUSED]),
+    ],
+    ids=[
+        "connected",
+        "connected, asks that moment",
+        "half a request",
+        "all but a byte, that moment",
+        "at rest",
+        "at rest, asks that moment",
+        "at rest, begins that moment",
+    ],
+)
 def test_at_the_drain_each_request_is_answered_once_and_the_connection_ends(
-        before: bytes, phase: intake._Phase, at_once: bytes, later: bytes,
-        heard: list[tuple[int, str]]) -> None:
+    before: bytes, phase: intake._Phase, at_once: bytes, later: bytes, heard: list[tuple[int, str]]
+) -> None:
     """What comes in the same moment lies in the system's hands; the node has not read it yet."""
     kept: list[HTTPStatus | None] = [HTTPStatus.ACCEPTED]
     with doorway(kept) as (part, arrivals):
@@ -122,7 +133,8 @@
 
 @pytest.mark.parametrize("phase", [intake._Phase.IDLE, intake._Phase.FRESH])
 def test_a_request_that_crosses_the_close_of_a_connection_at_rest_is_not_taken_on(
-        monkeypatch: pytest.MonkeyPatch, phase: intake._Phase) -> None:
+    monkeypatch: pytest.MonkeyPatch, phase: intake._Phase
+) -> None:
     """Its client hands it in again on a new connection: taken on as well, it would be sent twice."""
     monkeypatch.setattr(intake._Phase.FRESH, "_value_", 0.0)
     with doorway([HTTPStatus.ACCEPTED]) as (part, arrivals):
@@ -154,12 +166,19 @@
 
 @contextmanager
 def node_here(
-        folder: Path, platform: PlatformPeer) -> Iterator[tuple[Service, Event, Event, tuple[str, int]]]:
+    folder: Path, platform: PlatformPeer
+) -> Iterator[tuple[Service, Event, Event, tuple[str, int]]]:
     """A whole node in this process."""
     address = ("127.0.0.1", free_port())
-    config = {"name": "n", "listen": f"127.0.0.1:{address[1]}", "discovery": f"127.0.0.1:{platform.port}",
-              "seed": "1", "limits": {"sockets": 256, "disk_mb": 3}, "known": platform.document(),
-              "settings": SETTINGS}
+    config = {
+        "name": "n",
+        "listen": f"127.0.0.1:{address[1]}",
+        "discovery": f"127.0.0.1:{platform.port}",
+        "seed": "1",
+        "limits": {"sockets": 256, "disk_mb": 3},
+        "known": platform.document(),
+        "settings": SETTINGS,
+    }
     state = folder / "state"
     state.mkdir()
     (folder / "config.json").write_text(json.dumps(config))
@@ -171,7 +190,8 @@
 
 @pytest.mark.parametrize("half", [b"", CROSSING[:30]], ids=["has yet to ask", "is in the middle of it"])
 def test_the_node_does_not_end_before_a_client_that_came_is_answered(
-        tmp_path: Path, monkeypatch: pytest.MonkeyPatch, half: bytes) -> None:
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch, half: bytes
+) -> None:
     monkeypatch.setattr(service, "ACCEPT_FOR", 0.0)
     monkeypatch.setattr(service, "END_BY", 1e6)
     monkeypatch.setattr(intake, "WHOLE_BY", 1e6)
@@ -186,14 +206,15 @@
         for _ in range(5):  # looks at what is left
             gevent.sleep(service.LOOK)
         assert not run.dead
-        client.sendall(CROSSING[len(half):])
+        client.sendall(CROSSING[len(half) :])
         assert answers(rest_of(client)) == [REFUSED]
         client.close()
         assert run.get(timeout=20.0) == 0
 
 
 def test_a_client_that_stays_for_ever_does_not_keep_the_node_beyond_its_time(
-        tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> None:
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
     monkeypatch.setattr(service, "ACCEPT_FOR", 0.0)
     monkeypatch.setattr(service, "END_BY", 0.3)
     monkeypatch.setattr(intake, "WHOLE_BY", 1e6)
@@ -222,7 +243,8 @@
 
 @pytest.mark.parametrize("error", [RuntimeError("odd"), RecursionError(), OverflowError()])
 def test_a_file_that_fails_in_an_unheard_of_way_leaves_the_node_as_it_is(
-        tmp_path: Path, monkeypatch: pytest.MonkeyPatch, error: Exception) -> None:
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch, error: Exception
+) -> None:
     def fails(**_: Any) -> None:
         reread.clear()
         raise error
@@ -261,8 +283,12 @@
     with scene(tmp_path, partner) as (node, _):
         assert node.hand_in("m1", "unsafe").status == 202
         eventually(lambda: partner.calls_with("m1"))
-        for number, event in ((signal.SIGTERM, "stopping"), (signal.SIGHUP, "configuration_taken"),
-                              (signal.SIGTERM, "stopping"), (signal.SIGHUP, "configuration_taken")):
+        for number, event in (
+            (signal.SIGTERM, "stopping"),
+            (signal.SIGHUP, "configuration_taken"),
+            (signal.SIGTERM, "stopping"),
+            (signal.SIGHUP, "configuration_taken"),
+        ):
             node.process.send_signal(number)
             eventually(logged(node, event))
         partner.open.set()
