Rename the laboratory's draws module to sampling

Cause: `draws`, `Draws` and `between` did not say that they are seeded random streams and sampled figures. Change: lab/draws.py is lab/sampling.py; Draws is RandomStreams, chance is uniform, between is sample, World.draws is World.streams. Stream keys and drawn numbers are unchanged.

--- a/irisstack/lab/clients.py
+++ b/irisstack/lab/clients.py
@@ -1,6 +1,6 @@
 """Those who hand messages in: when they come again, and whether they heed advice. Pure."""
 
-from irisstack.lab.draws import Draws, between
+from irisstack.lab.sampling import RandomStreams, sample
 from irisstack.lab.scenario import Clients
 
 LEAST_TIME = 0.05
@@ -10,12 +10,12 @@
 class Behaviour:
     """All clients of a world."""
 
-    def __init__(self, told: Clients, draws: Draws) -> None:
+    def __init__(self, told: Clients, streams: RandomStreams) -> None:
         self._told = told
-        self._backoff = draws.stream("clients", "backoff")
-        self._heeds = draws.chance("clients", "heed")
-        self._leaves = draws.chance("clients", "leave")
-        self._resend = draws.stream("clients", "resend")
+        self._backoff = streams.stream("clients", "backoff")
+        self._heeds = streams.uniform("clients", "heed")
+        self._leaves = streams.uniform("clients", "leave")
+        self._resend = streams.stream("clients", "resend")
 
     def leaves(self) -> bool:
         """Whether this one closes its connection before it has read the answer."""
@@ -28,11 +28,11 @@
         """
         if tries > self._told.retries:
             return None
-        wait = between(self._told.backoff_s, self._backoff) * 2.0 ** (tries - 1)
+        wait = sample(self._told.backoff_s, self._backoff) * 2.0 ** (tries - 1)
         if advice and self._heeds() < self._told.heed:
             wait = max(wait, advice)
         return wait if wait + LEAST_TIME < left else None
 
     def tries_elsewhere(self) -> float:
         """Seconds until another node is tried, after one could not be reached or died."""
-        return between(self._told.resend_s, self._resend)
+        return sample(self._told.resend_s, self._resend)
--- a/irisstack/lab/partner.py
+++ b/irisstack/lab/partner.py
@@ -9,8 +9,8 @@
 from dataclasses import dataclass, field
 from typing import Literal, Protocol
 
-from irisstack.lab.draws import Draws
 from irisstack.lab.limits import Limiter, limiter
+from irisstack.lab.sampling import RandomStreams
 from irisstack.lab.scenario import Cold, Kind, MessageClass
 from irisstack.lab.world import DestinationSpec, EndpointSpec, World
 
@@ -173,10 +173,10 @@
         self._report: tuple[float, ...] = ()
         self._report_at = -1e9
         for endpoint in spec.endpoints:
-            self.add(endpoint, world.draws)
+            self.add(endpoint, world.streams)
 
-    def add(self, spec: EndpointSpec, draws: Draws) -> "Endpoint":
-        endpoint = self.endpoints[spec.number] = Endpoint(spec, self, draws, self._host)
+    def add(self, spec: EndpointSpec, streams: RandomStreams) -> "Endpoint":
+        endpoint = self.endpoints[spec.number] = Endpoint(spec, self, streams, self._host)
         return endpoint
 
     def remembers(self, now: float, item: Item) -> bool:
@@ -223,13 +223,15 @@
 class Endpoint:
     """One endpoint."""
 
-    def __init__(self, spec: EndpointSpec, destination: Destination, draws: Draws, host: Host) -> None:
+    def __init__(
+        self, spec: EndpointSpec, destination: Destination, streams: RandomStreams, host: Host
+    ) -> None:
         self.spec = spec
         self.destination = destination
         self.conditions = Conditions()
         self.connections = 0
         self._host = host
-        self._chance = draws.chance("endpoint", spec.number)
+        self._chance = streams.uniform("endpoint", spec.number)
         self._running: set[PartnerCall] = set()
         self._line: deque[PartnerCall] = deque()
         self._held: dict[PartnerCall, None] = {}  # not answered yet, in order of coming
--- a/irisstack/lab/sockets/clients.py
+++ b/irisstack/lab/sockets/clients.py
@@ -28,7 +28,7 @@
         self._stage = stage
         self._addresses = addresses
         self._up = up
-        self._behaviour = Behaviour(stage.world.scenario.clients, stage.world.draws)
+        self._behaviour = Behaviour(stage.world.scenario.clients, stage.world.streams)
         self._idle: list[deque[socket.socket]] = [deque() for _ in addresses]
         self.waiting = len(stage.world.messages)
         """Messages still to be handed in, or once more."""
--- a/irisstack/lab/sockets/platform.py
+++ b/irisstack/lab/sockets/platform.py
@@ -14,7 +14,7 @@
 from gevent.server import StreamServer
 
 from irisstack.lab import ledger as book
-from irisstack.lab.draws import between
+from irisstack.lab.sampling import sample
 from irisstack.lab.sockets import http
 from irisstack.lab.sockets.partners import HOST
 from irisstack.lab.sockets.stage import Stage
@@ -34,7 +34,7 @@
 
     def __init__(self, stage: Stage, addresses: Mapping[int, tuple[str, int]]) -> None:
         self._stage = stage
-        self._late = stage.world.draws.stream("list")
+        self._late = stage.world.streams.stream("list")
         self._changes: list[tuple[int, dict[str, Any]]] = []
         self._members = {
             number: self._member(number, spec.destination, "SERVING", addresses[number])
@@ -81,7 +81,7 @@
 
     def change(self, number: int, place: int, phase: str, address: tuple[str, int]) -> None:
         """An endpoint is so from now on; the list hears of it late."""
-        late = between(self._stage.world.scenario.endpoint_list.late_s, self._late) + self.later
+        late = sample(self._stage.world.scenario.endpoint_list.late_s, self._late) + self.later
         self._stage.after(late, self._hear, number, self._member(number, place, phase, address))
 
     def _hear(self, now: float, number: int, member: dict[str, Any]) -> None:
--- a/irisstack/lab/sockets/play.py
+++ b/irisstack/lab/sockets/play.py
@@ -58,7 +58,7 @@
         if folder.exists():  # what an earlier run's nodes owed is not for this one's
             shutil.rmtree(folder)
         folder.mkdir(parents=True)
-        return _Run(world, folder, progress, processes, world.draws.seed).play()
+        return _Run(world, folder, progress, processes, world.streams.seed).play()
 
 
 def _first_ends(entries: book.Ledger) -> book.Ledger:
--- a/irisstack/lab/sockets/strikes.py
+++ b/irisstack/lab/sockets/strikes.py
@@ -4,7 +4,7 @@
 
 from irisstack.lab import ledger as book
 from irisstack.lab import troubles
-from irisstack.lab.draws import between
+from irisstack.lab.sampling import sample
 from irisstack.lab.scenario import OF_LIST, OF_NODES
 from irisstack.lab.sockets.partners import Partners
 from irisstack.lab.sockets.stage import Stage
@@ -33,9 +33,9 @@
             if incident.trouble.kind in OF_NODES | OF_LIST | {"hot"}:
                 continue
             if incident.trouble.kind == "replaced":
-                stream = self._stage.world.draws.stream("replaced", incident.begins)
+                stream = self._stage.world.streams.stream("replaced", incident.begins)
                 times = {
-                    number: between([incident.begins, incident.ends], stream) for number in incident.endpoints
+                    number: sample([incident.begins, incident.ends], stream) for number in incident.endpoints
                 }
                 for number, time in times.items():
                     if number in self._partners.servers:
@@ -94,7 +94,7 @@
     def _replace(self, now: float, number: int) -> None:
         world, old = self._stage.world, self._partners.servers[number]
         destination = old.endpoint.destination
-        new = self._partners.open(destination.add(world.new_endpoint(old.endpoint.spec), world.draws))
+        new = self._partners.open(destination.add(world.new_endpoint(old.endpoint.spec), world.streams))
         place = destination.spec.number
         self._listed(new.endpoint.spec.number, place, "SERVING", new.address)
         self._listed(number, place, "DRAINING", old.address)
--- a/irisstack/lab/virtual/listing.py
+++ b/irisstack/lab/virtual/listing.py
@@ -3,7 +3,7 @@
 from collections.abc import Callable
 
 from irisstack import interface as api
-from irisstack.lab.draws import between
+from irisstack.lab.sampling import sample
 from irisstack.lab.scenario import EndpointList
 from irisstack.lab.virtual.clock import Clock
 from irisstack.lab.world import EndpointSpec, World
@@ -28,7 +28,7 @@
         self._world = world
         self._clock = clock
         self._told: EndpointList = world.scenario.endpoint_list
-        self._late = world.draws.stream("list")
+        self._late = world.streams.stream("list")
         self._entries = {
             number: self._entry(spec, api.EndpointState.READY) for number, spec in world.endpoints.items()
         }
@@ -84,7 +84,7 @@
 
     def change(self, now: float, spec: EndpointSpec, state: api.EndpointState) -> None:
         """Something is so from now on; the list hears of it late."""
-        late = between(self._told.late_s, self._late) + self.later
+        late = sample(self._told.late_s, self._late) + self.later
         self._clock.at(now + late, self._hear, self._entry(spec, state))
 
     def _hear(self, now: float, entry: api.Endpoint) -> None:
--- a/irisstack/lab/virtual/play.py
+++ b/irisstack/lab/virtual/play.py
@@ -10,9 +10,9 @@
 from irisstack.lab import ledger as book
 from irisstack.lab import troubles
 from irisstack.lab.clients import LEAST_TIME, Behaviour
-from irisstack.lab.draws import between
 from irisstack.lab.partner import Answer, Destination, Endpoint, Item, PartnerCall
 from irisstack.lab.policy import Maker, Policy
+from irisstack.lab.sampling import sample
 from irisstack.lab.told import settings_of
 from irisstack.lab.virtual.clock import Clock
 from irisstack.lab.virtual.listing import Listing, address, number_of
@@ -59,7 +59,7 @@
         self._endpoints: dict[int, Endpoint] = {
             number: endpoint for d in self._destinations.values() for number, endpoint in d.endpoints.items()
         }
-        self._behaviour = Behaviour(world.scenario.clients, world.draws)
+        self._behaviour = Behaviour(world.scenario.clients, world.streams)
         self._one_way = world.one_way()
         self._listing = Listing(world, self._clock)
         self._next_id = 1
@@ -68,7 +68,7 @@
         self._down: dict[int, int] = {}  # destinations that are down, with the troubles that hold them
         self._claimed: dict[int, deque[tuple[float, int]]] = {}
         self._swept: dict[int, float] = {}
-        self._seeds = world.draws.stream("seeds")
+        self._seeds = world.streams.stream("seeds")
         self._nodes: list[Node] = []
         for spec in world.senders:
             settings = settings_of(world, spec.number)
@@ -275,9 +275,9 @@
                 for number in incident.nodes:
                     clock.at(incident.begins, self._strike, incident, number)
             case "replaced":
-                stream = self._world.draws.stream("replaced", incident.begins)
+                stream = self._world.streams.stream("replaced", incident.begins)
                 for number in incident.endpoints:
-                    clock.at(between([incident.begins, incident.ends], stream), self._replace, number)
+                    clock.at(sample([incident.begins, incident.ends], stream), self._replace, number)
             case _:
                 clock.at(incident.begins, self._begin, incident)
                 clock.at(incident.ends, self._end, incident)
@@ -315,7 +315,7 @@
 
     def _replace(self, now: float, number: int) -> None:
         old = self._endpoints[number]
-        new = old.destination.add(self._world.new_endpoint(old.spec), self._world.draws)
+        new = old.destination.add(self._world.new_endpoint(old.spec), self._world.streams)
         self._endpoints[new.spec.number] = new
         self._listing.change(now, new.spec, api.EndpointState.READY)
         self._listing.change(now, old.spec, api.EndpointState.DRAINING)
--- a/irisstack/lab/world.py
+++ b/irisstack/lab/world.py
@@ -10,7 +10,7 @@
 
 import numpy as np
 
-from irisstack.lab.draws import Draws, between
+from irisstack.lab.sampling import RandomStreams, sample
 from irisstack.lab.scenario import DEFAULT_STRENGTH, OF_LIST, OF_NODES, Kind, Scenario, Trouble
 
 LONGEST_WORK = 10.0
@@ -83,7 +83,7 @@
     """All that is fixed before the first message."""
 
     scenario: Scenario
-    draws: Draws
+    streams: RandomStreams
     destinations: dict[int, DestinationSpec]
     senders: tuple[SenderSpec, ...]
     messages: list[Message]
@@ -98,8 +98,8 @@
 
     def one_way(self) -> dict[int, float]:
         """Seconds from a node to each destination; the same at each call."""
-        stream = self.draws.stream("network")
-        return {number: between(self.scenario.network.one_way_s, stream) for number in self.destinations}
+        stream = self.streams.stream("network")
+        return {number: sample(self.scenario.network.one_way_s, stream) for number in self.destinations}
 
     @property
     def length(self) -> float:
@@ -115,18 +115,18 @@
 
 def build(scenario: Scenario, seed: int | None = None) -> World:
     """Draw a world; the scenario's own seed unless told."""
-    draws = Draws(scenario.scenario.seed if seed is None else seed)
-    destinations = _destinations(scenario, draws)
+    streams = RandomStreams(scenario.scenario.seed if seed is None else seed)
+    destinations = _destinations(scenario, streams)
     incidents = tuple(
-        _incident(i, trouble, scenario, destinations, draws) for i, trouble in enumerate(scenario.troubles)
+        _incident(i, trouble, scenario, destinations, streams) for i, trouble in enumerate(scenario.troubles)
     )
-    senders = _senders(scenario, draws)
+    senders = _senders(scenario, streams)
     world = World(
         scenario,
-        draws,
+        streams,
         destinations,
         senders,
-        _messages(scenario, destinations, senders, incidents, draws),
+        _messages(scenario, destinations, senders, incidents, streams),
         incidents,
     )
     world.endpoints = {e.number: e for d in destinations.values() for e in d.endpoints}
@@ -145,7 +145,7 @@
     return np.asarray(raw / raw.sum())
 
 
-def _destinations(scenario: Scenario, draws: Draws) -> dict[int, DestinationSpec]:
+def _destinations(scenario: Scenario, streams: RandomStreams) -> dict[int, DestinationSpec]:
     found: dict[int, DestinationSpec] = {}
     all_traffic = sum(kind.traffic for kind in scenario.kinds)
     work = mean_work(scenario)
@@ -154,12 +154,12 @@
         parts = _parts(kind.count, kind.skew) * kind.traffic / all_traffic * scenario.traffic.rate
         for i, traffic in enumerate(parts.tolist()):
             number = len(found) + 1
-            stream = draws.stream("destination", kind.name, i)
-            pace = between(kind.pace, stream)
-            capacity = max(kind.least_capacity, traffic * between(kind.capacity, stream))
+            stream = streams.stream("destination", kind.name, i)
+            pace = sample(kind.pace, stream)
+            capacity = max(kind.least_capacity, traffic * sample(kind.capacity, stream))
             limit = 0.0
             if kind.limit is not None:
-                limit = max(kind.limit.least, traffic * between(kind.limit.of_traffic, stream))
+                limit = max(kind.limit.least, traffic * sample(kind.limit.of_traffic, stream))
             low, high = kind.endpoints if isinstance(kind.endpoints, list) else (kind.endpoints,) * 2
             many = int(stream.integers(low, high + 1))
             # Work goes in whole servers; the pace takes up what rounding leaves over.
@@ -180,11 +180,11 @@
     return found
 
 
-def _senders(scenario: Scenario, draws: Draws) -> tuple[SenderSpec, ...]:
+def _senders(scenario: Scenario, streams: RandomStreams) -> tuple[SenderSpec, ...]:
     told = scenario.senders
     parts = _parts(told.count, told.skew)
-    stream = draws.stream("senders")
-    slots, room = between(told.slots, stream), between(told.room_s, stream)
+    stream = streams.stream("senders")
+    slots, room = sample(told.slots, stream), sample(told.room_s, stream)
     busy = scenario.traffic.rate * (mean_work(scenario) + 2.0 * _middle(scenario.network.one_way_s))
     return tuple(
         SenderSpec(
@@ -202,13 +202,17 @@
 
 
 def _incident(
-    index: int, trouble: Trouble, scenario: Scenario, destinations: dict[int, DestinationSpec], draws: Draws
+    index: int,
+    trouble: Trouble,
+    scenario: Scenario,
+    destinations: dict[int, DestinationSpec],
+    streams: RandomStreams,
 ) -> Incident:
-    stream = draws.stream("trouble", index, trouble.kind)
-    begins = between(trouble.at_s, stream)
-    ends = begins + between(trouble.for_s, stream)
+    stream = streams.stream("trouble", index, trouble.kind)
+    begins = sample(trouble.at_s, stream)
+    ends = begins + sample(trouble.for_s, stream)
     strength = trouble.strength if trouble.strength is not None else DEFAULT_STRENGTH.get(trouble.kind, 0.0)
-    drawn = between(strength, stream)
+    drawn = sample(strength, stream)
     if trouble.kind in OF_LIST:
         return Incident(trouble, begins, ends, strength=drawn)
     if trouble.kind in OF_NODES:
@@ -236,7 +240,7 @@
     destinations: dict[int, DestinationSpec],
     senders: tuple[SenderSpec, ...],
     incidents: tuple[Incident, ...],
-    draws: Draws,
+    streams: RandomStreams,
 ) -> list[Message]:
     """Everything that is handed in, in order of time."""
     traffic, length = scenario.traffic, scenario.scenario.length_s
@@ -245,13 +249,13 @@
         traffic.swing,
         traffic.wave_s,
         length,
-        draws.stream("arrivals"),
+        streams.stream("arrivals"),
     )
     numbers = np.asarray(list(destinations))
     flow = np.asarray([d.traffic for d in destinations.values()])
-    where = draws.stream("arrivals", "where").choice(numbers, size=times.size, p=flow / flow.sum())
+    where = streams.stream("arrivals", "where").choice(numbers, size=times.size, p=flow / flow.sum())
 
-    clumps = draws.stream("clumps")
+    clumps = streams.stream("clumps")
     begun = _poisson(traffic.rate * traffic.clumped / traffic.clump, 0.0, 1.0, length, clumps)
     clump_times = np.repeat(begun, traffic.clump) + clumps.uniform(0.0, 0.2, begun.size * traffic.clump)
     clump_where = np.repeat(clumps.choice(numbers, size=begun.size, p=flow / flow.sum()), traffic.clump)
@@ -259,7 +263,7 @@
 
     for i, incident in enumerate(incidents):
         if incident.trouble.kind == "hot":
-            stream = draws.stream("hot", i)
+            stream = streams.stream("hot", i)
             more = incident.begins + _poisson(
                 traffic.rate * incident.strength, 0.0, 1.0, incident.ends - incident.begins, stream
             )
@@ -271,11 +275,11 @@
     keep = times < length
     times, where = times[keep], where[keep]
     shares = np.asarray([kind.share for kind in scenario.classes])
-    kinds = draws.stream("classes").choice(shares.size, size=times.size, p=shares / shares.sum())
+    kinds = streams.stream("classes").choice(shares.size, size=times.size, p=shares / shares.sum())
     parts = np.asarray([sender.part for sender in senders])
-    by = draws.stream("entry").choice(parts.size, size=times.size, p=parts / parts.sum())
-    work = _work(scenario, kinds, draws)
-    keys = draws.stream("order").random(times.size)
+    by = streams.stream("entry").choice(parts.size, size=times.size, p=parts / parts.sum())
+    work = _work(scenario, kinds, streams)
+    keys = streams.stream("order").random(times.size)
     orders = np.asarray([kind.order_keys for kind in scenario.classes])[kinds]
     order_keys = np.where(orders > 0, where * 1000 + (keys * orders).astype(int), -1)
     columns = zip(
@@ -290,11 +294,11 @@
     return [Message(i + 1, *row) for i, row in enumerate(columns)]
 
 
-def _work(scenario: Scenario, kinds: np.ndarray, draws: Draws) -> np.ndarray:
+def _work(scenario: Scenario, kinds: np.ndarray, streams: RandomStreams) -> np.ndarray:
     """Times its class's mean, log-normal with that mean at one."""
     spread = np.asarray([kind.work_spread for kind in scenario.classes])[kinds]
     sigma = np.sqrt(np.log1p(spread**2))
-    normal = draws.stream("work").standard_normal(kinds.size)
+    normal = streams.stream("work").standard_normal(kinds.size)
     return np.asarray(np.minimum(np.exp(sigma * normal - sigma**2 / 2.0), LONGEST_WORK))
 
 
