Rename the laboratory's told module to node_settings

Cause: `told` did not say that it builds the settings object which the platform gives a node. Change: lab/told.py is lab/node_settings.py; settings_of is decision_settings, REPEAT is REPEAT_WIRE_NAMES. The object is unchanged. Tests: ruff, format, mypy, import contracts; tests/lab/test_virtual.py and tests/lab/sockets/test_play.py: 59 passed.

--- a/irisstack/lab/told.py
+++ b/irisstack/lab/node_settings.py
@@ -1,4 +1,4 @@
-"""What a node is told of a scenario: the platform's settings object, the same for both ways of playing it."""
+"""The settings that the platform gives a node in a scenario, the same in virtual time and on sockets."""
 
 from typing import Any
 
@@ -6,18 +6,19 @@
 from irisstack import settings
 from irisstack.lab.world import World
 
-REPEAT = {"safe": "read_like", "keyed": "idempotency_key", "unsafe": "non_idempotent"}
+REPEAT_WIRE_NAMES = {"safe": "read_like", "keyed": "idempotency_key", "unsafe": "non_idempotent"}
+"""A scenario's word for how a class may be repeated, and the platform's."""
 ZONE = "lab"
 TENANT = "lab"
 
 
 def settings_object(world: World, sender: int) -> dict[str, Any]:
-    """The settings of one node as JSON values, with the platform's names."""
+    """One node's settings object as JSON values, under the platform's keys; times are seconds."""
     scenario, spec = world.scenario, world.senders[sender]
-    told, rules = scenario.senders, scenario.rules
-    colds = [kind.cold for kind in scenario.kinds]  # one set of figures is told: the most delicate of each
+    senders, rules = scenario.senders, scenario.rules
+    cold_starts = [kind.cold for kind in scenario.kinds]  # the platform has one figure for all: the strictest
     return {
-        "balancers": told.count,
+        "balancers": senders.count,
         "ordinal": sender,
         "discovery": scenario.endpoint_list.mode,
         "failureDomains": [ZONE],
@@ -25,15 +26,15 @@
         "weights": "nominal" if scenario.endpoint_list.rates else "off",
         "resolution": 0.005,
         "allowed": {
-            "attemptsCap": told.max_attempts,
-            "cancel": told.may_cancel,
-            "mayDuplicate": told.may_duplicate,
-            "dialTimeout": told.connect_timeout_s,
-            "keepalive": told.keepalive_s,
-            "maxRetryAfter": told.max_retry_after_s,
+            "attemptsCap": senders.max_attempts,
+            "cancel": senders.may_cancel,
+            "mayDuplicate": senders.may_duplicate,
+            "dialTimeout": senders.connect_timeout_s,
+            "keepalive": senders.keepalive_s,
+            "maxRetryAfter": senders.max_retry_after_s,
             "mostHeld": spec.room,
             "multiplex": 1,
-            "retryAfter": told.advises_retry_after,
+            "retryAfter": senders.advises_retry_after,
         },
         "extra": {
             "batchByKind": [kind.shared_calls for kind in scenario.kinds],
@@ -44,17 +45,17 @@
         "invariants": {
             "answerSlack": 0.02,
             "askWithin": 10.0 if scenario.endpoint_list.mode == "on_request" else None,
-            "cold": max(cold.warm_s for cold in colds),
+            "cold": max(cold.warm_s for cold in cold_starts),
             "drainGrace": rules.drain_grace_s,
-            "fall": min(cold.tip_s for cold in colds),
-            "startCapacity": min(cold.start for cold in colds),
-            "tipMultiple": min(cold.tip_multiple for cold in colds),
+            "fall": min(cold.tip_s for cold in cold_starts),
+            "startCapacity": min(cold.start for cold in cold_starts),
+            "tipMultiple": min(cold.tip_multiple for cold in cold_starts),
             "orderPause": rules.order_pause_s,
         },
         "lanes": [
             {
                 "name": kind.name,
-                "repeat": REPEAT[kind.repeat],
+                "repeat": REPEAT_WIRE_NAMES[kind.repeat],
                 "group": "all" if kind.scope == "destination" else "zone",
                 "window": kind.window_s,
                 "slo": kind.aim_s,
@@ -70,8 +71,8 @@
     }
 
 
-def settings_of(world: World, sender: int) -> api.Settings:
-    """The same as the decision module takes it."""
+def decision_settings(world: World, sender: int) -> api.Settings:
+    """The same settings as the decision module takes them."""
     raw = settings_object(world, sender)
     if raw["invariants"]["askWithin"] is None:
         del raw["invariants"]["askWithin"]
--- a/irisstack/lab/sockets/clients.py
+++ b/irisstack/lab/sockets/clients.py
@@ -9,9 +9,9 @@
 
 from irisstack.lab import ledger as book
 from irisstack.lab.clients import LEAST_TIME, Behaviour
+from irisstack.lab.node_settings import TENANT
 from irisstack.lab.sockets import http
 from irisstack.lab.sockets.stage import Handing, Stage
-from irisstack.lab.told import TENANT
 from irisstack.lab.world import Message
 
 ANSWER_WITHIN = 0.4
--- a/irisstack/lab/sockets/nodes.py
+++ b/irisstack/lab/sockets/nodes.py
@@ -17,10 +17,10 @@
 from gevent import subprocess as green
 
 from irisstack.lab import ledger as book
+from irisstack.lab.node_settings import settings_object
 from irisstack.lab.sockets import http
 from irisstack.lab.sockets.partners import HOST
 from irisstack.lab.sockets.stage import Stage
-from irisstack.lab.told import settings_object
 
 READY_WITHIN = 30.0
 """Seconds in which a node must answer that it serves."""
--- a/irisstack/lab/sockets/platform.py
+++ b/irisstack/lab/sockets/platform.py
@@ -14,11 +14,11 @@
 from gevent.server import StreamServer
 
 from irisstack.lab import ledger as book
+from irisstack.lab.node_settings import ZONE
 from irisstack.lab.sampling import sample
 from irisstack.lab.sockets import http
 from irisstack.lab.sockets.partners import HOST
 from irisstack.lab.sockets.stage import Stage
-from irisstack.lab.told import ZONE
 
 BEAT = 2.0
 """Seconds between the empty lines of a watch."""
--- a/irisstack/lab/virtual/play.py
+++ b/irisstack/lab/virtual/play.py
@@ -10,10 +10,10 @@
 from irisstack.lab import ledger as book
 from irisstack.lab import troubles
 from irisstack.lab.clients import LEAST_TIME, Behaviour
+from irisstack.lab.node_settings import decision_settings
 from irisstack.lab.partner import Answer, Destination, Endpoint, Item, PartnerCall
 from irisstack.lab.policy import Maker, Policy
 from irisstack.lab.sampling import sample
-from irisstack.lab.told import settings_of
 from irisstack.lab.virtual.clock import Clock
 from irisstack.lab.virtual.listing import Listing, address, number_of
 from irisstack.lab.virtual.node import END_BY, Node, OutCall, Owed
@@ -71,7 +71,7 @@
         self._seeds = world.streams.stream("seeds")
         self._nodes: list[Node] = []
         for spec in world.senders:
-            settings = settings_of(world, spec.number)
+            settings = decision_settings(world, spec.number)
             self._nodes.append(
                 Node(spec.number, settings, self._policy(settings), self._clock, self, self._ledger)
             )
