Rename the laboratory's stage module to run_context

Cause: `Stage`, `Handing`, `touch`, `fault` did not say that they are a run's shared state and a client's submissions. Change: lab/sockets/stage.py is run_context.py; Stage is RunContext, StageError RunError, Handing Submission, hand submit, touch mark_changed, take_touched take_changed, touched_elsewhere apply_remote_change, fault invalidate, faults invalid_reasons, came_back on_refused, began started_at, parse parse_request_id. Lines between processes are unchanged.

--- a/irisstack/cli/lab.py
+++ b/irisstack/cli/lab.py
@@ -233,7 +233,7 @@
 def _run(found: "Scenario", seed: int | None, out: Path, as_json: bool) -> None:
     from irisstack.lab import results
     from irisstack.lab.sockets.play import play
-    from irisstack.lab.sockets.stage import StageError
+    from irisstack.lab.sockets.run_context import RunError
     from irisstack.lab.world import build
 
     seed = found.scenario.seed if seed is None else seed
@@ -242,7 +242,7 @@
     try:
         with _bar(found.scenario.name) as progress:
             played = play(world, folder / "nodes", progress)
-    except (StageError, OSError) as error:
+    except (RunError, OSError) as error:
         output.fail(str(error))
     run, worth, breaches = results.audited(
         world, played.ledger, way="sockets", policy="module", seed=seed, cpu_s=played.cpu_s
@@ -281,7 +281,7 @@
 ) -> None:
     """Raise the rate step by step on one real node, without SCENARIO's troubles, until it turns."""
     from irisstack.lab import knee as climbing
-    from irisstack.lab.sockets.stage import StageError
+    from irisstack.lab.sockets.run_context import RunError
 
     found = _scenario(scenario, changes)
     folder = out / f"{found.scenario.name}-knee"
@@ -291,7 +291,7 @@
             seen.extend(climbing.climb(found, first, steps, seconds, progress))
         folder.mkdir(parents=True, exist_ok=True)
         climbing.write_page(folder / "report.html", found.scenario.name, seen)
-    except (StageError, OSError) as error:
+    except (RunError, OSError) as error:
         output.fail(str(error))
     output.table(climbing.COLUMNS, climbing.rows(seen), as_json)
     click.echo(climbing.verdict(seen), err=True)
--- a/irisstack/lab/sockets/clients.py
+++ b/irisstack/lab/sockets/clients.py
@@ -11,7 +11,7 @@
 from irisstack.lab.clients import LEAST_TIME, Behaviour
 from irisstack.lab.node_settings import TENANT
 from irisstack.lab.sockets import http
-from irisstack.lab.sockets.stage import Handing, Stage
+from irisstack.lab.sockets.run_context import RunContext, Submission
 from irisstack.lab.world import Message
 
 ANSWER_WITHIN = 0.4
@@ -24,29 +24,31 @@
 class Clients:
     """All clients of a run."""
 
-    def __init__(self, stage: Stage, addresses: list[tuple[str, int]], up: Callable[[], list[int]]) -> None:
-        self._stage = stage
+    def __init__(
+        self, context: RunContext, addresses: list[tuple[str, int]], up: Callable[[], list[int]]
+    ) -> None:
+        self._context = context
         self._addresses = addresses
         self._up = up
-        self._behaviour = Behaviour(stage.world.scenario.clients, stage.world.streams)
+        self._behaviour = Behaviour(context.world.scenario.clients, context.world.streams)
         self._idle: list[deque[socket.socket]] = [deque() for _ in addresses]
-        self.waiting = len(stage.world.messages)
+        self.waiting = len(context.world.messages)
         """Messages still to be handed in, or once more."""
         self.lateness: list[float] = []
-        """Seconds by which each first handing in was late: the load's own fault."""
-        stage.came_back = self._refused
+        """Seconds by which each first submission was late: a fault of the load itself."""
+        context.on_refused = self._refused
 
     def run(self) -> None:
         """Hand in every message at its time."""
-        for message in self._stage.world.messages:
-            pause = message.at - self._stage.now()
+        for message in self._context.world.messages:
+            pause = message.at - self._context.now()
             if pause > 0.0:
                 gevent.sleep(pause)
-            self.lateness.append(max(0.0, self._stage.now() - message.at))
-            gevent.spawn(self._hand_in, self._stage.now(), message, 1, "")
+            self.lateness.append(max(0.0, self._context.now() - message.at))
+            gevent.spawn(self._submit, self._context.now(), message, 1, "")
 
-    def _hand_in(self, now: float, message: Message, tries: int, mark: str) -> None:
-        kind = self._stage.world.scenario.classes[message.message_class]
+    def _submit(self, now: float, message: Message, tries: int, mark: str) -> None:
+        kind = self._context.world.scenario.classes[message.message_class]
         due = message.at + kind.deadline_s
         up = self._up()
         if not up:
@@ -54,11 +56,11 @@
             return
         node = message.sender if message.sender in up else up[message.number % len(up)]
         self.waiting -= 1
-        id_, handing = self._stage.hand(message, node, due, tries)
+        id_, submission = self._context.submit(message, node, due, tries)
         # The platform's protocol carries no key to keep order by, so that none is asked for here.
-        self._stage.ledger.append(
+        self._context.ledger.append(
             book.HandedIn(
-                now, node, handing.number, message.number, message.message_class, message.destination, due
+                now, node, submission.number, message.number, message.message_class, message.destination, due
             )
         )
         headers = {
@@ -74,17 +76,17 @@
             headers["X-Retried"] = mark
         data = http.request("POST", f"/{kind.name}", "backend.local", headers, BODY)
         if self._behaviour.leaves():
-            self._leave(node, data, handing)
+            self._leave(node, data, submission)
             return
         reply = self._ask(node, data)
         if reply is None:
-            self._unheard(handing, message, tries, due)
+            self._unheard(submission, message, tries, due)
         elif reply.status in (200, 202):
-            self._stage.ledger.append(book.TakenOn(self._stage.now(), node, handing.number))
+            self._context.ledger.append(book.TakenOn(self._context.now(), node, submission.number))
         elif reply.status in (429, 503):
-            self._stage.end(handing, "refused", _seconds(reply.headers.get("retry-after", "")))
+            self._context.end(submission, "refused", _seconds(reply.headers.get("retry-after", "")))
         else:
-            self._stage.end(handing, "failed")
+            self._context.end(submission, "failed")
 
     def _ask(self, node: int, data: bytes) -> http.Reply | None:
         """One request and its answer; a kept connection that was closed meanwhile is no failure."""
@@ -121,49 +123,49 @@
                 if not kept or (not wrote and node not in self._up()):
                     return None
 
-    def _leave(self, node: int, data: bytes, handing: Handing) -> None:
+    def _leave(self, node: int, data: bytes, submission: Submission) -> None:
         """Hand in and go, without reading the answer."""
         try:
             with socket.create_connection(self._addresses[node], timeout=ANSWER_WITHIN) as sock:
                 sock.sendall(data)
         except OSError:
             pass
-        self._stage.end(handing, "unheard")
+        self._context.end(submission, "unheard")
 
-    def _unheard(self, handing: Handing, message: Message, tries: int, due: float) -> None:
+    def _unheard(self, submission: Submission, message: Message, tries: int, due: float) -> None:
         """No answer: the node may be dead. What it does under the old id counts for nothing."""
-        if handing.over:
+        if submission.over:
             return
-        self._stage.end(handing, "unheard")
+        self._context.end(submission, "unheard")
         self.waiting += 1
-        self._elsewhere(self._stage.now(), message, tries, due)
+        self._elsewhere(self._context.now(), message, tries, due)
 
     def lost(self, now: float, node: int) -> None:
         """A node's folder is gone: what it held is handed in elsewhere, where that doubles no effect."""
-        for handing in list(self._stage.handings.values()):
-            if handing.node == node and not handing.over:
-                handing.over = True  # no end is owed for it any more
-                kind = self._stage.world.scenario.classes[handing.message.message_class]
-                if kind.repeat != "unsafe" or not handing.called:
+        for submission in list(self._context.submissions.values()):
+            if submission.node == node and not submission.over:
+                submission.over = True  # no end is owed for it any more
+                kind = self._context.world.scenario.classes[submission.message.message_class]
+                if kind.repeat != "unsafe" or not submission.called:
                     self.waiting += 1
-                    self._elsewhere(now, handing.message, handing.tries, handing.due)
+                    self._elsewhere(now, submission.message, submission.tries, submission.due)
 
     def _elsewhere(self, now: float, message: Message, tries: int, due: float) -> None:
         wait = self._behaviour.tries_elsewhere()
         if now + wait + LEAST_TIME < due:
-            self._stage.after(wait, self._hand_in, message, tries, "again")
+            self._context.after(wait, self._submit, message, tries, "again")
             return
         self.waiting -= 1
         if tries == 1:
-            self._stage.ledger.append(
+            self._context.ledger.append(
                 book.Missed(now, message.number, message.message_class, message.destination, due)
             )
 
-    def _refused(self, now: float, handing: Handing, advice: float) -> None:
-        pause = self._behaviour.comes_again(handing.tries, advice, handing.due - now)
+    def _refused(self, now: float, submission: Submission, advice: float) -> None:
+        pause = self._behaviour.comes_again(submission.tries, advice, submission.due - now)
         if pause is not None:
             self.waiting += 1
-            self._stage.after(pause, self._hand_in, handing.message, handing.tries + 1, "1")
+            self._context.after(pause, self._submit, submission.message, submission.tries + 1, "1")
 
 
 def _seconds(text: str) -> float:
--- a/irisstack/lab/sockets/elsewhere.py
+++ b/irisstack/lab/sockets/elsewhere.py
@@ -12,7 +12,7 @@
 
 from irisstack.lab import ledger as book
 from irisstack.lab.sockets.partners import Partners
-from irisstack.lab.sockets.stage import Stage, StageError
+from irisstack.lab.sockets.run_context import RunContext, RunError
 from irisstack.lab.sockets.strikes import Listed, Strikes
 
 START_WITHIN = 30.0
@@ -36,13 +36,13 @@
 class Here:
     """In this process: for small runs, and for tests that reach in."""
 
-    def __init__(self, stage: Stage) -> None:
-        self._stage = stage
-        self._partners = Partners(stage)
+    def __init__(self, context: RunContext) -> None:
+        self._context = context
+        self._partners = Partners(context)
         self.addresses = {number: server.address for number, server in self._partners.servers.items()}
 
     def begin(self, listed: Listed) -> None:
-        Strikes(self._stage, self._partners, listed).plan()
+        Strikes(self._context, self._partners, listed).plan()
 
     def end(self) -> tuple[float, float]:
         self._partners.stop()
@@ -52,14 +52,14 @@
 class Elsewhere:
     """In so many processes, each with destinations of its own."""
 
-    def __init__(self, stage: Stage, folder: Path, processes: int, seed: int) -> None:
-        self._stage = stage
+    def __init__(self, context: RunContext, folder: Path, processes: int, seed: int) -> None:
+        self._context = context
         self.addresses: dict[int, tuple[str, int]] = {}
         self._listed: Listed = lambda endpoint, destination, phase, address: None
         self._workers: list[_Worker] = []
         shares: list[list[int]] = [[] for _ in range(processes)]
         loads = [0.0] * processes
-        for spec in sorted(stage.world.destinations.values(), key=lambda spec: -spec.traffic):
+        for spec in sorted(context.world.destinations.values(), key=lambda spec: -spec.traffic):
             least = loads.index(min(loads))
             shares[least].append(spec.number)
             loads[least] += spec.traffic
@@ -67,7 +67,7 @@
             self._workers.append(_Worker(self, number, folder / f"partners-{number}.jsonl.gz"))
             self._workers[-1].say(
                 {
-                    "scenario": stage.world.scenario.model_dump(),
+                    "scenario": context.world.scenario.model_dump(),
                     "seed": seed,
                     "process": number,
                     "destinations": share,
@@ -77,21 +77,21 @@
         for worker in self._workers:
             if not worker.ready.wait(START_WITHIN):
                 self.end()
-                raise StageError("a process of partners did not start")
+                raise RunError("a process of partners did not start")
 
     def begin(self, listed: Listed) -> None:
         self._listed = listed
         for worker in self._workers:
-            worker.say({"began": self._stage.began})
+            worker.say({"began": self._context.started_at})
 
     def end(self) -> tuple[float, float]:
         late = [gevent.spawn(worker.end) for worker in self._workers]
         gevent.joinall(late)
         for worker in self._workers:
             if worker.ledger.exists():
-                self._stage.ledger.extend(book.read(worker.ledger))
+                self._context.ledger.extend(book.read(worker.ledger))
             else:
-                self._stage.fault("a process of partners was lost, with what it had seen")
+                self._context.invalidate("a process of partners was lost, with what it had seen")
         return (
             max((worker.late[0] for worker in self._workers), default=0.0),
             max((worker.late[1] for worker in self._workers), default=0.0),
@@ -100,7 +100,7 @@
     def heard(self, news: dict[str, Any]) -> None:
         """A line from one of the processes."""
         for number, over in news.get("news", ()):
-            self._stage.touched_elsewhere(number, over=over)
+            self._context.apply_remote_change(number, over=over)
         if "ready" in news:
             self.addresses.update(
                 {int(number): (host, port) for number, (host, port) in news["ready"].items()}
@@ -108,8 +108,8 @@
         if "listed" in news:
             endpoint, destination, phase, host, port = news["listed"]
             self._listed(endpoint, destination, phase, (host, port))
-        for fault in news.get("faults", ()):
-            self._stage.fault(fault)
+        for reason in news.get("faults", ()):
+            self._context.invalidate(reason)
 
 
 class _Worker:
--- a/irisstack/lab/sockets/nodes.py
+++ b/irisstack/lab/sockets/nodes.py
@@ -20,7 +20,7 @@
 from irisstack.lab.node_settings import settings_object
 from irisstack.lab.sockets import http
 from irisstack.lab.sockets.partners import HOST
-from irisstack.lab.sockets.stage import Stage
+from irisstack.lab.sockets.run_context import RunContext
 
 READY_WITHIN = 30.0
 """Seconds in which a node must answer that it serves."""
@@ -49,12 +49,12 @@
 class NodeProcess:
     """One node: its folder, its address, and its process while it has one."""
 
-    def __init__(self, number: int, folder: Path, stage: Stage, platform: str) -> None:
+    def __init__(self, number: int, folder: Path, context: RunContext, platform: str) -> None:
         self.number = number
         self.address = (HOST, free_port())
         self.up = False
         self.cpu_s = 0.0
-        self._stage = stage
+        self._context = context
         self._folder = folder
         self._state = folder / f"state-{number}"
         self._config = folder / f"node-{number}.json"
@@ -66,7 +66,7 @@
     def start(self, known: Mapping[str, Any]) -> None:
         """Start the process with a list as last held; `up` once it serves."""
         self._state.mkdir(exist_ok=True)
-        settings = settings_object(self._stage.world, self.number)
+        settings = settings_object(self._context.world, self.number)
         settings["invariants"] = {k: v for k, v in settings["invariants"].items() if v is not None}
         self._config.write_text(
             json.dumps(
@@ -102,7 +102,7 @@
         if process is self._process:
             self.up = False
             if not self._expected:
-                self._stage.fault(f"node {self.number} ended by itself with code {code}")
+                self._context.invalidate(f"node {self.number} ended by itself with code {code}")
 
     def wait_ready(self) -> bool:
         """Wait until the node answers that it serves."""
@@ -138,7 +138,7 @@
         self._expected, self.up = True, False
         self.cpu_s += self.cpu()
         self.signal(signal.SIGKILL)
-        self._stage.ledger.append(book.NodeState(now, self.number, "lost" if disk_lost else "killed"))
+        self._context.ledger.append(book.NodeState(now, self.number, "lost" if disk_lost else "killed"))
         if self._process is not None:
             self._process.wait()
         if disk_lost:
@@ -147,26 +147,26 @@
     def stop(self, now: float) -> None:
         """SIGTERM; the node may go on for a while."""
         self._expected = True
-        self._stage.ledger.append(book.NodeState(now, self.number, "stopping"))
+        self._context.ledger.append(book.NodeState(now, self.number, "stopping"))
         self.signal(signal.SIGTERM)
 
     def restart(self, now: float, known: Mapping[str, Any]) -> None:
         """Start again with nothing but the folder."""
         self.start(known)
         if self.wait_ready():
-            self._stage.ledger.append(book.NodeState(self._stage.now(), self.number, "ready"))
+            self._context.ledger.append(book.NodeState(self._context.now(), self.number, "ready"))
         else:
-            self._stage.fault(f"node {self.number} did not come back")
+            self._context.invalidate(f"node {self.number} did not come back")
 
     def stall(self, now: float, until: float) -> None:
         """SIGSTOP, and SIGCONT at that time."""
-        self._stage.ledger.append(book.NodeState(now, self.number, "stalled"))
+        self._context.ledger.append(book.NodeState(now, self.number, "stalled"))
         self.signal(signal.SIGSTOP)
-        self._stage.at(until, self._wake)
+        self._context.at(until, self._wake)
 
     def _wake(self, now: float) -> None:
         self.signal(signal.SIGCONT)
-        self._stage.ledger.append(book.NodeState(now, self.number, "awake"))
+        self._context.ledger.append(book.NodeState(now, self.number, "awake"))
 
     def cpu(self) -> float:
         """Seconds of CPU that the present process has used."""
--- a/irisstack/lab/sockets/partner_process.py
+++ b/irisstack/lab/sockets/partner_process.py
@@ -15,7 +15,7 @@
 from irisstack.lab.lateness import Lateness
 from irisstack.lab.scenario import Scenario
 from irisstack.lab.sockets.partners import Partners
-from irisstack.lab.sockets.stage import Handing, Stage, parse
+from irisstack.lab.sockets.run_context import RunContext, Submission, parse_request_id
 from irisstack.lab.sockets.strikes import Strikes
 from irisstack.lab.world import build
 
@@ -25,17 +25,19 @@
 """Between the numbers of new endpoints of one process and the next."""
 
 
-class RemoteStage(Stage):
-    """A stage that learns of a message from its request id."""
+class RemoteRunContext(RunContext):
+    """The run as a worker process knows it: submissions are recovered from their request ids."""
 
-    def find(self, id_: str) -> Handing | None:
-        found = self.handings.get(id_)
-        if found is None and (parts := parse(id_)) is not None:
+    def find(self, id_: str) -> Submission | None:
+        found = self.submissions.get(id_)
+        if found is None and (parts := parse_request_id(id_)) is not None:
             number, chain, node = parts
             if 0 < chain <= len(self.world.messages):
                 message = self.world.messages[chain - 1]
                 kind = self.world.scenario.classes[message.message_class]
-                found = self.handings[id_] = Handing(number, message, node, message.at + kind.deadline_s, 1)
+                found = self.submissions[id_] = Submission(
+                    number, message, node, message.at + kind.deadline_s, 1
+                )
         return found
 
 
@@ -45,15 +47,15 @@
     told = json.loads(lines.readline())
     world = build(Scenario.model_validate(told["scenario"]), told["seed"])
     world.next_endpoint += told["process"] * NUMBERS_APART
-    stage = RemoteStage(world)
-    partners = Partners(stage, told["destinations"])
+    context = RemoteRunContext(world)
+    partners = Partners(context, told["destinations"])
 
     def say(**news: Any) -> None:
         sys.stdout.write(json.dumps(news) + "\n")
         sys.stdout.flush()
 
     strikes = Strikes(
-        stage,
+        context,
         partners,
         lambda endpoint, destination, phase, address: say(listed=[endpoint, destination, phase, *address]),
     )
@@ -61,32 +63,32 @@
     begun = json.loads(lines.readline() or b"{}")
     if "began" not in begun:
         return 1
-    stage.began = begun["began"]
+    context.started_at = begun["began"]
     strikes.plan()
     lateness = Lateness()
     helpers: list[gevent.Greenlet[..., None]] = [
         gevent.spawn(lateness.watch),
-        gevent.spawn(_tell_news, stage, say),
+        gevent.spawn(_tell_news, context, say),
     ]
     lines.readline()  # "stop", or the end of the other process
     gevent.killall(helpers)
     partners.stop()
-    book.write(Path(told["ledger"]), stage.ledger)
-    say(done=[lateness.at(0.99), lateness.most], faults=stage.faults)
+    book.write(Path(told["ledger"]), context.ledger)
+    say(done=[lateness.at(0.99), lateness.most], faults=context.invalid_reasons)
     return 0
 
 
-def _tell_news(stage: Stage, say: Any) -> None:
+def _tell_news(context: RunContext, say: Any) -> None:
     """Which messages were called or delivered since the last line."""
     known: dict[int, tuple[bool, bool]] = {}
     while True:
         gevent.sleep(NEWS_EVERY)
         news = []
-        for handing in stage.take_touched():
-            state = handing.called, handing.over
-            if known.get(handing.number) != state:
-                known[handing.number] = state
-                news.append([handing.number, handing.over])
+        for submission in context.take_changed():
+            state = submission.called, submission.over
+            if known.get(submission.number) != state:
+                known[submission.number] = state
+                news.append([submission.number, submission.over])
         if news:
             say(news=news)
 
--- a/irisstack/lab/sockets/partners.py
+++ b/irisstack/lab/sockets/partners.py
@@ -12,7 +12,7 @@
 from irisstack.lab import ledger as book
 from irisstack.lab.partner import Answer, Destination, Endpoint, Item, PartnerCall
 from irisstack.lab.sockets import http
-from irisstack.lab.sockets.stage import Handing, Stage
+from irisstack.lab.sockets.run_context import RunContext, Submission
 
 HOST = "127.0.0.1"
 MOST_BODY = 64 * 1024
@@ -29,7 +29,7 @@
     """One call, and the connection that its answer goes to."""
 
     connection: "Connection | None" = None
-    handings: "tuple[Handing, ...]" = ()
+    submissions: "tuple[Submission, ...]" = ()
     ids: tuple[str, ...] = ()
     shared: bool = False
     told: bool = False  # its end stands in the ledger
@@ -98,7 +98,7 @@
     def __init__(self, partners: "Partners", endpoint: Endpoint, one_way: float) -> None:
         self.endpoint = endpoint
         self._partners = partners
-        self._stage = partners.stage
+        self._context = partners.context
         self._one_way = one_way
         self._connections: set[Connection] = set()
         self._server: StreamServer | None = None
@@ -133,7 +133,7 @@
             self.refuse()
 
     def _accept(self, sock: socket.socket, _: object) -> None:
-        now = self._stage.now()
+        now = self._context.now()
         if not self.endpoint.accepts(now):  # it came as the table filled
             sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET)
             sock.close()
@@ -148,7 +148,7 @@
 
     def take(self, connection: Connection, request: http.Request) -> None:
         """A call's last byte has come."""
-        now = self._stage.now()
+        now = self._context.now()
         idle, connection.calls = now - connection.idle_since, connection.calls + 1
         call = self._partners.read(request, connection)
         if call is None:
@@ -156,14 +156,14 @@
             connection.close()
             return
         connection.call = call
-        for handing in call.handings:
-            handing.called = True
-            self._stage.touch(handing)
-            self._stage.ledger.append(
+        for submission in call.submissions:
+            submission.called = True
+            self._context.mark_changed(submission)
+            self._context.ledger.append(
                 book.Sent(
                     now,
-                    handing.node,
-                    handing.number,
+                    submission.node,
+                    submission.number,
                     self.endpoint.spec.number,
                     self.endpoint.destination.spec.number,
                 )
@@ -171,7 +171,7 @@
         if connection.calls > 1 and self.endpoint.dropped(idle):
             self._partners.cut(now, self.endpoint, call)
             return
-        self._stage.after(self._one_way, self._reach, call)
+        self._context.after(self._one_way, self._reach, call)
 
     def _reach(self, now: float, call: SocketCall) -> None:
         if not call.left:
@@ -182,11 +182,11 @@
         self._connections.discard(connection)
         self.endpoint.connections -= 1
         if not self._stopped:
-            self.heed(self._stage.now())
+            self.heed(self._context.now())
         call = connection.call
         if call is not None and not call.left:
             self.endpoint.gone(call)
-            self._partners.tell(call, self._stage.now(), "timeout")
+            self._partners.tell(call, self._context.now(), "timeout")
 
     def write(self, now: float, call: SocketCall, answer: Answer) -> None:
         """Write an answer once it has travelled."""
@@ -195,7 +195,7 @@
             return
         connection.call, connection.idle_since = None, now
         if connection.write(_reply(call, answer)):
-            self._stage.after(CROSSING, self._settle, call, answer, now, connection.calls)
+            self._context.after(CROSSING, self._settle, call, answer, now, connection.calls)
         else:
             self._partners.tell(call, now, "timeout")
 
@@ -244,9 +244,9 @@
 class Partners:
     """All partners of a run; carries out what their models want done."""
 
-    def __init__(self, stage: Stage, only: Sequence[int] | None = None) -> None:
-        self.stage = stage
-        world = stage.world
+    def __init__(self, context: RunContext, only: Sequence[int] | None = None) -> None:
+        self.context = context
+        world = context.world
         self._one_way = world.one_way()
         self.destinations = {
             n: Destination(spec, world, self)
@@ -275,23 +275,25 @@
         """The call that a request makes; `None`, and a fault, if it makes none."""
         shared = request.target == "/v1/messages:batch"
         ids = _batch_ids(request.body) if shared else [request.headers.get("x-request-id", "")]
-        handings = [self.stage.find(id_) for id_ in ids]
-        known = [handing for handing in handings if handing is not None]
+        submissions = [self.context.find(id_) for id_ in ids]
+        known = [submission for submission in submissions if submission is not None]
         endpoint = connection.server.endpoint
         place = endpoint.destination.spec.number
-        if request.method != "POST" or not known or len(known) != len(handings):
-            self.stage.fault(f"endpoint {endpoint.spec.number} got a call with no client's message behind it")
+        if request.method != "POST" or not known or len(known) != len(submissions):
+            self.context.invalidate(
+                f"endpoint {endpoint.spec.number} got a call with no client's message behind it"
+            )
             return None
-        if any(handing.message.destination != place for handing in known):
-            self.stage.fault(f"a message for another destination came to destination {place}")
+        if any(submission.message.destination != place for submission in known):
+            self.context.invalidate(f"a message for another destination came to destination {place}")
             return None
-        items: list[Item] = [handing.item for handing in known]
+        items: list[Item] = [submission.item for submission in known]
         return SocketCall(
             known[0].node,
             items,
             connection.calls == 1,
             connection=connection,
-            handings=tuple(known),
+            submissions=tuple(known),
             ids=tuple(ids),
             shared=shared,
         )
@@ -304,33 +306,35 @@
             return
         call.told = True
         endpoint = call.connection.server.endpoint.spec.number if call.connection is not None else -1
-        for handing in call.handings:
-            self.stage.ledger.append(book.Answered(t, handing.node, handing.number, endpoint, verdict, wait))
-            if (verdict == "ok" or over) and not handing.over:
-                self.stage.end(handing, "delivered", at=t)
+        for submission in call.submissions:
+            self.context.ledger.append(
+                book.Answered(t, submission.node, submission.number, endpoint, verdict, wait)
+            )
+            if (verdict == "ok" or over) and not submission.over:
+                self.context.end(submission, "delivered", at=t)
 
     # ---- what the models want done ----
 
     def after(self, delay: float, act: Callable[..., None], *arguments: object) -> None:
-        self.stage.after(delay, act, *arguments)
+        self.context.after(delay, act, *arguments)
 
     def answer(self, now: float, endpoint: Endpoint, call: PartnerCall, answer: Answer) -> None:
         server = self.servers[endpoint.spec.number]
-        self.stage.after(self._one_way[endpoint.destination.spec.number], server.write, call, answer)
+        self.context.after(self._one_way[endpoint.destination.spec.number], server.write, call, answer)
 
     def spoil(self, now: float, endpoint: Endpoint, call: PartnerCall) -> None:
         server = self.servers[endpoint.spec.number]
-        self.stage.after(self._one_way[endpoint.destination.spec.number], server.spoil, call)
+        self.context.after(self._one_way[endpoint.destination.spec.number], server.spoil, call)
 
     def cut(self, now: float, endpoint: Endpoint, call: PartnerCall) -> None:
         server = self.servers[endpoint.spec.number]
-        self.stage.after(self._one_way[endpoint.destination.spec.number], server.cut, call)
+        self.context.after(self._one_way[endpoint.destination.spec.number], server.cut, call)
 
     def ran(self, now: float, endpoint: Endpoint, item: Item, effect: bool) -> None:
-        self.stage.ledger.append(book.Ran(now, item.message, item.chain, endpoint.spec.number, effect))
+        self.context.ledger.append(book.Ran(now, item.message, item.chain, endpoint.spec.number, effect))
 
     def fell(self, now: float, destination: int) -> None:
-        self.stage.ledger.append(book.Fell(now, destination))
+        self.context.ledger.append(book.Fell(now, destination))
         self.fell_over(now, destination)
 
 
--- a/irisstack/lab/sockets/platform.py
+++ b/irisstack/lab/sockets/platform.py
@@ -18,7 +18,7 @@
 from irisstack.lab.sampling import sample
 from irisstack.lab.sockets import http
 from irisstack.lab.sockets.partners import HOST
-from irisstack.lab.sockets.stage import Stage
+from irisstack.lab.sockets.run_context import RunContext
 
 BEAT = 2.0
 """Seconds between the empty lines of a watch."""
@@ -32,13 +32,13 @@
 class Platform:
     """One address for each node, so that it is known who is told what."""
 
-    def __init__(self, stage: Stage, addresses: Mapping[int, tuple[str, int]]) -> None:
-        self._stage = stage
-        self._late = stage.world.streams.stream("list")
+    def __init__(self, context: RunContext, addresses: Mapping[int, tuple[str, int]]) -> None:
+        self._context = context
+        self._late = context.world.streams.stream("list")
         self._changes: list[tuple[int, dict[str, Any]]] = []
         self._members = {
             number: self._member(number, spec.destination, "SERVING", addresses[number])
-            for number, spec in stage.world.endpoints.items()
+            for number, spec in context.world.endpoints.items()
         }
         self._revision = 1
         self._changed = Event()
@@ -47,7 +47,7 @@
         self.later = 0.0
         """Seconds by which every change is told later than usual."""
         self._servers = []
-        for node in range(len(stage.world.senders)):
+        for node in range(len(context.world.senders)):
             server = StreamServer((HOST, 0), partial(self._serve, node))
             server.start()
             self._servers.append(server)
@@ -67,7 +67,7 @@
     # ---- the list ----
 
     def _member(self, number: int, place: int, phase: str, address: tuple[str, int]) -> dict[str, Any]:
-        destination, (host, port) = self._stage.world.destinations[place], address
+        destination, (host, port) = self._context.world.destinations[place], address
         return {
             "id": f"s-{number}",
             "host_port": f"{host}:{port}",
@@ -81,12 +81,12 @@
 
     def change(self, number: int, place: int, phase: str, address: tuple[str, int]) -> None:
         """An endpoint is so from now on; the list hears of it late."""
-        late = sample(self._stage.world.scenario.endpoint_list.late_s, self._late) + self.later
-        self._stage.after(late, self._hear, number, self._member(number, place, phase, address))
+        late = sample(self._context.world.scenario.endpoint_list.late_s, self._late) + self.later
+        self._context.after(late, self._hear, number, self._member(number, place, phase, address))
 
     def _hear(self, now: float, number: int, member: dict[str, Any]) -> None:
         if self._down:
-            self._stage.after(0.5, self._hear, number, member)
+            self._context.after(0.5, self._hear, number, member)
             return
         self._revision += 1
         if member["phase"] == "DELETED":
@@ -136,17 +136,19 @@
             notices = [json.loads(line) for line in request.body.splitlines() if line]
             told = [(str(n["ref"]), str(n["result"]), float(n.get("wait_ms", 0.0))) for n in notices]
         except (ValueError, KeyError, TypeError):
-            self._stage.fault("a notice that cannot be read came to the platform")
+            self._context.invalidate("a notice that cannot be read came to the platform")
             return HTTPStatus.BAD_REQUEST
         for ref, result, wait_ms in told:
-            handing = self._stage.handings.get(ref)
-            if handing is None or result not in ("dead", "bounced"):
-                self._stage.fault("a notice of nothing that was handed in came to the platform")
+            submission = self._context.submissions.get(ref)
+            if submission is None or result not in ("dead", "bounced"):
+                self._context.invalidate("a notice of nothing that was handed in came to the platform")
                 return HTTPStatus.BAD_REQUEST
             end: book.Result = "failed" if result == "dead" else "refused"
             # A notice told again, or for a message that is over, does no harm; a contradiction does.
-            if not handing.over or (handing.result in ("failed", "refused") and handing.result != end):
-                self._stage.end(handing, end, wait_ms / 1000.0)
+            if not submission.over or (
+                submission.result in ("failed", "refused") and submission.result != end
+            ):
+                self._context.end(submission, end, wait_ms / 1000.0)
         return HTTPStatus.NO_CONTENT
 
     def _watch(self, sock: socket.socket, node: int, since: int) -> None:
@@ -174,8 +176,8 @@
 
     def _told(self, node: int, members: list[dict[str, Any]]) -> None:
         """What is written to a node binds it from now on."""
-        now = self._stage.now()
+        now = self._context.now()
         for member in members:
             state = STATES[member["phase"]]
-            if state != "ready" or int(member["id"][2:]) >= self._stage.world.first_new_endpoint:
-                self._stage.ledger.append(book.Told(now, node, int(member["id"][2:]), state))
+            if state != "ready" or int(member["id"][2:]) >= self._context.world.first_new_endpoint:
+                self._context.ledger.append(book.Told(now, node, int(member["id"][2:]), state))
--- a/irisstack/lab/sockets/play.py
+++ b/irisstack/lab/sockets/play.py
@@ -16,7 +16,7 @@
 from irisstack.lab.sockets.elsewhere import Elsewhere, Here, Troupe
 from irisstack.lab.sockets.nodes import KILL_AFTER, NodeProcess
 from irisstack.lab.sockets.platform import Platform
-from irisstack.lab.sockets.stage import Stage, StageError
+from irisstack.lab.sockets.run_context import RunContext, RunError
 from irisstack.lab.world import Incident, World
 
 LATE = 0.05
@@ -52,7 +52,7 @@
     The partners live in so many processes of their own, or in this one for 0.
     """
     if len(world.senders) > MOST_NODES:
-        raise StageError(f"senders.count: {len(world.senders)} processes are due, {MOST_NODES} at the most")
+        raise RunError(f"senders.count: {len(world.senders)} processes are due, {MOST_NODES} at the most")
     with tempfile.TemporaryDirectory(prefix="irisstack-lab-") as temporary:
         folder = Path(temporary) if logs is None else logs
         if folder.exists():  # what an earlier run's nodes owed is not for this one's
@@ -89,18 +89,18 @@
     ) -> None:
         self._world = world
         self._progress = progress
-        self._stage = Stage(world)
-        self._stage.began = time.monotonic()
+        self._context = RunContext(world)
+        self._context.started_at = time.monotonic()
         self._troupe: Troupe = (
-            Elsewhere(self._stage, folder, processes, seed) if processes else Here(self._stage)
+            Elsewhere(self._context, folder, processes, seed) if processes else Here(self._context)
         )
-        self._platform = Platform(self._stage, self._troupe.addresses)
+        self._platform = Platform(self._context, self._troupe.addresses)
         self._nodes = [
-            NodeProcess(spec.number, folder, self._stage, self._platform.address(spec.number))
+            NodeProcess(spec.number, folder, self._context, self._platform.address(spec.number))
             for spec in world.senders
         ]
         self._clients = Clients(
-            self._stage,
+            self._context,
             [node.address for node in self._nodes],
             lambda: [node.number for node in self._nodes if node.up],
         )
@@ -119,10 +119,10 @@
                 node.start(known)
             for node in self._nodes:
                 if not node.wait_ready():
-                    raise StageError(f"node {node.number} did not begin to serve")
-            self._stage.began = time.monotonic()
+                    raise RunError(f"node {node.number} did not begin to serve")
+            self._context.started_at = time.monotonic()
             for node in self._nodes:
-                self._stage.ledger.append(book.NodeState(0.0, node.number, "ready"))
+                self._context.ledger.append(book.NodeState(0.0, node.number, "ready"))
             for incident in self._world.incidents:
                 self._plan(incident)
             self._troupe.begin(self._platform.change)
@@ -139,29 +139,29 @@
             self._platform.stop()
         self._lateness.seen.extend(self._clients.lateness)
         late, most = max(self._lateness.at(0.99), elsewhere[0]), max(self._lateness.most, elsewhere[1])
-        faults = list(self._stage.faults)
+        reasons = list(self._context.invalid_reasons)
         if late > LATE or most > VERY_LATE:
-            faults.append(
+            reasons.append(
                 f"the laboratory itself ran late ({late * 1000:.0f} ms at one time in a "
                 f"hundred, {most * 1000:.0f} ms at the most)"
             )
         return Played(
-            _first_ends(self._stage.ledger),
+            _first_ends(self._context.ledger),
             sum(node.cpu_s for node in self._nodes),
-            "; ".join(faults),
+            "; ".join(reasons),
             partial,
         )
 
     def _wait(self) -> None:
         world = self._world
         last = world.length + max(kind.deadline_s for kind in world.scenario.classes) + AFTER_END
-        while self._stage.now() < last:
-            now = self._stage.now()
+        while self._context.now() < last:
+            now = self._context.now()
             if self._progress is not None:
                 self._progress(min(1.0, now / world.length))
             if self._interrupted:
                 return
-            if now > world.length and not self._clients.waiting and not self._stage.owed:
+            if now > world.length and not self._clients.waiting and not self._context.owed:
                 return
             gevent.sleep(0.1)
 
@@ -172,17 +172,17 @@
     # ---- troubles of nodes and the list ----
 
     def _plan(self, incident: Incident) -> None:
-        stage = self._stage
+        context = self._context
         match incident.trouble.kind:
             case "list_down":
-                stage.at(incident.begins, self._platform.go_down)
-                stage.at(incident.ends, self._platform.come_back)
+                context.at(incident.begins, self._platform.go_down)
+                context.at(incident.ends, self._platform.come_back)
             case "list_stale":
-                stage.at(incident.begins, self._make_stale, incident.strength)
-                stage.at(incident.ends, self._make_stale, 0.0)
+                context.at(incident.begins, self._make_stale, incident.strength)
+                context.at(incident.ends, self._make_stale, 0.0)
             case "killed" | "stopped" | "stalled":
                 for number in incident.nodes:
-                    stage.at(incident.begins, self._strike, incident, number)
+                    context.at(incident.begins, self._strike, incident, number)
 
     def _make_stale(self, now: float, later: float) -> None:
         self._platform.later = later
@@ -199,11 +199,11 @@
                 self._kill(now, node, down, trouble.disk_lost)
             case _:
                 node.stop(now)
-                self._stage.after(KILL_AFTER, self._kill, node, down, False)
+                self._context.after(KILL_AFTER, self._kill, node, down, False)
 
     def _kill(self, now: float, node: NodeProcess, down: float, disk_lost: bool) -> None:
         known = self._platform.known()
         node.kill(now, disk_lost=disk_lost)
         if disk_lost:
             self._clients.lost(now, node.number)
-        self._stage.after(down, node.restart, known)
+        self._context.after(down, node.restart, known)
--- a/irisstack/lab/sockets/strikes.py
+++ b/irisstack/lab/sockets/strikes.py
@@ -7,7 +7,7 @@
 from irisstack.lab.sampling import sample
 from irisstack.lab.scenario import OF_LIST, OF_NODES
 from irisstack.lab.sockets.partners import Partners
-from irisstack.lab.sockets.stage import Stage
+from irisstack.lab.sockets.run_context import RunContext
 from irisstack.lab.world import Incident
 
 LOOK = 0.01
@@ -20,8 +20,8 @@
 class Strikes:
     """What goes wrong at the partners of one process."""
 
-    def __init__(self, stage: Stage, partners: Partners, listed: Listed) -> None:
-        self._stage = stage
+    def __init__(self, context: RunContext, partners: Partners, listed: Listed) -> None:
+        self._context = context
         self._partners = partners
         self._listed = listed
         self._down: dict[int, int] = {}
@@ -29,23 +29,23 @@
 
     def plan(self) -> None:
         """Set every trouble that strikes a partner here."""
-        for incident in self._stage.world.incidents:
+        for incident in self._context.world.incidents:
             if incident.trouble.kind in OF_NODES | OF_LIST | {"hot"}:
                 continue
             if incident.trouble.kind == "replaced":
-                stream = self._stage.world.streams.stream("replaced", incident.begins)
+                stream = self._context.world.streams.stream("replaced", incident.begins)
                 times = {
                     number: sample([incident.begins, incident.ends], stream) for number in incident.endpoints
                 }
                 for number, time in times.items():
                     if number in self._partners.servers:
-                        self._stage.at(time, self._replace, number)
+                        self._context.at(time, self._replace, number)
                 continue
-            self._stage.at(incident.begins, self._begin, incident)
-            self._stage.at(incident.ends, self._end, incident)
+            self._context.at(incident.begins, self._begin, incident)
+            self._context.at(incident.ends, self._end, incident)
 
     def _begin(self, now: float, incident: Incident) -> None:
-        names = [kind.name for kind in self._stage.world.scenario.classes]
+        names = [kind.name for kind in self._context.world.scenario.classes]
         name = incident.trouble.message_class
         for number in incident.endpoints:
             if (server := self._partners.servers.get(number)) is not None:
@@ -76,12 +76,12 @@
         before = self._down.get(destination, 0)
         self._down[destination] = before + step
         if not before or not self._down[destination]:
-            self._stage.ledger.append(book.Outage(now, destination, bool(self._down[destination])))
+            self._context.ledger.append(book.Outage(now, destination, bool(self._down[destination])))
 
     def _fell(self, now: float, number: int) -> None:
         self._count_down(now, number, 1)
         self._heed_all(now, number)
-        self._stage.at(self._partners.destinations[number].fallen_until + LOOK, self._rose, number)
+        self._context.at(self._partners.destinations[number].fallen_until + LOOK, self._rose, number)
 
     def _rose(self, now: float, number: int) -> None:
         self._count_down(now, number, -1)
@@ -92,13 +92,13 @@
             self._partners.servers[endpoint].heed(now)
 
     def _replace(self, now: float, number: int) -> None:
-        world, old = self._stage.world, self._partners.servers[number]
+        world, old = self._context.world, self._partners.servers[number]
         destination = old.endpoint.destination
         new = self._partners.open(destination.add(world.new_endpoint(old.endpoint.spec), world.streams))
         place = destination.spec.number
         self._listed(new.endpoint.spec.number, place, "SERVING", new.address)
         self._listed(number, place, "DRAINING", old.address)
-        self._stage.after(troubles.DRAIN_FOR, self._leave, number)
+        self._context.after(troubles.DRAIN_FOR, self._leave, number)
 
     def _leave(self, now: float, number: int) -> None:
         server = self._partners.servers[number]
--- a/tests/lab/sockets/test_play.py
+++ b/tests/lab/sockets/test_play.py
@@ -21,7 +21,7 @@
 from irisstack.lab.sockets import http, partners
 from irisstack.lab.sockets.platform import Platform
 from irisstack.lab.sockets.play import _first_ends, play
-from irisstack.lab.sockets.stage import Stage, StageError
+from irisstack.lab.sockets.run_context import RunContext, RunError
 from tests.lab.support import SMALL, small_world, trouble
 
 DAY = (
@@ -79,8 +79,8 @@
     world = small_world(tmp_path, scenario__length_s=1.0)
     first = partners.Partners.__init__
 
-    def crossed(self: partners.Partners, stage: Stage, only: None = None) -> None:
-        first(self, stage, only)
+    def crossed(self: partners.Partners, context: RunContext, only: None = None) -> None:
+        first(self, context, only)
         one, two = (self.servers[number] for number in (1, 3))
         one.endpoint, two.endpoint = two.endpoint, one.endpoint
 
@@ -89,7 +89,7 @@
 
 
 def test_too_many_processes_are_refused_before_one_is_started(tmp_path: Path) -> None:
-    with pytest.raises(StageError, match=r"senders\.count"):
+    with pytest.raises(RunError, match=r"senders\.count"):
         play(small_world(tmp_path, senders__count=65), tmp_path / "nodes")
 
 
@@ -149,34 +149,34 @@
     tmp_path: Path, reads: bool, verdict: str
 ) -> None:
     """A node that closes after reading was answered; one that closes with the answer unread resets."""
-    stage = Stage(small_world(tmp_path))
-    stage.began = time.monotonic()
-    served = partners.Partners(stage)
+    context = RunContext(small_world(tmp_path))
+    context.started_at = time.monotonic()
+    served = partners.Partners(context)
     server = served.servers[1]
-    message = stage.world.messages[0]
+    message = context.world.messages[0]
     message = type(message)(message.number, 0.0, 0, server.endpoint.destination.spec.number, 0, 0.1, -1)
-    id_, _ = stage.hand(message, 0, 8.0, 1)
+    id_, _ = context.submit(message, 0, 8.0, 1)
     with socket.create_connection(server.address) as sock:
         sock.sendall(http.request("POST", "/v1/messages", "x", {"X-Request-ID": id_}, b"body"))
         while not select.select([sock], [], [], 0.0)[0]:
             gevent.sleep(0.01)  # the answer lies in the socket, unread
         if reads:
             assert sock.recv(4096).startswith(b"HTTP/1.1 200")
-    while not any(isinstance(entry, book.Answered) for entry in stage.ledger):
+    while not any(isinstance(entry, book.Answered) for entry in context.ledger):
         gevent.sleep(0.01)
     served.stop()
-    assert [entry.verdict for entry in stage.ledger if isinstance(entry, book.Answered)] == [verdict]
-    assert [entry.result for entry in stage.ledger if isinstance(entry, book.Ended)] == ["delivered"]
+    assert [entry.verdict for entry in context.ledger if isinstance(entry, book.Answered)] == [verdict]
+    assert [entry.result for entry in context.ledger if isinstance(entry, book.Ended)] == ["delivered"]
 
 
 def test_two_notices_that_contradict_each_other_stay_for_the_auditor(tmp_path: Path) -> None:
-    stage = Stage(small_world(tmp_path))
-    stage.began = time.monotonic()
-    served = partners.Partners(stage)
-    platform = Platform(stage, {n: server.address for n, server in served.servers.items()})
-    ids = [stage.hand(stage.world.messages[i], 0, 8.0, 1)[0] for i in range(3)]
+    context = RunContext(small_world(tmp_path))
+    context.started_at = time.monotonic()
+    served = partners.Partners(context)
+    platform = Platform(context, {n: server.address for n, server in served.servers.items()})
+    ids = [context.submit(context.world.messages[i], 0, 8.0, 1)[0] for i in range(3)]
     told = [(ids[0], "dead"), (ids[0], "dead"), (ids[1], "dead"), (ids[1], "bounced"), (ids[2], "dead")]
-    stage.end(stage.handings[ids[2]], "delivered")
+    context.end(context.submissions[ids[2]], "delivered")
     body = b"".join(b'{"ref":"%s","result":"%s"}\n' % (ref.encode(), how.encode()) for ref, how in told)
     host, _, port = platform.address(0).partition(":")
     with socket.create_connection((host, int(port))) as sock:
@@ -184,7 +184,7 @@
         assert sock.recv(4096).startswith(b"HTTP/1.1 204")
     platform.stop()
     served.stop()
-    ends = [entry for entry in _first_ends(stage.ledger) if isinstance(entry, book.Ended)]
+    ends = [entry for entry in _first_ends(context.ledger) if isinstance(entry, book.Ended)]
     assert sorted((entry.message, entry.result) for entry in ends) == [
         (1, "failed"),
         (2, "failed"),
