Rename the laboratory's strikes module to fault_injection

Cause: `Strikes`, `LOOK`, `heed`, `_fell` and `_rose` did not say that they inject the scenario's faults into partners. Change: lab/sockets/strikes.py is fault_injection.py; Strikes is FaultInjector, plan schedule, Listed ListChangeCallback, LOOK RECHECK_DELAY; in partners, heed is update_listener and fell_over on_overload. Tests: ruff, format, mypy, import contracts; tests/lab/sockets/test_play.py: 10 passed.

--- a/irisstack/lab/sockets/elsewhere.py
+++ b/irisstack/lab/sockets/elsewhere.py
@@ -11,9 +11,9 @@
 from gevent.event import Event
 
 from irisstack.lab import ledger as book
+from irisstack.lab.sockets.fault_injection import FaultInjector, ListChangeCallback
 from irisstack.lab.sockets.partners import Partners
 from irisstack.lab.sockets.run_context import RunContext, RunError
-from irisstack.lab.sockets.strikes import Listed, Strikes
 
 START_WITHIN = 30.0
 """Seconds in which a process of partners must be ready."""
@@ -26,7 +26,7 @@
 
     addresses: dict[int, tuple[str, int]]
 
-    def begin(self, listed: Listed) -> None:
+    def begin(self, on_list_change: ListChangeCallback) -> None:
         """Plan the troubles: the run's clock has begun."""
 
     def end(self) -> tuple[float, float]:
@@ -41,8 +41,8 @@
         self._partners = Partners(context)
         self.addresses = {number: server.address for number, server in self._partners.servers.items()}
 
-    def begin(self, listed: Listed) -> None:
-        Strikes(self._context, self._partners, listed).plan()
+    def begin(self, on_list_change: ListChangeCallback) -> None:
+        FaultInjector(self._context, self._partners, on_list_change).schedule()
 
     def end(self) -> tuple[float, float]:
         self._partners.stop()
@@ -55,7 +55,7 @@
     def __init__(self, context: RunContext, folder: Path, processes: int, seed: int) -> None:
         self._context = context
         self.addresses: dict[int, tuple[str, int]] = {}
-        self._listed: Listed = lambda endpoint, destination, phase, address: None
+        self._on_list_change: ListChangeCallback = lambda endpoint, destination, phase, address: None
         self._workers: list[_Worker] = []
         shares: list[list[int]] = [[] for _ in range(processes)]
         loads = [0.0] * processes
@@ -79,8 +79,8 @@
                 self.end()
                 raise RunError("a process of partners did not start")
 
-    def begin(self, listed: Listed) -> None:
-        self._listed = listed
+    def begin(self, on_list_change: ListChangeCallback) -> None:
+        self._on_list_change = on_list_change
         for worker in self._workers:
             worker.say({"began": self._context.started_at})
 
@@ -107,7 +107,7 @@
             )
         if "listed" in news:
             endpoint, destination, phase, host, port = news["listed"]
-            self._listed(endpoint, destination, phase, (host, port))
+            self._on_list_change(endpoint, destination, phase, (host, port))
         for reason in news.get("faults", ()):
             self._context.invalidate(reason)
 
--- a/irisstack/lab/sockets/strikes.py
+++ b/irisstack/lab/sockets/fault_injection.py
@@ -1,4 +1,4 @@
-"""Troubles that strike partners, by schedule, in whatever process the partners live."""
+"""Fault injection at the partners of one process, on the schedule that the scenario gives."""
 
 from collections.abc import Callable
 
@@ -10,25 +10,25 @@
 from irisstack.lab.sockets.run_context import RunContext
 from irisstack.lab.world import Incident
 
-LOOK = 0.01
-"""Seconds after its fall's end at which a destination's listeners look again."""
+RECHECK_DELAY = 0.01
+"""Seconds after the end of an overload failure at which a destination's listeners are checked again."""
 
-Listed = Callable[[int, int, str, tuple[str, int]], None]
-"""Told of each change that the list is to hear of: endpoint, destination, phase, address."""
+ListChangeCallback = Callable[[int, int, str, tuple[str, int]], None]
+"""Called for each change of the endpoint list with endpoint, destination, phase and address."""
 
 
-class Strikes:
-    """What goes wrong at the partners of one process."""
+class FaultInjector:
+    """Begins and ends the incidents that concern the partners of one process."""
 
-    def __init__(self, context: RunContext, partners: Partners, listed: Listed) -> None:
+    def __init__(self, context: RunContext, partners: Partners, on_list_change: ListChangeCallback) -> None:
         self._context = context
         self._partners = partners
-        self._listed = listed
-        self._down: dict[int, int] = {}
-        partners.fell_over = self._fell
+        self._on_list_change = on_list_change
+        self._outages: dict[int, int] = {}  # incidents and overloads that hold a destination down
+        partners.on_overload = self._begin_overload
 
-    def plan(self) -> None:
-        """Set every trouble that strikes a partner here."""
+    def schedule(self) -> None:
+        """Schedule every incident that concerns a partner of this process."""
         for incident in self._context.world.incidents:
             if incident.trouble.kind in OF_NODES | OF_LIST | {"hot"}:
                 continue
@@ -50,17 +50,17 @@
         for number in incident.endpoints:
             if (server := self._partners.servers.get(number)) is not None:
                 troubles.begin(incident, server.endpoint, names.index(name) if name else None)
-                server.heed(now)
-        self._strike_destinations(now, incident, begins=True)
+                server.update_listener(now)
+        self._apply_to_destinations(now, incident, begins=True)
 
     def _end(self, now: float, incident: Incident) -> None:
         for number in incident.endpoints:
             if (server := self._partners.servers.get(number)) is not None:
                 troubles.end(incident, server.endpoint)
-                server.heed(now)
-        self._strike_destinations(now, incident, begins=False)
+                server.update_listener(now)
+        self._apply_to_destinations(now, incident, begins=False)
 
-    def _strike_destinations(self, now: float, incident: Incident, *, begins: bool) -> None:
+    def _apply_to_destinations(self, now: float, incident: Incident, *, begins: bool) -> None:
         for number in incident.destinations:
             destination = self._partners.destinations.get(number)
             if destination is None:
@@ -70,39 +70,41 @@
             else:
                 troubles.end_for(incident, destination, now)
             if troubles.is_outage(incident):
-                self._count_down(now, number, 1 if begins else -1)
-
-    def _count_down(self, now: float, destination: int, step: int) -> None:
-        before = self._down.get(destination, 0)
-        self._down[destination] = before + step
-        if not before or not self._down[destination]:
-            self._context.ledger.append(book.Outage(now, destination, bool(self._down[destination])))
-
-    def _fell(self, now: float, number: int) -> None:
-        self._count_down(now, number, 1)
-        self._heed_all(now, number)
-        self._context.at(self._partners.destinations[number].fallen_until + LOOK, self._rose, number)
-
-    def _rose(self, now: float, number: int) -> None:
-        self._count_down(now, number, -1)
-        self._heed_all(now, number)
-
-    def _heed_all(self, now: float, number: int) -> None:
+                self._count_outage(now, number, 1 if begins else -1)
+
+    def _count_outage(self, now: float, destination: int, step: int) -> None:
+        before = self._outages.get(destination, 0)
+        self._outages[destination] = before + step
+        if not before or not self._outages[destination]:
+            self._context.ledger.append(book.Outage(now, destination, bool(self._outages[destination])))
+
+    def _begin_overload(self, now: float, number: int) -> None:
+        self._count_outage(now, number, 1)
+        self._update_listeners(now, number)
+        self._context.at(
+            self._partners.destinations[number].fallen_until + RECHECK_DELAY, self._end_overload, number
+        )
+
+    def _end_overload(self, now: float, number: int) -> None:
+        self._count_outage(now, number, -1)
+        self._update_listeners(now, number)
+
+    def _update_listeners(self, now: float, number: int) -> None:
         for endpoint in self._partners.destinations[number].endpoints:
-            self._partners.servers[endpoint].heed(now)
+            self._partners.servers[endpoint].update_listener(now)
 
     def _replace(self, now: float, number: int) -> None:
         world, old = self._context.world, self._partners.servers[number]
         destination = old.endpoint.destination
         new = self._partners.open(destination.add(world.new_endpoint(old.endpoint.spec), world.streams))
         place = destination.spec.number
-        self._listed(new.endpoint.spec.number, place, "SERVING", new.address)
-        self._listed(number, place, "DRAINING", old.address)
-        self._context.after(troubles.DRAIN_FOR, self._leave, number)
+        self._on_list_change(new.endpoint.spec.number, place, "SERVING", new.address)
+        self._on_list_change(number, place, "DRAINING", old.address)
+        self._context.after(troubles.DRAIN_FOR, self._remove, number)
 
-    def _leave(self, now: float, number: int) -> None:
+    def _remove(self, now: float, number: int) -> None:
         server = self._partners.servers[number]
         server.endpoint.lose_all(now)
         server.endpoint.conditions.refuses_connections = True
         server.stop()
-        self._listed(number, server.endpoint.destination.spec.number, "DELETED", server.address)
+        self._on_list_change(number, server.endpoint.destination.spec.number, "DELETED", server.address)
--- a/irisstack/lab/sockets/partner_process.py
+++ b/irisstack/lab/sockets/partner_process.py
@@ -14,9 +14,9 @@
 from irisstack.lab import ledger as book
 from irisstack.lab.lateness import Lateness
 from irisstack.lab.scenario import Scenario
+from irisstack.lab.sockets.fault_injection import FaultInjector
 from irisstack.lab.sockets.partners import Partners
 from irisstack.lab.sockets.run_context import RunContext, Submission, parse_request_id
-from irisstack.lab.sockets.strikes import Strikes
 from irisstack.lab.world import build
 
 NEWS_EVERY = 0.05
@@ -54,7 +54,7 @@
         sys.stdout.write(json.dumps(news) + "\n")
         sys.stdout.flush()
 
-    strikes = Strikes(
+    injector = FaultInjector(
         context,
         partners,
         lambda endpoint, destination, phase, address: say(listed=[endpoint, destination, phase, *address]),
@@ -64,7 +64,7 @@
     if "began" not in begun:
         return 1
     context.started_at = begun["began"]
-    strikes.plan()
+    injector.schedule()
     lateness = Lateness()
     helpers: list[gevent.Greenlet[..., None]] = [
         gevent.spawn(lateness.watch),
--- a/irisstack/lab/sockets/partners.py
+++ b/irisstack/lab/sockets/partners.py
@@ -125,8 +125,8 @@
             self._server.close()
             self._server = None
 
-    def heed(self, now: float) -> None:
-        """Listen or refuse, as the endpoint's conditions and its table of connections have it."""
+    def update_listener(self, now: float) -> None:
+        """Listen or refuse, as the endpoint's conditions and its bound on connections say."""
         if self.endpoint.accepts(now):
             self.listen()
         else:
@@ -142,7 +142,7 @@
         connection = Connection(self, sock)
         self._connections.add(connection)
         self.endpoint.connections += 1
-        self.heed(now)
+        self.update_listener(now)
         connection.idle_since = now
         connection.serve()
 
@@ -182,7 +182,7 @@
         self._connections.discard(connection)
         self.endpoint.connections -= 1
         if not self._stopped:
-            self.heed(self._context.now())
+            self.update_listener(self._context.now())
         call = connection.call
         if call is not None and not call.left:
             self.endpoint.gone(call)
@@ -254,7 +254,7 @@
             if only is None or n in only
         }
         self.servers: dict[int, EndpointServer] = {}
-        self.fell_over: Callable[[float, int], None] = lambda now, destination: None
+        self.on_overload: Callable[[float, int], None] = lambda now, destination: None
         for destination in self.destinations.values():
             for endpoint in destination.endpoints.values():
                 self.open(endpoint)
@@ -335,7 +335,7 @@
 
     def fell(self, now: float, destination: int) -> None:
         self.context.ledger.append(book.Fell(now, destination))
-        self.fell_over(now, destination)
+        self.on_overload(now, destination)
 
 
 def _batch_ids(body: bytes) -> list[str]:
