Rename the laboratory's elsewhere module to partner_backends

Cause: `Troupe`, `Here`, `Elsewhere`, `heard`, `say` and `news` did not say that partners run in this process or in workers. Change: lab/sockets/elsewhere.py is partner_backends.py; Troupe is PartnerBackend, Here InProcessBackend, Elsewhere MultiProcessBackend, begin start_schedule, end stop, heard on_report, say send; partner_process follows. Keys of the lines between processes are unchanged.

--- a/irisstack/lab/sockets/elsewhere.py
+++ b/irisstack/lab/sockets/partner_backends.py
@@ -1,4 +1,4 @@
-"""The partners of a run, here or in processes of their own: one face for both."""
+"""Where the partners of a run live: in this process or in worker processes, behind one interface."""
 
 import json
 import subprocess
@@ -15,48 +15,52 @@
 from irisstack.lab.sockets.partners import Partners
 from irisstack.lab.sockets.run_context import RunContext, RunError
 
-START_WITHIN = 30.0
-"""Seconds in which a process of partners must be ready."""
-STOP_WITHIN = 20.0
-"""Seconds in which it must have written its ledger."""
+START_TIMEOUT = 30.0
+"""Seconds in which a worker process must be ready."""
+STOP_TIMEOUT = 20.0
+"""Seconds in which a worker process must have written its ledger and ended."""
 
 
-class Troupe(Protocol):
+class PartnerBackend(Protocol):
     """All partners of a run."""
 
     addresses: dict[int, tuple[str, int]]
+    """Host and port by endpoint number."""
 
-    def begin(self, on_list_change: ListChangeCallback) -> None:
-        """Plan the troubles: the run's clock has begun."""
+    def start_schedule(self, on_list_change: ListChangeCallback) -> None:
+        """Schedule the faults; the run's clock has started."""
 
-    def end(self) -> tuple[float, float]:
-        """Stop, and put what was seen into the ledger; returns its lateness at 99 % and at the most."""
+    def stop(self) -> tuple[float, float]:
+        """Stop and add the records to the run's ledger.
 
+        Returns the worker processes' scheduling lateness in seconds: 99th percentile and maximum.
+        """
 
-class Here:
-    """In this process: for small runs, and for tests that reach in."""
+
+class InProcessBackend:
+    """Partners in this process: for small runs, and for tests that inspect them."""
 
     def __init__(self, context: RunContext) -> None:
         self._context = context
         self._partners = Partners(context)
         self.addresses = {number: server.address for number, server in self._partners.servers.items()}
 
-    def begin(self, on_list_change: ListChangeCallback) -> None:
+    def start_schedule(self, on_list_change: ListChangeCallback) -> None:
         FaultInjector(self._context, self._partners, on_list_change).schedule()
 
-    def end(self) -> tuple[float, float]:
+    def stop(self) -> tuple[float, float]:
         self._partners.stop()
-        return 0.0, 0.0  # the run watches this process itself
+        return 0.0, 0.0  # the run measures this process itself
 
 
-class Elsewhere:
-    """In so many processes, each with destinations of its own."""
+class MultiProcessBackend:
+    """Partners in worker processes, each with destinations of its own, balanced by traffic."""
 
     def __init__(self, context: RunContext, folder: Path, processes: int, seed: int) -> None:
         self._context = context
         self.addresses: dict[int, tuple[str, int]] = {}
         self._on_list_change: ListChangeCallback = lambda endpoint, destination, phase, address: None
-        self._workers: list[_Worker] = []
+        self._workers: list[_WorkerProcess] = []
         shares: list[list[int]] = [[] for _ in range(processes)]
         loads = [0.0] * processes
         for spec in sorted(context.world.destinations.values(), key=lambda spec: -spec.traffic):
@@ -64,8 +68,8 @@
             shares[least].append(spec.number)
             loads[least] += spec.traffic
         for number, share in enumerate(share for share in shares if share):
-            self._workers.append(_Worker(self, number, folder / f"partners-{number}.jsonl.gz"))
-            self._workers[-1].say(
+            self._workers.append(_WorkerProcess(self, number, folder / f"partners-{number}.jsonl.gz"))
+            self._workers[-1].send(
                 {
                     "scenario": context.world.scenario.model_dump(),
                     "seed": seed,
@@ -75,51 +79,51 @@
                 }
             )
         for worker in self._workers:
-            if not worker.ready.wait(START_WITHIN):
-                self.end()
+            if not worker.ready.wait(START_TIMEOUT):
+                self.stop()
                 raise RunError("a process of partners did not start")
 
-    def begin(self, on_list_change: ListChangeCallback) -> None:
+    def start_schedule(self, on_list_change: ListChangeCallback) -> None:
         self._on_list_change = on_list_change
         for worker in self._workers:
-            worker.say({"began": self._context.started_at})
+            worker.send({"began": self._context.started_at})
 
-    def end(self) -> tuple[float, float]:
-        late = [gevent.spawn(worker.end) for worker in self._workers]
-        gevent.joinall(late)
+    def stop(self) -> tuple[float, float]:
+        stopping = [gevent.spawn(worker.stop) for worker in self._workers]
+        gevent.joinall(stopping)
         for worker in self._workers:
             if worker.ledger.exists():
                 self._context.ledger.extend(book.read(worker.ledger))
             else:
                 self._context.invalidate("a process of partners was lost, with what it had seen")
         return (
-            max((worker.late[0] for worker in self._workers), default=0.0),
-            max((worker.late[1] for worker in self._workers), default=0.0),
+            max((worker.lateness[0] for worker in self._workers), default=0.0),
+            max((worker.lateness[1] for worker in self._workers), default=0.0),
         )
 
-    def heard(self, news: dict[str, Any]) -> None:
-        """A line from one of the processes."""
-        for number, over in news.get("news", ()):
+    def on_report(self, report: dict[str, Any]) -> None:
+        """Take in one line of a worker process."""
+        for number, over in report.get("news", ()):
             self._context.apply_remote_change(number, over=over)
-        if "ready" in news:
+        if "ready" in report:
             self.addresses.update(
-                {int(number): (host, port) for number, (host, port) in news["ready"].items()}
+                {int(number): (host, port) for number, (host, port) in report["ready"].items()}
             )
-        if "listed" in news:
-            endpoint, destination, phase, host, port = news["listed"]
+        if "listed" in report:
+            endpoint, destination, phase, host, port = report["listed"]
             self._on_list_change(endpoint, destination, phase, (host, port))
-        for reason in news.get("faults", ()):
+        for reason in report.get("faults", ()):
             self._context.invalidate(reason)
 
 
-class _Worker:
-    """One process of partners."""
+class _WorkerProcess:
+    """One worker process."""
 
-    def __init__(self, troupe: Elsewhere, number: int, ledger: Path) -> None:
+    def __init__(self, backend: MultiProcessBackend, number: int, ledger: Path) -> None:
         self.ledger = ledger
         self.ready = Event()
-        self.late = (0.0, 0.0)
-        self._troupe = troupe
+        self.lateness = (0.0, 0.0)
+        self._backend = backend
         self._process = green.Popen(
             [sys.executable, "-m", "irisstack.lab.sockets.partner_process"],
             stdin=subprocess.PIPE,
@@ -128,29 +132,29 @@
         )
         self._reader = gevent.spawn(self._read)
 
-    def say(self, line: dict[str, Any]) -> None:
+    def send(self, command: dict[str, Any]) -> None:
         assert self._process.stdin is not None
         try:
-            self._process.stdin.write(json.dumps(line).encode() + b"\n")
+            self._process.stdin.write(json.dumps(command).encode() + b"\n")
             self._process.stdin.flush()
         except OSError:
-            pass  # it is gone; its missing ledger says so
+            pass  # it has ended; its missing ledger is reported
 
     def _read(self) -> None:
         assert self._process.stdout is not None
         for line in self._process.stdout:
-            news = json.loads(line)
-            self._troupe.heard(news)
-            if "ready" in news:
+            report = json.loads(line)
+            self._backend.on_report(report)
+            if "ready" in report:
                 self.ready.set()
-            if "done" in news:
-                self.late = (news["done"][0], news["done"][1])
+            if "done" in report:
+                self.lateness = (report["done"][0], report["done"][1])
 
-    def end(self) -> None:
-        """Ask it to stop; it ends by itself too when this process is gone."""
-        self.say({"stop": True})
+    def stop(self) -> None:
+        """Ask the process to stop; without this process it stops by itself."""
+        self.send({"stop": True})
         try:
-            self._process.wait(timeout=STOP_WITHIN)
+            self._process.wait(timeout=STOP_TIMEOUT)
         except subprocess.TimeoutExpired:
             self._process.kill()
             self._process.wait()
--- a/irisstack/lab/sockets/partner_process.py
+++ b/irisstack/lab/sockets/partner_process.py
@@ -1,6 +1,7 @@
-"""A process that holds some of a run's partners; told what to do, and telling, by lines of JSON.
+"""A worker process that serves some of a run's partners.
 
-It draws the same world from the same scenario and seed. What it must know of a message is in the request id.
+It reads commands from standard input and reports on standard output, one JSON object a line. It generates the
+same world from the same scenario and seed; a message is recognised by its request id.
 """
 
 import json
@@ -19,10 +20,10 @@
 from irisstack.lab.sockets.run_context import RunContext, Submission, parse_request_id
 from irisstack.lab.world import build
 
-NEWS_EVERY = 0.05
-"""Seconds between two lines on what was called and delivered."""
-NUMBERS_APART = 100_000
-"""Between the numbers of new endpoints of one process and the next."""
+REPORT_INTERVAL = 0.05
+"""Seconds between two reports on what was called and delivered."""
+NUMBER_RANGE = 100_000
+"""Numbers of new endpoints that each process has to itself."""
 
 
 class RemoteRunContext(RunContext):
@@ -42,55 +43,55 @@
 
 
 def main() -> int:
-    """Serve until told to stop or the other end is gone."""
+    """Serve until asked to stop or until the parent process has ended; returns the exit code."""
     lines = FileObject(sys.stdin.fileno(), "rb", closefd=False)
-    told = json.loads(lines.readline())
-    world = build(Scenario.model_validate(told["scenario"]), told["seed"])
-    world.next_endpoint += told["process"] * NUMBERS_APART
+    job = json.loads(lines.readline())
+    world = build(Scenario.model_validate(job["scenario"]), job["seed"])
+    world.next_endpoint += job["process"] * NUMBER_RANGE
     context = RemoteRunContext(world)
-    partners = Partners(context, told["destinations"])
+    partners = Partners(context, job["destinations"])
 
-    def say(**news: Any) -> None:
-        sys.stdout.write(json.dumps(news) + "\n")
+    def send(**report: Any) -> None:
+        sys.stdout.write(json.dumps(report) + "\n")
         sys.stdout.flush()
 
     injector = FaultInjector(
         context,
         partners,
-        lambda endpoint, destination, phase, address: say(listed=[endpoint, destination, phase, *address]),
+        lambda endpoint, destination, phase, address: send(listed=[endpoint, destination, phase, *address]),
     )
-    say(ready={number: server.address for number, server in partners.servers.items()})
-    begun = json.loads(lines.readline() or b"{}")
-    if "began" not in begun:
+    send(ready={number: server.address for number, server in partners.servers.items()})
+    start = json.loads(lines.readline() or b"{}")
+    if "began" not in start:
         return 1
-    context.started_at = begun["began"]
+    context.started_at = start["began"]
     injector.schedule()
     lateness = Lateness()
     helpers: list[gevent.Greenlet[..., None]] = [
         gevent.spawn(lateness.watch),
-        gevent.spawn(_tell_news, context, say),
+        gevent.spawn(_report_progress, context, send),
     ]
-    lines.readline()  # "stop", or the end of the other process
+    lines.readline()  # "stop", or the end of the parent process
     gevent.killall(helpers)
     partners.stop()
-    book.write(Path(told["ledger"]), context.ledger)
-    say(done=[lateness.at(0.99), lateness.most], faults=context.invalid_reasons)
+    book.write(Path(job["ledger"]), context.ledger)
+    send(done=[lateness.at(0.99), lateness.most], faults=context.invalid_reasons)
     return 0
 
 
-def _tell_news(context: RunContext, say: Any) -> None:
-    """Which messages were called or delivered since the last line."""
+def _report_progress(context: RunContext, send: Any) -> None:
+    """Report for ever which messages were called or delivered since the last report."""
     known: dict[int, tuple[bool, bool]] = {}
     while True:
-        gevent.sleep(NEWS_EVERY)
-        news = []
+        gevent.sleep(REPORT_INTERVAL)
+        changes = []
         for submission in context.take_changed():
             state = submission.called, submission.over
             if known.get(submission.number) != state:
                 known[submission.number] = state
-                news.append([submission.number, submission.over])
-        if news:
-            say(news=news)
+                changes.append([submission.number, submission.over])
+        if changes:
+            send(news=changes)
 
 
 if __name__ == "__main__":
--- a/irisstack/lab/sockets/play.py
+++ b/irisstack/lab/sockets/play.py
@@ -13,8 +13,8 @@
 from irisstack.lab import ledger as book
 from irisstack.lab.lateness import Lateness
 from irisstack.lab.sockets.clients import Clients
-from irisstack.lab.sockets.elsewhere import Elsewhere, Here, Troupe
 from irisstack.lab.sockets.nodes import KILL_AFTER, NodeProcess
+from irisstack.lab.sockets.partner_backends import InProcessBackend, MultiProcessBackend, PartnerBackend
 from irisstack.lab.sockets.platform import Platform
 from irisstack.lab.sockets.run_context import RunContext, RunError
 from irisstack.lab.world import Incident, World
@@ -91,10 +91,12 @@
         self._progress = progress
         self._context = RunContext(world)
         self._context.started_at = time.monotonic()
-        self._troupe: Troupe = (
-            Elsewhere(self._context, folder, processes, seed) if processes else Here(self._context)
+        self._backend: PartnerBackend = (
+            MultiProcessBackend(self._context, folder, processes, seed)
+            if processes
+            else InProcessBackend(self._context)
         )
-        self._platform = Platform(self._context, self._troupe.addresses)
+        self._platform = Platform(self._context, self._backend.addresses)
         self._nodes = [
             NodeProcess(spec.number, folder, self._context, self._platform.address(spec.number))
             for spec in world.senders
@@ -125,7 +127,7 @@
                 self._context.ledger.append(book.NodeState(0.0, node.number, "ready"))
             for incident in self._world.incidents:
                 self._plan(incident)
-            self._troupe.begin(self._platform.change)
+            self._backend.start_schedule(self._platform.change)
             helpers = [gevent.spawn(self._lateness.watch), gevent.spawn(self._clients.run)]
             self._wait()
             partial = self._interrupted
@@ -135,10 +137,10 @@
             gevent.killall(helpers)
             for one in [gevent.spawn(node.finish) for node in self._nodes]:
                 one.join()
-            elsewhere = self._troupe.end()
+            workers_late, workers_most = self._backend.stop()
             self._platform.stop()
         self._lateness.seen.extend(self._clients.lateness)
-        late, most = max(self._lateness.at(0.99), elsewhere[0]), max(self._lateness.most, elsewhere[1])
+        late, most = max(self._lateness.at(0.99), workers_late), max(self._lateness.most, workers_most)
         reasons = list(self._context.invalid_reasons)
         if late > LATE or most > VERY_LATE:
             reasons.append(
