Rename the laboratory's knee to capacity_search, its command to capacity-search

Cause: `knee`, `climb` and `turned` are not words for a search for a node's capacity. The command is `lab capacity-search`; `lab knee` stays as a hidden alias.

--- a/irisstack/cli/lab.py
+++ b/irisstack/cli/lab.py
@@ -1,5 +1,6 @@
 """`irisstack lab`: play scenarios, sweep experiments, compare and report."""
 
+import copy
 from collections.abc import Callable, Iterator
 from contextlib import contextmanager
 from pathlib import Path
@@ -42,6 +43,13 @@
     """Play described worlds in virtual time or on real sockets, audit and compare them."""
 
 
+def _hidden_alias(command: click.Command, name: str) -> click.Command:
+    """A command under a former name: it works as before and is not listed."""
+    alias = copy.copy(command)
+    alias.name, alias.hidden = name, True
+    return alias
+
+
 @contextmanager
 def _bar(what: str) -> Iterator[Callable[[float], None]]:
     """A progress bar on standard error, from 0.0 to 1.0; nothing where that is no terminal."""
@@ -270,7 +278,7 @@
 @set_option
 @out_option
 @output.json_option
-def knee(
+def capacity_search(
     scenario: str,
     first: float,
     steps: int,
@@ -279,22 +287,25 @@
     out: Path,
     as_json: bool,
 ) -> None:
-    """Raise the rate step by step on one real node, without SCENARIO's troubles, until it turns."""
-    from irisstack.lab import knee as climbing
+    """Raise the rate step by step on one real node, without SCENARIO's troubles, until it is saturated."""
+    from irisstack.lab import capacity_search as search
     from irisstack.lab.sockets.run_context import RunError
 
     found = _scenario(scenario, changes)
-    folder = out / f"{found.scenario.name}-knee"
-    seen: list[climbing.Step] = []
+    folder = out / f"{found.scenario.name}-capacity-search"
+    steps_played: list[search.LoadStep] = []
     try:
-        with _bar("knee") as progress:
-            seen.extend(climbing.climb(found, first, steps, seconds, progress))
+        with _bar("capacity search") as progress:
+            steps_played.extend(search.search(found, first, steps, seconds, progress))
         folder.mkdir(parents=True, exist_ok=True)
-        climbing.write_page(folder / "report.html", found.scenario.name, seen)
+        search.write_page(folder / "report.html", found.scenario.name, steps_played)
     except (RunError, OSError) as error:
         output.fail(str(error))
-    output.table(climbing.COLUMNS, climbing.rows(seen), as_json)
-    click.echo(climbing.verdict(seen), err=True)
+    output.table(search.COLUMNS, search.rows(steps_played), as_json)
+    click.echo(search.summary(steps_played), err=True)
+
+
+lab.add_command(_hidden_alias(capacity_search, "knee"))
 
 
 def _keep(folder: Path, world: Any, run: Any, worth: Any, breaches: Any, entries: Any) -> None:
--- a/tests/cli/test_lab_commands.py
+++ b/tests/cli/test_lab_commands.py
@@ -59,6 +59,16 @@
     assert "cannot be written" in capfd.readouterr().err
 
 
+def test_a_renamed_command_still_answers_to_its_former_name(capfd: pytest.CaptureFixture[str]) -> None:
+    assert main(["lab", "--help"]) == 0
+    listed = capfd.readouterr().out
+    assert "capacity-search" in listed
+    assert "knee" not in listed
+    for name in ("capacity-search", "knee"):
+        assert main(["lab", name, "none.toml"]) == 2
+        assert "cannot be read" in capfd.readouterr().err
+
+
 def test_a_broken_rule_is_a_failure(capfd: pytest.CaptureFixture[str]) -> None:
     cold = "cold = { start = 0.1, warm_s = 8.0, tip_multiple = 1.2, tip_s = 0.5 }\nshared_calls = 3"
     text = SMALL.replace("shared_calls = 3", cold).replace("rate = 20.0", "rate = 120.0")
