Rename the auditor's worth module to scoring

Cause: `worth.of`, `worth.at` and `Worth` read as a riddle where a run is scored. Change: lab/audit/worth.py is scoring.py; Worth is RunScore, of is score, at is delivery_value, LEAST_OF_WINDOW MIN_WINDOW_SHARE. The key and the columns `worth` stay.

--- a/irisstack/cli/lab.py
+++ b/irisstack/cli/lab.py
@@ -203,10 +203,10 @@
     world = build(found, seed)
     with _bar(found.scenario.name) as progress:
         played = play(world, POLICIES[policy], progress)
-    run, worth, breaches = results.audited(
+    run, score, breaches = results.audited(
         world, played.ledger, way="model", policy=policy, seed=seed, cpu_s=played.cpu_s, events=played.events
     )
-    _keep(out / f"{found.scenario.name}-model-{policy}-{seed}", world, run, worth, breaches, played.ledger)
+    _keep(out / f"{found.scenario.name}-model-{policy}-{seed}", world, run, score, breaches, played.ledger)
     _show(run, as_json)
     if not run.rules_kept:
         raise SystemExit(output.FAILED)
@@ -252,11 +252,11 @@
             played = play(world, folder / "nodes", progress)
     except (RunError, OSError) as error:
         output.fail(str(error))
-    run, worth, breaches = results.audited(
+    run, score, breaches = results.audited(
         world, played.ledger, way="sockets", policy="module", seed=seed, cpu_s=played.cpu_s
     )
     run.partial, run.not_a_result = played.partial, played.not_a_result
-    _keep(folder, world, run, worth, breaches, played.ledger)
+    _keep(folder, world, run, score, breaches, played.ledger)
     _show(run, as_json)
     if not run.rules_kept or run.partial or run.not_a_result:
         raise SystemExit(output.FAILED)
@@ -308,13 +308,13 @@
 lab.add_command(_hidden_alias(capacity_search, "knee"))
 
 
-def _keep(folder: Path, world: Any, run: Any, worth: Any, breaches: Any, entries: Any) -> None:
+def _keep(folder: Path, world: Any, run: Any, score: Any, breaches: Any, entries: Any) -> None:
     """Save a run with its page."""
     from irisstack.lab import report, results
 
     try:
         results.save(folder, world.scenario, run, entries)
-        report.write(folder / "report.html", report.of_run(world, run, worth, breaches, entries))
+        report.write(folder / "report.html", report.of_run(world, run, score, breaches, entries))
     except OSError as error:
         output.fail(f"{folder}: cannot be written: {error.strerror}")
     click.echo(f"kept in {folder}, report in {folder / 'report.html'}", err=True)
@@ -450,7 +450,7 @@
     except (OSError, ValueError, EOFError, DocumentError) as error:
         output.fail(str(error))
     world = build(scenario, kept.seed)
-    run, worth, breaches = results.audited(world, entries, way=kept.way, policy=kept.policy, seed=kept.seed)
+    run, score, breaches = results.audited(world, entries, way=kept.way, policy=kept.policy, seed=kept.seed)
     run.versions, run.partial, run.not_a_result = kept.versions, kept.partial, kept.not_a_result
-    report.write(folder / "report.html", report.of_run(world, run, worth, breaches, entries))
+    report.write(folder / "report.html", report.of_run(world, run, score, breaches, entries))
     click.echo(f"report in {folder / 'report.html'}", err=True)
--- a/irisstack/lab/audit/worth.py
+++ b/irisstack/lab/audit/scoring.py
@@ -1,4 +1,4 @@
-"""What a run was worth, and what it cost: from the ledger alone."""
+"""Scores a run from its ledger alone: the worth of what was delivered, and the attempts that it took."""
 
 from collections import Counter, defaultdict
 from dataclasses import dataclass, field
@@ -9,21 +9,21 @@
 from irisstack.lab.scenario import MessageClass
 
 WINDOW = 10.0
-"""Seconds of the worst stretch."""
-LEAST_OF_WINDOW = 0.02
-"""Of all worth asked for: a stretch with less does not count as the worst."""
+"""Length in seconds of the windows among which the worst is sought."""
+MIN_WINDOW_SHARE = 0.02
+"""A window with less than this share of all worth asked for cannot be the worst."""
 
 
 @dataclass(slots=True)
-class Worth:
-    """A run in figures. Worth is a share of what was asked for, from 0 to 1."""
+class RunScore:
+    """A run in figures; each worth is a share of what was asked for, from 0 to 1."""
 
     whole: float
     worst_window: float
     worst_class: float
     by_class: dict[str, float]
     ends: dict[str, int]
-    """How each message ended at last: delivered, refused, failed, withdrawn, none."""
+    """Messages by their last result: delivered, refused, failed, withdrawn, none."""
     ends_by_class: dict[str, dict[str, int]]
     asked: int
     attempts: int
@@ -38,12 +38,12 @@
 
     @property
     def score(self) -> float:
-        """One figure: half the whole run, a quarter the worst stretch, a quarter the worst-served class."""
+        """One figure: half the whole run, a quarter the worst window, a quarter the worst class."""
         return 0.5 * self.whole + 0.25 * self.worst_window + 0.25 * self.worst_class
 
 
-def at(kind: MessageClass, delay: float) -> float:
-    """What a delivery after so many seconds is worth."""
+def delivery_value(kind: MessageClass, delay: float) -> float:
+    """The worth of a delivery after that many seconds: falls linearly from the aim to the deadline."""
     if delay <= kind.aim_s:
         return kind.worth
     if delay > kind.deadline_s:
@@ -52,9 +52,9 @@
     return kind.worth * (1.0 - late * (1.0 - kind.late_worth))
 
 
-def of(found: Index, figures: Figures) -> Worth:
-    """The worth of a run; a client's retries belong to its first try."""
-    got: dict[str, float] = defaultdict(float)
+def score(found: Index, figures: Figures) -> RunScore:
+    """Score a run; a client's retries belong to its first submission."""
+    earned: dict[str, float] = defaultdict(float)
     asked: dict[str, float] = defaultdict(float)
     per_second: dict[int, list[float]] = defaultdict(lambda: [0.0, 0.0])
     per_destination: dict[int, list[float]] = defaultdict(lambda: [0.0, 0.0, 0.0, 0.0])
@@ -65,21 +65,21 @@
     def count(first: book.HandedIn | book.Missed, result: str, delivered: float | None) -> None:
         kind = figures.classes[first.message_class]
         began = first.due - kind.deadline_s  # when it was asked for, also where no node could be reached
-        worth = 0.0 if delivered is None else at(kind, delivered - began)
+        worth = 0.0 if delivered is None else delivery_value(kind, delivered - began)
         if delivered is not None:
             delays[kind.name].append(delivered - began)
         ends[result] += 1
         ends_by_class[kind.name][result] += 1
         asked[kind.name] += kind.worth
-        got[kind.name] += worth
+        earned[kind.name] += worth
         second = per_second[int(began)]
         second[0] += worth
         second[1] += kind.worth
-        there = per_destination[first.destination]
-        there[0] += 1
-        there[1] += delivered is not None
-        there[2] += worth
-        there[3] += kind.worth
+        destination = per_destination[first.destination]
+        destination[0] += 1
+        destination[1] += delivered is not None
+        destination[2] += worth
+        destination[3] += kind.worth
 
     for missed in found.missed:
         count(missed, "none", None)
@@ -91,10 +91,10 @@
         last = "withdrawn" if last == "unheard" else last
         count(lives[0].handed, "delivered" if delivered is not None else last, delivered)
     total = sum(asked.values())
-    by_class = {name: got[name] / asked[name] for name in asked}
+    by_class = {name: earned[name] / asked[name] for name in asked}
     messages, attempts = len(found.by_chain) + len(found.missed), len(found.sent)
-    return Worth(
-        whole=sum(got.values()) / total if total else 1.0,
+    return RunScore(
+        whole=sum(earned.values()) / total if total else 1.0,
         worst_window=_worst_window(per_second, total, figures.length),
         worst_class=min(by_class.values(), default=1.0),
         by_class=by_class,
@@ -117,6 +117,6 @@
     for start in range(max(1, int(length - WINDOW) + 1)):
         part = [per_second[second] for second in range(start, start + int(WINDOW)) if second in per_second]
         asked = sum(one[1] for one in part)
-        if asked > LEAST_OF_WINDOW * total:
+        if asked > MIN_WINDOW_SHARE * total:
             worst = min(worst, sum(one[0] for one in part) / asked)
     return worst
--- a/irisstack/lab/capacity_search.py
+++ b/irisstack/lab/capacity_search.py
@@ -59,7 +59,7 @@
         )
         world = build(step_scenario)
         played = play(world, None, partial(_report_progress, progress, number, steps))
-        run, scores, _ = results.audited(
+        run, score, _ = results.audited(
             world,
             played.ledger,
             way="sockets",
@@ -67,7 +67,7 @@
             seed=step_scenario.scenario.seed,
             cpu_s=played.cpu_s,
         )
-        tail = results.percentiles([delay for delays in scores.delays.values() for delay in delays])
+        tail = results.percentiles([delay for delays in score.delays.values() for delay in delays])
         asked = max(1, run.asked)
         step = LoadStep(
             rate,
--- a/irisstack/lab/report.py
+++ b/irisstack/lab/report.py
@@ -11,7 +11,7 @@
 from irisstack.lab import charts
 from irisstack.lab import ledger as book
 from irisstack.lab.audit.rules import Breach
-from irisstack.lab.audit.worth import Worth
+from irisstack.lab.audit.scoring import RunScore
 from irisstack.lab.results import PERCENTILES, Run
 from irisstack.lab.world import World
 
@@ -76,7 +76,7 @@
 
 
 def of_run(
-    world: World, run: Run, worth: Worth, breaches: dict[str, list[Breach]], entries: book.Ledger
+    world: World, run: Run, score: RunScore, breaches: dict[str, list[Breach]], entries: book.Ledger
 ) -> str:
     """The page of one run."""
     spans = [(i.begins, i.ends, i.trouble.kind) for i in world.incidents]
@@ -99,7 +99,7 @@
         Section(
             "Worth over time",
             "Of the messages asked for in each second. Troubles are shaded.",
-            charts.over_time({"worth": worth.over_time}, "share", spans, 1.02),
+            charts.over_time({"worth": score.over_time}, "share", spans, 1.02),
         ),
         Section(
             "Messages under way",
@@ -127,7 +127,7 @@
         tabled(
             "Destinations",
             ["number", "kind", "messages", "delivered", "worth"],
-            _destinations(world, worth),
+            _destinations(world, score),
             f"The {MOST_ROWS} with the least worth, where there are more.",
         ),
         tabled("Made with", ["what", "version"], [*run.versions.items(), ("seed", str(run.seed))]),
@@ -148,8 +148,8 @@
     return f"{what} {shown}" + (f" and {len(numbers) - 8} more" if len(numbers) > 8 else "")
 
 
-def _destinations(world: World, worth: Worth) -> list[list[Any]]:
-    rows = sorted(worth.by_destination.items(), key=lambda item: item[1][2])[:MOST_ROWS]
+def _destinations(world: World, score: RunScore) -> list[list[Any]]:
+    rows = sorted(score.by_destination.items(), key=lambda item: item[1][2])[:MOST_ROWS]
     return [[f"{number}", world.destinations[number].kind.name, *figures] for number, figures in rows]
 
 
--- a/irisstack/lab/results.py
+++ b/irisstack/lab/results.py
@@ -10,7 +10,7 @@
 from hdrh.histogram import HdrHistogram
 
 from irisstack.lab import ledger as book
-from irisstack.lab.audit import rules, worth
+from irisstack.lab.audit import rules, scoring
 from irisstack.lab.audit.figures import Figures, figures_of
 from irisstack.lab.scenario import Scenario
 from irisstack.lab.world import World
@@ -91,12 +91,12 @@
     variant: str = "",
     cpu_s: float = 0.0,
     events: int = 0,
-) -> tuple[Run, worth.Worth, dict[str, list[rules.Breach]]]:
+) -> tuple[Run, scoring.RunScore, dict[str, list[rules.Breach]]]:
     """A ledger's figures and what broke which rule."""
     figures: Figures = figures_of(world)
     found = rules.index(entries)
     breaches = rules.check(found, figures)
-    got = worth.of(found, figures)
+    got = scoring.score(found, figures)
     run = Run(
         way,
         world.scenario.scenario.name,
--- a/tests/lab/test_audit.py
+++ b/tests/lab/test_audit.py
@@ -9,7 +9,7 @@
 from irisstack import interface as api
 from irisstack.choice import Sender
 from irisstack.lab import ledger as book
-from irisstack.lab.audit import figures, rules, worth
+from irisstack.lab.audit import figures, rules, scoring
 from irisstack.lab.policy import Policy, Truth, module
 from irisstack.lab.virtual.listing import address
 from irisstack.lab.virtual.play import play
@@ -269,12 +269,18 @@
 
 def test_worth_falls_from_the_aim_to_the_deadline(tmp_path: Path) -> None:
     notice = small_world(tmp_path).scenario.classes[0]
-    assert [worth.at(notice, delay) for delay in (0.5, 1.0, 4.5, 8.0, 8.1)] == [1.0, 1.0, 0.75, 0.5, 0.0]
+    assert [scoring.delivery_value(notice, delay) for delay in (0.5, 1.0, 4.5, 8.0, 8.1)] == [
+        1.0,
+        1.0,
+        0.75,
+        0.5,
+        0.0,
+    ]
 
 
 def test_a_retry_belongs_to_its_first_try_and_an_unreached_node_counts(tmp_path: Path) -> None:
     again = book.HandedIn(1.0, 0, 2, 1, 1, 1, 8.0)
-    got = worth.of(
+    got = scoring.score(
         rules.index(
             [
                 HANDED,
