Reading by a deadline stands once, in node/sockets

Cause: reading by a time as a whole, where what has come counts after it too, stood in endpoint, discovery and notices. One difference: after a standstill a notice's answer that has come counts as it did for the other two, where its time-out ended the try. The text of a timed-out read in the log is the same for list and notices.

--- a/irisstack/node/discovery.py
+++ b/irisstack/node/discovery.py
@@ -3,7 +3,6 @@
 import json
 import time
 from collections.abc import Callable, Mapping
-from contextlib import suppress
 from dataclasses import dataclass, replace
 from typing import Any
 
@@ -243,15 +242,6 @@
     heard_at: float
 
     def receive(self, connection: socket.socket, buffer: Buffer) -> int:
-        """Read once; raises `TimeoutError` when no word has come for too long and nothing lies there unread.
-
-        What has come counts, however late this node looks: after a standstill time-outs fire first.
-        """
+        """Read once; raises `TimeoutError` when no word has come for too long and nothing lies there unread."""
         gevent.sleep(0)  # a flood must not keep the others from their turn
-        while True:
-            left = self.heard_at + SILENCE - time.monotonic()
-            if left <= 0.0 and sockets.quiet(connection):
-                raise TimeoutError("no word from discovery")
-            connection.settimeout(max(0.001, left))
-            with suppress(TimeoutError):
-                return buffer.receive(connection)
+        return sockets.receive_before(connection, buffer, self.heard_at + SILENCE)
--- a/irisstack/node/endpoint.py
+++ b/irisstack/node/endpoint.py
@@ -241,24 +241,19 @@
         assert self._socket is not None
         begun = False
         while (answer := self._reader.advance(self._buffer)) is None:
-            now = time.monotonic()
             if not begun and (begun := self._reader.started or len(self._buffer) > 0):
-                until = min(until, now + REST)
-            late = now >= until
-            if late and sockets.quiet(self._socket):
-                return None
-            # What has come counts, however late this node looks: after a standstill time-outs fire first.
-            self._socket.settimeout(until - now if not late else 0.001)
+                until = min(until, time.monotonic() + REST)
             if begun:
                 gevent.sleep(0)  # an answer that keeps coming must not keep the others from their turn
             try:
-                if not self._buffer.receive(self._socket):
-                    answer = self._reader.ended()
-                    if answer is None:
-                        raise ConnectionResetError
-                    return answer
+                received = sockets.receive_before(self._socket, self._buffer, until)
             except TimeoutError:
-                continue
+                return None
+            if not received:
+                answer = self._reader.ended()
+                if answer is None:
+                    raise ConnectionResetError
+                return answer
         return answer
 
 
--- a/irisstack/node/notices.py
+++ b/irisstack/node/notices.py
@@ -94,10 +94,7 @@
                 http.request("POST", "/reports", name_of(peer), [("Content-Type", "application/json")], body)
             )
             while (answer := reader.advance(buffer)) is None:
-                if (left := until - time.monotonic()) <= 0.0 and sockets.quiet(connection):
-                    raise TimeoutError("no whole answer")
-                connection.settimeout(max(0.001, left))
-                if not buffer.receive(connection):
+                if not sockets.receive_before(connection, buffer, until):
                     raise ConnectionResetError("the answer ended early")
         except (OSError, http.BadMessage) as error:
             log.info("notice_connection_lost", error=repr(error))
--- a/irisstack/node/sockets.py
+++ b/irisstack/node/sockets.py
@@ -1,12 +1,17 @@
 """What connections to endpoints, clients and the platform have in common."""
 
 import select
+import time
+from contextlib import suppress
 
 from gevent import socket
 
+from irisstack.node.buffer import Buffer
 from irisstack.node.config import HostPort
 
 BROKEN = select.POLLHUP | select.POLLERR
+MIN_TIMEOUT = 0.001
+"""Seconds. A socket's time-out of zero would make it non-blocking."""
 
 
 def connect(peer: HostPort, timeout: float) -> socket.socket:
@@ -26,6 +31,21 @@
     return _shows(connection, select.POLLRDHUP | BROKEN)
 
 
+def receive_before(connection: socket.socket, buffer: Buffer, deadline: float) -> int:
+    """Read once into the buffer; returns the number of bytes, 0 at the end of the stream.
+
+    Raises `TimeoutError` once the deadline (on the clock of `time.monotonic`) has passed and nothing waits to
+    be read. What has come counts, however late this process looks: after a standstill time-outs fire first.
+    """
+    while True:
+        remaining = deadline - time.monotonic()
+        if remaining <= 0.0 and quiet(connection):
+            raise TimeoutError("nothing came by the deadline")
+        connection.settimeout(max(MIN_TIMEOUT, remaining))
+        with suppress(TimeoutError):
+            return buffer.receive(connection)
+
+
 def _shows(connection: socket.socket, events: int) -> bool:
     poll = select.poll()
     poll.register(connection.fileno(), events)
