--- a/irisstack/node/discovery.py
+++ b/irisstack/node/discovery.py
@@ -242,6 +242,6 @@
     heard_at: float
 
     def receive(self, connection: socket.socket, buffer: Buffer) -> int:
-        """Read once; raises `TimeoutError` when no word has come for too long and nothing lies there unread."""
+        """Read once; raises `TimeoutError` when no word has come for too long and nothing is unread."""
         gevent.sleep(0)  # a flood must not keep the others from their turn
         return sockets.receive_before(connection, buffer, self.heard_at + SILENCE)
