A sender whose next turn comes late takes a refusing destination to be shut

Cause: seen with a trace (400 senders, 5 calls a second): a sender with a message in ten seconds or more sees one refusal of a shut destination, is spaced by its own flow, and calls again 10 s later whatever came between. So the refused of the outage come back at the rate at which they were refused, with no ramp. Change: the bound on waits (3 s with no call taken) holds for a spaced turn as for a close: where the next turn lies beyond it, the row looks like an outage. The test's model takes its timers from one heap of events.

--- a/irisstack/choice.py
+++ b/irisstack/choice.py
@@ -264,14 +264,20 @@
         row.open_until = max(row.open_until, until)
         # Many senders told one close would all call at it: each takes one of as many places in the first gap.
         row.spent, row.spent_at = self._random.randrange(n := self._set.senders) / n - 1.0, row.open_until
-        if row.open_until > (self._now if self._set.may_tell_peers else row.dark) + DARK:
-            # A busy destination's limit or full connection table turns calls away too, but not for long
-            # without taking one. Turned away or told to wait longer than that, it will come back cold.
+        if self._newly_shut(row):
             row.cold_until = NEVER
         for message in [m for line in destination.lines.values() for m in line.waiting()]:
             if not message.over and self._too_late(message):
                 self._give_up(message)
 
+    def _newly_shut(self, row: _Row) -> bool:
+        """Whether calls were turned away, or are put off, for longer than a busy destination refuses all."""
+        # A busy destination's limit or full connection table turns calls away too, but not for long without
+        # taking one. A sender whose next turn comes later than that cannot tell: it may come back cold.
+        put_off = row.open_until if self._set.may_tell_peers else max(row.open_until, row.next_at)
+        since = self._now if self._set.may_tell_peers else row.dark
+        return row.cold_until < NEVER and put_off > since + DARK
+
     def _success(self, limit: _Limit, scarce: bool) -> None:
         """A call that ended well takes back part of the slowing; the spacing lapses once nothing waits."""
         # Little left of a limit begins it: many senders reach it together, with too few calls each to see it.
@@ -603,9 +609,12 @@
                 # A connect without an answer is silence: the host is gone. A full table says no at once.
                 gone = outcome is Outcome.CONNECT_FAILED and event.elapsed >= self._set.connect_timeout
                 self._failure(limit, None if gone else outcome)
+        row = self._rows.get(limit) or _Row()
         if event.retry_after:
-            row = self._rows.setdefault(limit, _Row())
+            self._rows[limit] = row
             self._open(row, limit.destination, now + event.retry_after + self._set.tick)
+        elif outcome is Outcome.FULL and self._newly_shut(row):
+            self._open(row, limit.destination, now)
 
     def _shun(self, call: _Call) -> None:
         """Prefer other endpoints for a window; a class that succeeds here meanwhile is out of it."""
--- a/tests/support.py
+++ b/tests/support.py
@@ -89,12 +89,20 @@
 
     def turn(self, now: float, *events: api.Event) -> list[api.Action]:
         """One turn at a time; timers that come due before it fire first, each in a turn of its own."""
-        while self.timers and min(self.timers)[0] < now:
-            due = min(self.timers)
-            self.timers.remove(due)
-            self._turn(due[0], (api.TimerFired(due[1]),))
+        while self.timers and self.next_timer() < now:
+            self.fire_timer()
         return self._turn(now, events)
 
+    def next_timer(self) -> float:
+        """When the next timer comes due; infinity where none is set."""
+        return min(self.timers, default=(float("inf"), 0))[0]
+
+    def fire_timer(self) -> None:
+        """Let time pass until the next timer comes due, and fire it in a turn of its own."""
+        due = min(self.timers)
+        self.timers.remove(due)
+        self._turn(due[0], (api.TimerFired(due[1]),))
+
     def _turn(self, now: float, events: Collection[api.Event]) -> list[api.Action]:
         self.now = now
         actions = self.sender.turn(now, events)
--- a/tests/test_fleet_ramp.py
+++ b/tests/test_fleet_ramp.py
@@ -43,16 +43,19 @@
         Driver(endpoint(1, rate=rate), senders=senders, seed=seed * 1000 + number, max_calls=12)
         for number in range(senders)
     ]
-    events: list[tuple[float, int, int, int, Outcome | None]] = []  # at, order, sender, message, its end
+    # Each event: its time, a number that settles ties, its sender, and what happens: a message is handed in,
+    # a call with it ends, or (with neither) a timer of that sender comes due.
+    events: list[tuple[float, int, int, int | None, Outcome | None]] = []
     at = 0.0
     while at < END:  # messages come at nine tenths of the rate, thin and uneven
         at += random.expovariate(0.9 * rate)
         sender = min(random.randrange(senders), random.randrange(senders))
         heappush(events, (at, next(order), sender, next(numbers), None))
     reached: list[tuple[float, bool]] = []
-    seen, told = [0] * senders, [False] * senders
+    seen, told, timer_at = [0] * senders, [False] * senders, [float("inf")] * senders
 
-    def look(sender: int, now: float) -> None:
+    def look(sender: int) -> None:
+        """Let the calls that a sender has made reach the destination, and note its next timer."""
         driver = drivers[sender]
         for when, send in driver.sends[seen[sender] :]:
             if when >= BACK:
@@ -65,20 +68,23 @@
                 end, lasts = how, 0.02
             heappush(events, (when + lasts, next(order), sender, send.message, end))
         seen[sender] = len(driver.sends)
+        if driver.next_timer() != timer_at[sender]:
+            timer_at[sender] = driver.next_timer()
+            heappush(events, (timer_at[sender], next(order), sender, None, None))
 
     while events and events[0][0] < END:
         now, _, sender, number, end = heappop(events)
-        for each, driver in enumerate(drivers):
-            if driver.timers and min(driver.timers)[0] < now:
-                driver.turn(now)
-                look(each, now)
-        index = random.choice([SAFE_INDEX, KEYED_INDEX, UNSAFE_INDEX])
-        if end is None:
-            drivers[sender].message(number, now, index, due=now + 20.0)
+        driver = drivers[sender]
+        if number is None:
+            if driver.next_timer() == now:
+                driver.fire_timer()
+        elif end is None:
+            index = random.choice([SAFE_INDEX, KEYED_INDEX, UNSAFE_INDEX])
+            driver.message(number, now, index, due=now + 20.0)
         else:
-            drivers[sender].end(number, end, now)
+            driver.end(number, end, now)
             told[sender] |= end is not Outcome.OK
-        look(sender, now)
+        look(sender)
     return sorted(call for call in reached if call[0] < END)
 
 
