--- a/irisstack/choice.py
+++ b/irisstack/choice.py
@@ -33,6 +33,7 @@
 PATIENCE = 3.0  # a repeatable call is given up after this many times the overdue time
 BUSY_PART = 0.25  # of its time that a connection is in use, to be worth a place in an endpoint's table
 AWAY = 5.0  # calls out at an endpoint that another zone is worth, where crossing has a price
+NEW_CONNECTION = 0.75  # calls out at an endpoint that a connection already open is worth
 HANDFUL = 4  # idle connections for which any such table has room
 CROWDED_FOR = 30.0  # seconds after a failed connect at a live destination in which idle connections go back
 LEARN = 0.1  # weight of a new call in the usual time
@@ -204,9 +205,7 @@
         self._now, self._out = now, []
         moved = not events  # whether anything, if only time, may have changed what goes when
         for event in events:
-            moved |= not isinstance(event, api.PeerMessage) or self._heard(
-                event.data[:1], self._limits.get(event.data[1:])
-            )
+            moved |= not isinstance(event, api.PeerMessage) or self._heard(event.data)
             match event:
                 case api.AttemptEnded():
                     self._ended(event)
@@ -301,8 +300,9 @@
         if self._set.may_tell_peers:
             self._out.append(api.TellPeer(None, what + limit.key))
 
-    def _heard(self, what: bytes, limit: _Limit | None) -> bool:
+    def _heard(self, data: bytes) -> bool:
         """A note: a failure counts, a success ends their run. Returns whether this changes what may go."""
+        what, limit = data[:1], self._limits.get(data[1:])
         if what == CROWDED:
             self._crowded_until = self._now + CROWDED_FOR
         if limit is None or what != SERVED:
@@ -379,19 +379,12 @@
     # ---- messages ----
 
     def _received(self, event: api.MessageReceived) -> None:
-        kind = self._set.classes[event.message_class]
-        message = self._messages[event.message] = _Message(
-            event.message,
-            event.message_class,
-            kind,
-            event.destination,
-            event.due,
-            min(event.due, event.due - kind.deadline + kind.aim),
-            event.key if kind.ordered else None,
-            event.attempts,
-            event.maybe_ran,
-            event.ran_in,
-        )
+        index, kind = event.message_class, self._set.classes[event.message_class]
+        aim_at = min(event.due, event.due - kind.deadline + kind.aim)
+        key = event.key if kind.ordered else None
+        message = _Message(event.message, index, kind, event.destination, event.due, aim_at, key)
+        message.attempts, message.maybe_ran, message.ran_in = event.attempts, event.maybe_ran, event.ran_in
+        self._messages[event.message] = message
         self._held += 1
         destination = self._destination(event.destination)
         kept = max(0.0, 1.0 - (self._now - destination.flow_at) / WINDOW)
@@ -491,23 +484,16 @@
     def _make_room(self) -> None:
         """At the holding limit, refuse the unsent message with least at stake before one is turned away."""
         unsent = [m for m in self._messages.values() if m.in_line]
-        waits = {
-            number: self._line_time(self._destination(number), count)
-            for number, count in Counter(m.destination for m in unsent).items()
-        }
-        if unsent:  # one that would fail only if none is left that may come again
-            self._give_up(
-                max(
-                    unsent,
-                    key=lambda m: (
-                        waits[m.destination] > 0.0 and self._may_refuse(m),
-                        waits[m.destination],
-                        -m.kind.worth,
-                        m.aim_at,
-                        m.id,
-                    ),
-                )
-            )
+        counts = Counter(m.destination for m in unsent)
+        waits = {number: self._line_time(self._destination(number), counts[number]) for number in counts}
+
+        def least_at_stake(message: _Message) -> tuple[bool, float, float, float, int]:
+            wait = waits[message.destination]  # one that would fail only if none is left that may come again
+            may_wait = wait > 0.0 and self._may_refuse(message)
+            return may_wait, wait, -message.kind.worth, message.aim_at, message.id
+
+        if unsent:
+            self._give_up(max(unsent, key=least_at_stake))
 
     def _line_time(self, destination: _Destination, count: int) -> float:
         """How long so many messages for it will be in line, at the pace that holds there now."""
@@ -717,10 +703,8 @@
     def _free_slots(self, wanted: int) -> None:
         """Cut calls stuck at silent destinations when others need their slots, repeatable ones first."""
         # Guards against slots full of calls that wait for their deadline. Could lose an answer still to come.
-        for call in sorted(
-            self._stuck,
-            key=lambda call: sum(message.kind.effect is Effect.UNSAFE for message in call.messages),
-        ):
+        stuck = sorted(self._stuck, key=lambda c: sum(m.kind.effect is Effect.UNSAFE for m in c.messages))
+        for call in stuck:
             if wanted and call.left and (call.route.limit.ok_sent < call.sent or self._now > call.lost_at):
                 wanted -= 1
                 self._out.extend(api.Cancel(m.id, m.attempts - 1) for m in call.messages if m.call is call)
@@ -744,15 +728,13 @@
         now, per, destination = self._now, self._set.calls_per_connection, line.destination
         routes = [route for route in line.routes() if self._gate(route) <= now]
         index = (line.fresh or line.late)[0][-1].index
-        # Of equals any: every sender has the list in one order, and all would take the first.
-        route = min(
-            routes,
-            key=lambda r: (
-                r.failed.get(index, 0.0) > now,
-                r.calls + AWAY * (r.zone != self._home) + (0.0 if self._connected(r) else 0.75),
-                self._random.random(),
-            ),
-        )
+
+        def preference(route: _Route) -> tuple[bool, float, float]:
+            price = AWAY * (route.zone != self._home) + (0.0 if self._connected(route) else NEW_CONNECTION)
+            # Of equals any: every sender has the list in one order, and all would take the first.
+            return route.failed.get(index, 0.0) > now, route.calls + price, self._random.random()
+
+        route = min(routes, key=preference)
         row = self._rows.get(route.limit) or _Row()
         unproven = row.cold_until == NEVER
         call, size, overdue = _Call(route, now), self._most(row, destination.kind), 0.0
