A refusal that reports its limit as used up does not pass for an outage by the turn put off

Change: the turn put off counts only where the refusal does not report less than three quarters left, the bound that explains a refusal elsewhere. Test with and without report; two of its rows fail on the text before the mend.

--- a/irisstack/choice.py
+++ b/irisstack/choice.py
@@ -599,8 +599,8 @@
         if event.retry_after:
             self._rows[limit] = row
             self._open(row, limit.destination, now + event.retry_after + self._set.tick)
-        elif outcome is Outcome.FULL and self._newly_shut(row):
-            self._open(row, limit.destination, now)
+        elif outcome is Outcome.FULL and told.get("x0", 1.0) >= SPENT and self._newly_shut(row):
+            self._open(row, limit.destination, now)  # an opening of no length: only the return is paced
 
     def _shun(self, call: _Call) -> None:
         """Prefer other endpoints for a window; a class that succeeds here meanwhile is out of it."""
--- a/tests/test_found.py
+++ b/tests/test_found.py
@@ -47,6 +47,28 @@
     assert len(waits(0.1)) == 3 > len(waits(0.95))
 
 
+@pytest.mark.parametrize(
+    ("senders", "report", "looks_shut"),
+    [
+        (200, (), True),
+        (200, (0.95, 4.0), True),
+        (200, (0.0, 4.0), False),
+        (200, (0.1, 4.0), False),
+        (2, (), False),
+    ],
+)
+def test_a_turn_put_off_for_long_after_an_unexplained_refusal_is_an_outage(
+    senders: int, report: tuple[float, ...], looks_shut: bool
+) -> None:
+    """One of very many senders sees one refusal of a shut destination; a limit that is used up says so."""
+    driver = Driver(senders=senders)
+    driver.message(1, 1.0, due=100.0)
+    driver.end(1, FULL, 1.1, report=report)
+    driver.end(1, OK, driver.wait_for(1, attempts=2) + 0.1)
+    at_once = [wait for wait in spread(driver, driver.now + 0.1, 50) if wait < 1.0]
+    assert (len(at_once) < 3) == looks_shut
+
+
 def test_refusals_for_long_with_no_call_taken_are_an_outage() -> None:
     driver = Driver()
     driver.message(1, 1.0)
