--- a/irisstack/choice.py
+++ b/irisstack/choice.py
@@ -33,6 +33,7 @@
 PATIENCE = 3.0  # a repeatable call is given up after this many times the overdue time
 BUSY_PART = 0.25  # of its time that a connection is in use, to be worth a place in an endpoint's table
 AWAY = 5.0  # calls out at an endpoint that another zone is worth, where crossing has a price
+NEW_CONNECTION = 0.75  # calls out at an endpoint that a connection already open is worth
 HANDFUL = 4  # idle connections for which any such table has room
 CROWDED_FOR = 30.0  # seconds after a failed connect at a live destination in which idle connections go back
 LEARN = 0.1  # weight of a new call in the usual time
@@ -204,9 +205,7 @@
         self._now, self._out = now, []
         moved = not events  # whether anything, if only time, may have changed what goes when
         for event in events:
-            moved |= not isinstance(event, api.PeerMessage) or self._heard(
-                event.data[:1], self._limits.get(event.data[1:])
-            )
+            moved |= not isinstance(event, api.PeerMessage) or self._heard(event.data)
             match event:
                 case api.AttemptEnded():
                     self._ended(event)
@@ -264,14 +263,20 @@
         row.open_until = max(row.open_until, until)
         # Many senders told one close would all call at it: each takes one of as many places in the first gap.
         row.spent, row.spent_at = self._random.randrange(n := self._set.senders) / n - 1.0, row.open_until
-        if row.open_until > (self._now if self._set.may_tell_peers else row.dark) + DARK:
-            # A busy destination's limit or full connection table turns calls away too, but not for long
-            # without taking one. Turned away or told to wait longer than that, it will come back cold.
+        if self._newly_shut(row):
             row.cold_until = NEVER
         for message in [m for line in destination.lines.values() for m in line.waiting()]:
             if not message.over and self._too_late(message):
                 self._give_up(message)
 
+    def _newly_shut(self, row: _Row) -> bool:
+        """Whether calls were turned away, or are put off, for longer than a busy destination refuses all."""
+        # A busy destination's limit or full connection table turns calls away too, but not for long without
+        # taking one. A sender whose next turn comes later than that cannot tell: it may come back cold.
+        put_off = row.open_until if self._set.may_tell_peers else max(row.open_until, row.next_at)
+        since = self._now if self._set.may_tell_peers else row.dark
+        return row.cold_until < NEVER and put_off > since + DARK
+
     def _success(self, limit: _Limit, scarce: bool) -> None:
         """A call that ended well takes back part of the slowing; the spacing lapses once nothing waits."""
         # Little left of a limit begins it: many senders reach it together, with too few calls each to see it.
@@ -295,8 +300,9 @@
         if self._set.may_tell_peers:
             self._out.append(api.TellPeer(None, what + limit.key))
 
-    def _heard(self, what: bytes, limit: _Limit | None) -> bool:
+    def _heard(self, data: bytes) -> bool:
         """A note: a failure counts, a success ends their run. Returns whether this changes what may go."""
+        what, limit = data[:1], self._limits.get(data[1:])
         if what == CROWDED:
             self._crowded_until = self._now + CROWDED_FOR
         if limit is None or what != SERVED:
@@ -373,19 +379,12 @@
     # ---- messages ----
 
     def _received(self, event: api.MessageReceived) -> None:
-        kind = self._set.classes[event.message_class]
-        message = self._messages[event.message] = _Message(
-            event.message,
-            event.message_class,
-            kind,
-            event.destination,
-            event.due,
-            min(event.due, event.due - kind.deadline + kind.aim),
-            event.key if kind.ordered else None,
-            event.attempts,
-            event.maybe_ran,
-            event.ran_in,
-        )
+        index, kind = event.message_class, self._set.classes[event.message_class]
+        aim_at = min(event.due, event.due - kind.deadline + kind.aim)
+        key = event.key if kind.ordered else None
+        message = _Message(event.message, index, kind, event.destination, event.due, aim_at, key)
+        message.attempts, message.maybe_ran, message.ran_in = event.attempts, event.maybe_ran, event.ran_in
+        self._messages[event.message] = message
         self._held += 1
         destination = self._destination(event.destination)
         kept = max(0.0, 1.0 - (self._now - destination.flow_at) / WINDOW)
@@ -485,23 +484,16 @@
     def _make_room(self) -> None:
         """At the holding limit, refuse the unsent message with least at stake before one is turned away."""
         unsent = [m for m in self._messages.values() if m.in_line]
-        waits = {
-            number: self._line_time(self._destination(number), count)
-            for number, count in Counter(m.destination for m in unsent).items()
-        }
-        if unsent:  # one that would fail only if none is left that may come again
-            self._give_up(
-                max(
-                    unsent,
-                    key=lambda m: (
-                        waits[m.destination] > 0.0 and self._may_refuse(m),
-                        waits[m.destination],
-                        -m.kind.worth,
-                        m.aim_at,
-                        m.id,
-                    ),
-                )
-            )
+        counts = Counter(m.destination for m in unsent)
+        waits = {number: self._line_time(self._destination(number), counts[number]) for number in counts}
+
+        def least_at_stake(message: _Message) -> tuple[bool, float, float, float, int]:
+            wait = waits[message.destination]  # one that would fail only if none is left that may come again
+            may_wait = wait > 0.0 and self._may_refuse(message)
+            return may_wait, wait, -message.kind.worth, message.aim_at, message.id
+
+        if unsent:
+            self._give_up(max(unsent, key=least_at_stake))
 
     def _line_time(self, destination: _Destination, count: int) -> float:
         """How long so many messages for it will be in line, at the pace that holds there now."""
@@ -603,9 +595,12 @@
                 # A connect without an answer is silence: the host is gone. A full table says no at once.
                 gone = outcome is Outcome.CONNECT_FAILED and event.elapsed >= self._set.connect_timeout
                 self._failure(limit, None if gone else outcome)
+        row = self._rows.get(limit) or _Row()
         if event.retry_after:
-            row = self._rows.setdefault(limit, _Row())
+            self._rows[limit] = row
             self._open(row, limit.destination, now + event.retry_after + self._set.tick)
+        elif outcome is Outcome.FULL and told.get("x0", 1.0) >= SPENT and self._newly_shut(row):
+            self._open(row, limit.destination, now)  # an opening of no length: only the return is paced
 
     def _shun(self, call: _Call) -> None:
         """Prefer other endpoints for a window; a class that succeeds here meanwhile is out of it."""
@@ -708,10 +703,8 @@
     def _free_slots(self, wanted: int) -> None:
         """Cut calls stuck at silent destinations when others need their slots, repeatable ones first."""
         # Guards against slots full of calls that wait for their deadline. Could lose an answer still to come.
-        for call in sorted(
-            self._stuck,
-            key=lambda call: sum(message.kind.effect is Effect.UNSAFE for message in call.messages),
-        ):
+        stuck = sorted(self._stuck, key=lambda c: sum(m.kind.effect is Effect.UNSAFE for m in c.messages))
+        for call in stuck:
             if wanted and call.left and (call.route.limit.ok_sent < call.sent or self._now > call.lost_at):
                 wanted -= 1
                 self._out.extend(api.Cancel(m.id, m.attempts - 1) for m in call.messages if m.call is call)
@@ -735,15 +728,13 @@
         now, per, destination = self._now, self._set.calls_per_connection, line.destination
         routes = [route for route in line.routes() if self._gate(route) <= now]
         index = (line.fresh or line.late)[0][-1].index
-        # Of equals any: every sender has the list in one order, and all would take the first.
-        route = min(
-            routes,
-            key=lambda r: (
-                r.failed.get(index, 0.0) > now,
-                r.calls + AWAY * (r.zone != self._home) + (0.0 if self._connected(r) else 0.75),
-                self._random.random(),
-            ),
-        )
+
+        def preference(route: _Route) -> tuple[bool, float, float]:
+            price = AWAY * (route.zone != self._home) + (0.0 if self._connected(route) else NEW_CONNECTION)
+            # Of equals any: every sender has the list in one order, and all would take the first.
+            return route.failed.get(index, 0.0) > now, route.calls + price, self._random.random()
+
+        route = min(routes, key=preference)
         row = self._rows.get(route.limit) or _Row()
         unproven = row.cold_until == NEVER
         call, size, overdue = _Call(route, now), self._most(row, destination.kind), 0.0
