A message sent ahead of its line left a second place there, open to every zone

Cause: on an unproven destination `Sender._take` passes over messages that may not be repeated and returns the first that may, but left its entry in the line. Where one zone alone drops repeats and the attempt may have run, the message is queued anew in the line of its zone; once its call has ended the old entry, in the line for all zones, is good again, and its next attempt may go to another zone, which prefers it since the first endpoint is second choice after its failure. Change: `_take` removes the entry; the check that a line holds a message moved to `_send`.

--- a/irisstack/choice.py
+++ b/irisstack/choice.py
@@ -758,7 +758,8 @@
         route.calls += 1
         if route.calls > (route.connections - 1) * per:
             route.all_used = now
-        while call.left < size and (message := self._take(line, unproven)):
+        while call.left < size and self._head(line) is not None:
+            message = self._take(line, unproven)
             message.call = call
             call.messages.append(message)
             message.attempts += 1
@@ -792,12 +793,12 @@
             route.connections = -(-route.calls // self._set.calls_per_connection)
         return route.calls < route.connections * self._set.calls_per_connection
 
-    def _take(self, line: _Line, unproven: bool) -> _Message | None:
+    def _take(self, line: _Line, unproven: bool) -> _Message:
         """The next message to send. On an unproven destination one that may be repeated goes first."""
-        if self._head(line) is None:
-            return None
         for message in line.waiting() if unproven else ():
             if message.kind.effect is not Effect.UNSAFE:
+                for entries in (line.fresh, line.late):  # it leaves its place: it may be held to a zone next
+                    entries[:] = sorted(entry for entry in entries if entry[-1] is not message)
                 return message
         return heappop(line.fresh or line.late)[-1]
 
--- a/tests/node/test_repeats.py
+++ b/tests/node/test_repeats.py
@@ -2,6 +2,7 @@
 
 import time
 from collections.abc import Callable
+from dataclasses import replace
 from pathlib import Path
 from random import Random
 from typing import Any
@@ -10,7 +11,7 @@
 import pytest
 from gevent import socket
 
-from irisstack.interface import Outcome
+from irisstack.interface import DedupScope, MessageWithdrawn, Outcome
 from irisstack.node import sockets
 from irisstack.node.counters import Counters
 from irisstack.node.decider import Decider
@@ -20,7 +21,7 @@
 from irisstack.settings import Reader, read
 from tests.node.support import listening, until
 from tests.node_support import SETTINGS, raw
-from tests.support import KEYED, KEYED_INDEX, Driver, endpoint
+from tests.support import CLASSES, KEYED, KEYED_INDEX, UNSAFE_INDEX, Driver, endpoint
 from tests.test_node_parts import entry, take
 
 FOREVER = 1e9
@@ -92,6 +93,26 @@
         assert store.entries[1].out_at is None
 
 
+@pytest.mark.parametrize("seed", range(8))
+def test_a_message_sent_ahead_of_its_line_goes_again_in_its_zone_alone(seed: int) -> None:
+    """On an unproven destination it passes one that may not be repeated, and leaves no place behind."""
+    zoned = tuple(replace(kind, dedup_scope=DedupScope.ZONE) for kind in CLASSES)
+    driver = Driver(endpoint(1, zone=0), endpoint(2, zone=1), classes=zoned, zones=("a", "b"), seed=seed)
+    outage = (1, 2, 3)
+    driver.turn(1.0, *(driver.received(number, 1.0) for number in outage))
+    driver.turn(1.1, *(driver.outcome(number, Outcome.ERROR, 1.1) for number in outage))
+    driver.turn(1.2, *(MessageWithdrawn(number) for number in outage))
+    driver.turn(1.3, driver.received(4, 1.3, UNSAFE_INDEX), driver.received(5, 1.3, KEYED_INDEX))
+    driver.wait_for(5)
+    zone = driver.where[5]
+    assert not driver.sent(4)
+    at = driver.now + 0.1
+    driver.turn(at, driver.outcome(5, Outcome.RESET, at), MessageWithdrawn(4))
+    driver.wait_for(5, attempts=2)
+    assert len(driver.sent(5)) == 2
+    assert driver.where[5] == zone
+
+
 # ---- a shared call and time ----
 
 
