--- a/irisstack/choice.py
+++ b/irisstack/choice.py
@@ -596,10 +596,11 @@
                 gone = outcome is Outcome.CONNECT_FAILED and event.elapsed >= self._set.connect_timeout
                 self._failure(limit, None if gone else outcome)
         row = self._rows.get(limit) or _Row()
+        explained = told.get("x0", 1.0) < SPENT and limit.ok_sent >= now - WINDOW  # by a limit used up
         if event.retry_after:
             self._rows[limit] = row
             self._open(row, limit.destination, now + event.retry_after + self._set.tick)
-        elif outcome is Outcome.FULL and told.get("x0", 1.0) >= SPENT and self._newly_shut(row):
+        elif outcome is Outcome.FULL and not explained and self._newly_shut(row):
             self._open(row, limit.destination, now)  # an opening of no length: only the return is paced
 
     def _shun(self, call: _Call) -> None:
