--- a/tests/test_known_red.py
+++ b/tests/test_known_red.py
@@ -15,17 +15,19 @@
     [
         ([RED], 0, "known red: test_them.py::test_red: a cause (issue: an issue)"),
         ([], 1, "1 failed"),
+        (None, 1, "1 failed"),
         ([RED, GREEN], 1, "XPASS(strict)"),
         ([RED, "test_them.py::test_gone | a cause | an issue"], 4, "no such test: test_them.py::test_gone"),
         ([RED] * 4, 4, "3 lines at most, not 4"),
         (["test_them.py::test_red | no issue"], 4, "test | cause | issue is due"),
     ],
 )
-def test_known_faults(tmp_path: Path, lines: list[str], code: int, says: str) -> None:
+def test_known_faults(tmp_path: Path, lines: list[str] | None, code: int, says: str) -> None:
     (tmp_path / "conftest.py").write_text((Path(__file__).parent / "conftest.py").read_text())
     (tmp_path / "test_them.py").write_text(TESTS)
     (tmp_path / "pytest.ini").write_text("[pytest]\n")
-    (tmp_path / "KNOWN-RED.txt").write_text("".join(f"{line}\n" for line in lines))
+    if lines is not None:
+        (tmp_path / "KNOWN-RED.txt").write_text("".join(f"{line}\n" for line in lines))
     run = subprocess.run(
         [sys.executable, "-m", "pytest"], cwd=tmp_path, capture_output=True, text=True, check=False
     )
