--- a/irisstack/cli/root.py
+++ b/irisstack/cli/root.py
@@ -10,6 +10,7 @@
 from irisstack.cli.config import config
 from irisstack.cli.lab import lab
 from irisstack.cli.output import ASKED_WRONGLY, FAILED
+from irisstack.cli.scale import scale
 from irisstack.common import logs
 from irisstack.start import run_node
 
@@ -66,6 +67,7 @@
 
 root.add_command(config)
 root.add_command(lab)
+lab.add_command(scale)
 
 
 def main(arguments: Sequence[str] | None = None) -> int:
--- /dev/null
+++ b/irisstack/cli/scale.py
@@ -0,0 +1,86 @@
+"""`irisstack lab scale`: measure how load and recovery grow with the size of a fleet."""
+
+import time
+from pathlib import Path
+from typing import TYPE_CHECKING
+
+import click
+
+from irisstack.cli import output
+
+if TYPE_CHECKING:
+    from irisstack.lab.scale.results import Slope
+
+LARGEST = 1_000_000
+
+
+@click.group()
+def scale() -> None:
+    """Measure growth with hollow nodes: real decisions, many nodes in one process, virtual time."""
+
+
+@scale.command(name="list")
+@output.json_option
+def list_(as_json: bool) -> None:
+    """List the experiments."""
+    from irisstack.lab.scale.experiments import EXPERIMENTS
+
+    rows = [(each.name, each.variable, each.title) for each in EXPERIMENTS.values()]
+    output.table(("experiment", "sizes count", "measures"), rows, as_json)
+
+
+@scale.command()
+@click.argument("names", nargs=-1)
+@click.option("--sizes", metavar="N,N,...", help="instead of the experiment's own; one experiment at a time")
+@click.option("--out", type=click.Path(path_type=Path), help="write each slope as a JSON file to this folder")
+@output.json_option
+def run(names: tuple[str, ...], sizes: str | None, out: Path | None, as_json: bool) -> None:
+    """Run the experiments NAMES, or all of them, and print each measured point."""
+    from irisstack.lab.scale.experiments import EXPERIMENTS
+    from irisstack.lab.scale.node_process import NodeError
+    from irisstack.lab.scale.results import write
+
+    _check_names(names, tuple(EXPERIMENTS))
+    if sizes is not None and len(names) != 1:
+        output.fail("--sizes: one experiment is due with it", output.ASKED_WRONGLY)
+    wanted = _sizes(sizes) if sizes is not None else None
+    measured: list[Slope] = []
+    for name in names or tuple(EXPERIMENTS):
+        began = time.monotonic()
+        try:
+            for slope in EXPERIMENTS[name].measure(wanted):
+                measured.append(slope)
+                if out is not None:
+                    write(out, slope, f"irisstack lab scale run {name}")
+        except NodeError as error:
+            output.fail(f"{name}: {error}")
+        except OSError as error:
+            output.fail(f"{error.filename or name}: {error.strerror}")
+        click.echo(f"{name}: {time.monotonic() - began:.1f} s", err=True)
+    _show(measured, as_json)
+
+
+def _check_names(names: tuple[str, ...], known: tuple[str, ...]) -> None:
+    for name in names:
+        if name not in known:
+            output.fail(f"no experiment {name!r}; there are {', '.join(known)}", output.ASKED_WRONGLY)
+
+
+def _sizes(text: str) -> list[int]:
+    """Whole numbers from 1 on, in rising order, none twice."""
+    words = [word.strip() for word in text.split(",")]
+    if not all(word.isascii() and word.isdigit() and 1 <= int(word) <= LARGEST for word in words):
+        output.fail(
+            f"--sizes {text}: whole numbers from 1 to {LARGEST} with commas between them are due",
+            output.ASKED_WRONGLY,
+        )
+    return sorted({int(word) for word in words})
+
+
+def _show(slopes: "list[Slope]", as_json: bool) -> None:
+    rows = [
+        (slope.slope, slope.variable, point.size, point.value, slope.unit, point.runs)
+        for slope in slopes
+        for point in slope.points
+    ]
+    output.table(("slope", "variable", "size", "value", "unit", "runs"), rows, as_json)
--- a/irisstack/lab/scale/gossip_experiments.py
+++ b/irisstack/lab/scale/gossip_experiments.py
@@ -110,8 +110,8 @@
 
 def _notes(seed: int) -> str:
     return (
-        f"each node sends to each destination once in {SECONDS_BETWEEN_MESSAGES:g} s; each destination is down "
-        f"for {OUTAGE_LASTS:g} s; the traffic of its return counts; seed {seed}"
+        f"each node sends to each destination once in {SECONDS_BETWEEN_MESSAGES:g} s; each destination is "
+        f"down for {OUTAGE_LASTS:g} s; the traffic of its return counts; seed {seed}"
     )
 
 
@@ -168,8 +168,8 @@
         "gossip-processor-time",
         "processor time of the decision module for one gossip message",
         "destinations",
-        "s",
-        tuple(Point(size, mean([cost_of_a_message(size, messages)])) for size in sizes),
+        "us",
+        tuple(Point(size, mean([cost_of_a_message(size, messages) * 1e6])) for size in sizes),
         f"{messages} messages of one failure each, in turns of one, 1.9 % of the destinations failing in "
         "turn; without the socket read and the mailbox of a real node",
     )
@@ -184,9 +184,7 @@
     )
     sender.turn(0.0, [api.EndpointsUpdated(api.UpdateScope.CACHED, 1, endpoints)])
     failing = max(1, round(destinations * TARGET_DOWN_SHARE))
-    events = [
-        [api.PeerMessage(1, FAILED + _key(1 + i % failing))] for i in range(messages)
-    ]
+    events = [[api.PeerMessage(1, FAILED + _key(1 + i % failing))] for i in range(messages)]
     began = time.process_time()
     for i, event in enumerate(events):
         sender.turn(1.0 + i * 0.001, event)
