--- a/irisstack/cli/scale.py
+++ b/irisstack/cli/scale.py
@@ -38,7 +38,7 @@
     """Run the experiments NAMES, or all of them, and print each measured point."""
     from irisstack.lab.scale.experiments import EXPERIMENTS
     from irisstack.lab.scale.node_process import NodeError
-    from irisstack.lab.scale.results import write
+    from irisstack.lab.scale.results import peak_memory_mb, write
 
     _check_names(names, tuple(EXPERIMENTS))
     if sizes is not None and len(names) != 1:
@@ -56,7 +56,9 @@
             output.fail(f"{name}: {error}")
         except OSError as error:
             output.fail(f"{error.filename or name}: {error.strerror}")
-        click.echo(f"{name}: {time.monotonic() - began:.1f} s", err=True)
+        click.echo(
+            f"{name}: {time.monotonic() - began:.1f} s, peak memory {peak_memory_mb():.0f} MB", err=True
+        )
     _show(measured, as_json)
 
 
@@ -78,9 +80,47 @@
 
 
 def _show(slopes: "list[Slope]", as_json: bool) -> None:
-    rows = [
-        (slope.slope, slope.variable, point.size, point.value, slope.unit, point.runs)
-        for slope in slopes
-        for point in slope.points
-    ]
-    output.table(("slope", "variable", "size", "value", "unit", "runs"), rows, as_json)
+    """A row for each slope, or as JSON an object for each point."""
+    from irisstack.lab.scale.tables import number
+
+    if as_json:
+        columns = ("slope", "variable", "size", "value", "unit", "runs")
+        rows = [
+            (slope.slope, slope.variable, point.size, point.value, slope.unit, point.runs)
+            for slope in slopes
+            for point in slope.points
+        ]
+        output.table(columns, rows, as_json)
+        return
+    output.table(
+        ("slope", "unit", "sizes count", "size: value"),
+        [
+            (
+                slope.slope,
+                slope.unit,
+                slope.variable,
+                "  ".join(f"{point.size}: {number(point.value)}" for point in slope.points),
+            )
+            for slope in slopes
+        ],
+        as_json,
+    )
+
+
+@scale.command()
+@click.argument("folder", type=click.Path(path_type=Path))
+def tables(folder: Path) -> None:
+    """Print the slopes that were written to FOLDER as Markdown tables."""
+    from irisstack.lab.scale.results import read
+    from irisstack.lab.scale.tables import markdown
+
+    files = sorted(folder.glob("*.json"))
+    if not files:
+        output.fail(f"{folder}: no slopes there", output.ASKED_WRONGLY)
+    slopes: list[Slope] = []
+    for path in files:
+        try:
+            slopes.append(read(path))
+        except (OSError, ValueError, KeyError, TypeError) as error:
+            output.fail(f"{path}: no slope: {error!r}", output.ASKED_WRONGLY)
+    click.echo(markdown(slopes), nl=False)
--- a/irisstack/lab/scale/gossip_experiments.py
+++ b/irisstack/lab/scale/gossip_experiments.py
@@ -44,6 +44,8 @@
     """Calls into the destinations while they were down."""
     openings: int
     """Pairs of a node and a destination whose breaker opened at least once."""
+    log_lines: int
+    """Lines of all nodes' logs, one for each time that a breaker opened."""
 
     @property
     def messages_per_failing_second(self) -> float:
@@ -55,6 +57,11 @@
         """The same in bytes, UDP and IP headers included."""
         return self.bytes / (self.nodes * self.failing * OUTAGE_LASTS)
 
+    @property
+    def log_lines_per_failing_second(self) -> float:
+        """Lines a second that one node logs for each destination that is down."""
+        return self.log_lines / (self.nodes * self.failing * OUTAGE_LASTS)
+
 
 def play(nodes: int, failing: int, failure: Failure, seed: int, *, gossip: bool) -> GossipRun:
     """All destinations of the sample are down at the same time, from the first outage's begin on."""
@@ -76,6 +83,7 @@
         sum(each.bytes_received for each in traffic),
         sum(len(destination.while_down) for destination in destinations),
         sum(len(node.opened) for node in fleet.nodes),
+        sum(sum(node.opened.values()) for node in fleet.nodes),
     )
 
 
@@ -138,6 +146,14 @@
         _points(runs, lambda run: run.bytes_per_failing_second * down),
         f"UDP and IP headers included; {scaled}",
     )
+    yield Slope(
+        slope_name("gossip-log-lines", name),
+        f"log lines a second of each node for breakers that open, {down:g} destinations down ({name})",
+        "nodes",
+        "lines/s",
+        _points(runs, lambda run: run.log_lines_per_failing_second * down),
+        scaled,
+    )
 
 
 def _outage_slopes(runs: Mapping[int, GossipRun], failure: Failure, gossip: bool) -> Iterator[Slope]:
--- a/irisstack/lab/scale/hollow_node.py
+++ b/irisstack/lab/scale/hollow_node.py
@@ -64,6 +64,11 @@
         self._calls: dict[int, OutgoingCall] = {}
         self._alive = True
 
+    @property
+    def messages(self) -> int:
+        """Messages that are not over, or have a call under way."""
+        return len(self._due)
+
     def stop(self) -> None:
         """End at once: what is still on its way to this node is dropped."""
         self._alive = False
--- a/irisstack/lab/scale/list_experiments.py
+++ b/irisstack/lab/scale/list_experiments.py
@@ -77,13 +77,15 @@
     return fleet.recover(PLAYED_FOR)
 
 
-def restart(case: ListCase, restarted: int, *, keeps_history: bool = True) -> Recovery:
+def restart(
+    case: ListCase, restarted: int, *, fleet: int = TARGET_NODES, keeps_history: bool = True
+) -> Recovery:
     """So many nodes of a whole fleet restart at once, while the list changes."""
-    fleet = settled(max(restarted, TARGET_NODES), case)
-    fleet.service.keeps_history = keeps_history
-    fleet.restart(restarted)
-    fleet.change()
-    return fleet.recover(PLAYED_FOR)
+    played = settled(max(restarted, fleet), case)
+    played.service.keeps_history = keeps_history
+    played.restart(restarted)
+    played.change()
+    return played.recover(PLAYED_FOR)
 
 
 def reunion(case: ListCase, nodes: int) -> Recovery:
--- a/irisstack/lab/scale/list_service.py
+++ b/irisstack/lab/scale/list_service.py
@@ -147,7 +147,8 @@
 
     def _answer(self, now: float, call: ListCall, is_push: bool) -> None:
         known = self._watches[call] if is_push else call.known_version
-        told = self.version - known if self.keeps_history and known else self.lines
+        only_changes = is_push or (self.keeps_history and known > 0)
+        told = self.version - known if only_changes else self.lines
         self.counts.bytes_sent += (0 if is_push else HEAD_BYTES) + FRAME_BYTES + told * LINE_BYTES
         self._watches[call] = self.version
         call.answered(now, call, self.version)
--- a/irisstack/lab/scale/node_experiments.py
+++ b/irisstack/lab/scale/node_experiments.py
@@ -23,7 +23,7 @@
 """Seconds in which a node ends after SIGTERM, whatever it has under way."""
 GOSSIP_RATES = (250, 500, 1_000, 2_000)
 GOSSIP_SECONDS = 5.0
-GOSSIP_DESTINATIONS = 10_000
+GOSSIP_DESTINATIONS = TARGET_DESTINATIONS
 GOSSIP_BURSTS_PER_S = 1_000
 """Many, since at the target messages come one by one from all other nodes."""
 
@@ -117,7 +117,7 @@
         points,
         f"failures of {round(GOSSIP_DESTINATIONS * TARGET_DOWN_SHARE)} of {GOSSIP_DESTINATIONS} destinations "
         f"in turn, {GOSSIP_BURSTS_PER_S} bursts a second of datagrams on loopback, {seconds:g} s each; less "
-        f"the idle node's {idle:.4f} of a core; at the target {TARGET_DESTINATIONS} destinations are listed",
+        f"the idle node's {idle:.4f} of a core; breakers that open and their log lines included",
     )
 
 
--- a/irisstack/lab/scale/results.py
+++ b/irisstack/lab/scale/results.py
@@ -3,6 +3,7 @@
 import json
 import os
 import platform
+import resource
 import subprocess
 from collections.abc import Sequence
 from dataclasses import asdict, dataclass, replace
@@ -81,3 +82,16 @@
     path = folder / f"{slope.slope}.json"
     path.write_text(json.dumps(document, indent=1) + "\n")
     return path
+
+
+def read(path: Path) -> Slope:
+    """A slope from its file; raises `OSError`, `ValueError`, `KeyError` or `TypeError` for any other file."""
+    document = json.loads(path.read_text())
+    points = tuple(Point(**point) for point in document["points"])
+    texts = (document[key] for key in ("slope", "title", "variable", "unit"))
+    return Slope(*texts, points, document["notes"])
+
+
+def peak_memory_mb() -> float:
+    """The most memory that this process has had resident, in MB."""
+    return resource.getrusage(resource.RUSAGE_SELF).ru_maxrss / 1000.0
--- /dev/null
+++ b/tests/cli/test_scale_commands.py
@@ -0,0 +1,66 @@
+"""`irisstack lab scale` as a user meets it."""
+
+import json
+from pathlib import Path
+
+import pytest
+
+from irisstack.__main__ import main
+from irisstack.lab.scale.experiments import EXPERIMENTS
+
+
+@pytest.mark.parametrize(
+    ("words", "due"),
+    [
+        (["run", "none"], "no experiment 'none'; there are outage"),
+        (["run", "outage", "--sizes", "0"], "whole numbers from 1"),
+        (["run", "outage", "--sizes", "2,,3"], "whole numbers from 1"),
+        (["run", "outage", "--sizes", "two"], "whole numbers from 1"),
+        (["run", "outage", "--sizes", "1000001"], "whole numbers from 1"),
+        (["run", "--sizes", "2"], "one experiment is due"),
+        (["run", "outage", "list", "--sizes", "2"], "one experiment is due"),
+        (["run", "--size", "2"], "No such option"),
+        (["tables", "none"], "none: no slopes there"),
+        (["weigh"], "No such command"),
+    ],
+)
+def test_bad_arguments_are_one_clear_error(
+    words: list[str], due: str, capfd: pytest.CaptureFixture[str]
+) -> None:
+    assert main(["lab", "scale", *words]) == 2
+    out, err = capfd.readouterr()
+    assert due in err
+    assert "Traceback" not in err
+    assert out == ""
+
+
+def test_the_experiments_are_listed(capfd: pytest.CaptureFixture[str]) -> None:
+    assert main(["lab", "scale", "list", "--json"]) == 0
+    assert [row["experiment"] for row in json.loads(capfd.readouterr().out)] == list(EXPERIMENTS)
+
+
+def test_an_experiment_is_run_at_the_sizes_told_and_written(
+    tmp_path: Path, capfd: pytest.CaptureFixture[str]
+) -> None:
+    words = ["lab", "scale", "run", "gossip-cost", "--sizes", "200,100", "--out", str(tmp_path), "--json"]
+    assert main(words) == 0
+    rows = json.loads(capfd.readouterr().out)
+    assert [(row["slope"], row["size"]) for row in rows] == [
+        ("gossip-processor-time", 100),
+        ("gossip-processor-time", 200),
+    ]
+    assert json.loads((tmp_path / "gossip-processor-time.json").read_text())["unit"] == "us"
+    assert main(["lab", "scale", "tables", str(tmp_path)]) == 0
+    lines = capfd.readouterr().out.splitlines()
+    assert lines[0] == "| slope, against destinations | unit | 100 | 200 |"
+    assert lines[2].startswith("| `gossip-processor-time` | us | ")
+    (tmp_path / "other.json").write_text("{}")
+    assert main(["lab", "scale", "tables", str(tmp_path)]) == 2
+    assert "other.json: no slope" in capfd.readouterr().err
+
+
+def test_a_folder_that_cannot_be_written_is_told(tmp_path: Path, capfd: pytest.CaptureFixture[str]) -> None:
+    (tmp_path / "taken").write_text("a file where a folder is due")
+    words = ["lab", "scale", "run", "gossip-cost", "--sizes", "100", "--out", str(tmp_path / "taken")]
+    assert main(words) == 1
+    assert "taken" in capfd.readouterr().err
