--- a/irisstack/lab/scale/results.py
+++ b/irisstack/lab/scale/results.py
@@ -88,8 +88,8 @@
     """A slope from its file; raises `OSError`, `ValueError`, `KeyError` or `TypeError` for any other file."""
     document = json.loads(path.read_text())
     points = tuple(Point(**point) for point in document["points"])
-    texts = (document[key] for key in ("slope", "title", "variable", "unit"))
-    return Slope(*texts, points, document["notes"])
+    slope, title, variable, unit = (document[key] for key in ("slope", "title", "variable", "unit"))
+    return Slope(slope, title, variable, unit, points, document["notes"])
 
 
 def peak_memory_mb() -> float:
