--- a/tests/lab/scale/test_list_service.py
+++ b/tests/lab/scale/test_list_service.py
@@ -5,8 +5,9 @@
 from irisstack.lab.scale import list_client, list_lines
 from irisstack.lab.scale.list_lines import FRAME_BYTES, HEAD_BYTES, LINE_BYTES
 from irisstack.lab.scale.list_service import Costs, ListCall, ListService, State
+from irisstack.lab.scale.settings import TARGET_DESTINATIONS
 from irisstack.lab.virtual.clock import Clock
-from irisstack.node import discovery
+from irisstack.node import discovery, http
 
 
 class Client:
@@ -112,3 +113,9 @@
     line = list_lines.line(99_999)
     assert set(line) == {"id", "host_port", "locality", "flavor", "cell", "phase", "size", "up_since_ms"}
     assert list_lines.size_of([line, line]) == 2 * LINE_BYTES + 1
+
+
+def test_the_whole_list_at_the_target_fits_into_what_a_node_reads() -> None:
+    whole = list_lines.size_of(list_lines.whole_list(TARGET_DESTINATIONS))
+    assert whole <= http.MAX_LIST
+    assert whole >= TARGET_DESTINATIONS * (LINE_BYTES - 16)
--- a/tests/lab/scale/test_results.py
+++ b/tests/lab/scale/test_results.py
@@ -48,6 +48,7 @@
     with NodeProcess(tmp_path, node_experiments.node_file(10)) as node:
         assert node.start() > 0.0
         assert node.processor_s() > 0.0
+        assert all(isinstance(count, int) for count in node.counters().values())
         assert node.stop() > 0.0
 
 
