--- a/tests/lab/scale/test_results.py
+++ b/tests/lab/scale/test_results.py
@@ -1,11 +1,14 @@
 """Measured slopes as files."""
 
 import json
+import socket
+import time
 from pathlib import Path
 
 import pytest
 
 from irisstack.lab.scale import node_experiments
+from irisstack.lab.scale.bare_receiver import BareReceiver
 from irisstack.lab.scale.node_process import NodeError, NodeFile, NodeProcess
 from irisstack.lab.scale.results import Point, Slope, mean, slope_name, write
 
@@ -52,6 +55,17 @@
         assert node.stop() > 0.0
 
 
+def test_a_bare_receiver_reads_what_comes() -> None:
+    with BareReceiver() as receiver, socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as sock:
+        before = receiver.processor_s()
+        for _ in range(500):
+            sock.sendto(b"F\x01", receiver.address)
+        deadline = time.monotonic() + 10.0
+        while receiver.processor_s() == before and time.monotonic() < deadline:
+            time.sleep(0.01)
+        assert receiver.processor_s() > before
+
+
 def test_a_node_that_does_not_come_up_is_told(tmp_path: Path) -> None:
     with NodeProcess(tmp_path, NodeFile({}, {})) as node, pytest.raises(NodeError, match="no node came up"):
         node.start()
