--- /dev/null
+++ b/irisstack/dynamic_settings/items.py
@@ -0,0 +1,122 @@
+"""The keys below the prefix as the stream of changes has them, good or bad."""
+
+import json
+import math
+from collections.abc import Iterable, Mapping
+from dataclasses import dataclass
+from typing import Any
+
+from irisstack.dynamic_settings.etcd import EventType, KeyValue, WatchEvent
+
+MAX_DOCUMENT_BYTES = 128 * 1024
+"""Most bytes of a document: its paths and its values."""
+MAX_HELD_BYTES = 2 * MAX_DOCUMENT_BYTES
+"""Most bytes that are held of a document that is too large, so that a change can mend it."""
+SHOWN_CHARACTERS = 80
+"""How much of a path is repeated in a reason."""
+
+
+class TooLarge(Exception):
+    """More lies below the prefix than is held."""
+
+
+@dataclass(slots=True, frozen=True)
+class Item:
+    """The value of one key. `problem` says why it cannot be used."""
+
+    value: Any
+    size: int
+    problem: str = ""
+
+
+class StreamItems:
+    """What lies below the prefix at the revision last received."""
+
+    def __init__(self, prefix: bytes) -> None:
+        self._prefix = prefix
+        self._items: dict[bytes, Item] = {}
+        self._size = 0
+
+    @classmethod
+    def of_saved(cls, prefix: bytes, values: Mapping[str, Any]) -> "StreamItems":
+        """The items of a document that was in force."""
+        items = cls(prefix)
+        for path, value in values.items():
+            data = json.dumps(value, separators=(",", ":")).encode()
+            items.put(KeyValue(prefix + path.encode(), data, 0))
+        return items
+
+    def __len__(self) -> int:
+        return len(self._items)
+
+    def put(self, item: KeyValue) -> None:
+        """A key has this value from now on; raises `TooLarge`."""
+        self.delete(item.key)
+        size = len(item.key) - len(self._prefix) + len(item.value)
+        self._size += size
+        if self._size > MAX_HELD_BYTES:
+            raise TooLarge(f"the document: {MAX_DOCUMENT_BYTES} bytes at most are due")
+        self._items[item.key] = _read(item.value, size)
+
+    def delete(self, key: bytes) -> None:
+        """A key is gone, if it was there."""
+        gone = self._items.pop(key, None)
+        if gone is not None:
+            self._size -= gone.size
+
+    def change(self, events: Iterable[WatchEvent]) -> None:
+        """Take in all changes of one revision; raises `TooLarge`."""
+        for event in events:
+            if event.type is EventType.PUT:
+                self.put(event.item)
+            else:
+                self.delete(event.item.key)
+
+    def problem(self) -> str:
+        """Why the items make no document, with the path first; empty if they do."""
+        for key, item in self._items.items():
+            if item.problem:
+                return f"{self._shown(key)}: {item.problem}"
+            if _path(key, self._prefix) is None:
+                return f"{self._shown(key)}: a path in UTF-8 is due"
+        if self._size > MAX_DOCUMENT_BYTES:
+            return f"the document: {MAX_DOCUMENT_BYTES} bytes at most are due, not {self._size}"
+        return ""
+
+    def values(self) -> dict[str, Any]:
+        """The values by path, of items without a problem."""
+        return {key[len(self._prefix) :].decode(): item.value for key, item in self._items.items()}
+
+    def _shown(self, key: bytes) -> str:
+        text = key[len(self._prefix) :].decode("utf-8", "replace")[:SHOWN_CHARACTERS]
+        return "".join(c if c.isprintable() else "?" for c in text)
+
+
+def _path(key: bytes, prefix: bytes) -> str | None:
+    """The key's path below the prefix; `None` if it has none."""
+    try:
+        return key[len(prefix) :].decode() or None
+    except UnicodeDecodeError:
+        return None
+
+
+def _read(data: bytes, size: int) -> Item:
+    if len(data) > MAX_DOCUMENT_BYTES:
+        return Item(None, size, f"{MAX_DOCUMENT_BYTES} bytes at most are due, not {len(data)}")
+    try:
+        return Item(json.loads(data, parse_float=_finite, parse_constant=_no_constant), size)
+    except (ValueError, RecursionError):
+        return Item(None, size, "JSON is due")
+
+
+def _finite(text: str) -> float:
+    """A number that JSON can write again."""
+    value = float(text)
+    if not math.isfinite(value):
+        raise ValueError("out of range")
+    return value
+
+
+def _no_constant(text: str) -> float:
+    """NaN and the infinities are no JSON."""
+    raise ValueError(text)
--- /dev/null
+++ b/irisstack/dynamic_settings/members.py
@@ -0,0 +1,56 @@
+"""Which member of the cluster to ask."""
+
+from collections.abc import Sequence
+from random import Random
+
+FAILED_FOR_S = 10.0
+"""Seconds for which a member that failed is passed over while another is left."""
+LIED_FOR_S = 60.0
+"""The same for one whose answers contradict what is known: an older revision, another cluster."""
+
+
+class Members:
+    """The members in an order that differs from node to node, so that a fleet spreads over them.
+
+    The member that works is kept. One that fails is passed over for a while, unless all have failed: then the
+    next in the order is asked, so that each has its turn.
+    """
+
+    def __init__(self, names: Sequence[str], random: Random) -> None:
+        self._order = list(names)
+        random.shuffle(self._order)
+        self._next = 0
+        self._suspect_until: dict[str, float] = {}
+
+    def pick(self, now: float) -> str:
+        """The member to ask: the one preferred, or the first behind it that is not suspect."""
+        for offset in range(len(self._order)):
+            at = (self._next + offset) % len(self._order)
+            if not self.suspect(self._order[at], now):
+                self._next = at
+                break
+        return self._order[self._next]
+
+    def pick_other(self, than: str, random: Random, now: float) -> str:
+        """Any member but this one, best one that is not suspect; this one if it is alone."""
+        others = [name for name in self._order if name != than]
+        good = [name for name in others if not self.suspect(name, now)]
+        return random.choice(good or others or [than])
+
+    def suspect(self, name: str, now: float) -> bool:
+        """Whether the member failed or lied a short while ago."""
+        return now < self._suspect_until.get(name, 0.0)
+
+    def prefer(self, name: str) -> None:
+        """Ask this member from now on."""
+        self._next = self._order.index(name)
+
+    def works(self, name: str) -> None:
+        """The member gave a good answer."""
+        self._suspect_until.pop(name, None)
+
+    def failed(self, name: str, now: float, suspect_for: float = FAILED_FOR_S) -> None:
+        """The member failed or lied; if it was the one preferred, the next in the order is."""
+        self._suspect_until[name] = max(now + suspect_for, self._suspect_until.get(name, 0.0))
+        if self._order[self._next] == name:
+            self._next = (self._next + 1) % len(self._order)
