--- a/irisstack/dynamic_settings/decisions.py
+++ b/irisstack/dynamic_settings/decisions.py
@@ -1,6 +1,656 @@
-"""The follower's decisions: what to ask of which member, what to take, what to refuse. No clock, no I/O."""
+"""The follower's decisions: what to ask of which member, what to take, what to refuse. No clock, no I/O.
+
+`Follower.step(now, events)` is told what happened and gives what to do. It keeps one main call and beside it,
+now and then, a small one, the check:
+
+    WAITING   no main call; the next begins at a time drawn at random
+    FETCHING  a snapshot, page by page, every page at the revision of the first
+    OPENING   a watch from the revision behind the last one received; not confirmed yet
+    WATCHING  the watch is confirmed and brings each change
+
+A watch that breaks is opened anew where it stopped, at another member. Only a compaction, or a history that
+is longer than a document may be, makes a snapshot necessary.
+
+The check. The gateway's watch has no heartbeat, so silence tells nothing. A linearizable read of the newest
+change and the number of keys, by turns at the watch's member and at another, shows three things: that what is
+held is the newest, that the watch lags behind, or that the member asked is of no use. A check that fails ends
+no watch: only when another member has given a good answer is the watch moved there. Where no member gives
+one, as in the smaller part of a cluster that fell apart, all stays as it is and no connection is made anew
+but the check's, so that a cluster that comes together again meets no wave.
+
+Time until a change is in force, at most, with one member that died without a word just before it, the change
+itself being small:
+
+    CHECK_MAX_S         4.0   the next check begins
+    CONNECT_TIMEOUT_S   1.5   it is at the dead member: no connection,
+    ANSWER_TIMEOUT_S    2.0     or a connection and no answer
+    CHECK_RETRY_S       0.5   the next check, at another member, finds the watch doubtful and moves it there
+                        8.0   in force, and 10 s are left: should that member be dead too, 3.5 s for the
+                              time-outs and at most 1 s for the next check bring it to 12.5
+
+Where the dead member had ended its connections it is RETRY_BASE_S, 1.5. Where it lets the watch lag but
+answers checks, 4.0 + LAG_GRACE_S, 2.0. Where the whole cluster was away and comes back with one dead member,
+RETRY_CAP_S, 3.5 and RETRY_CAP_S again: 13.5. A whole document of 128 KiB takes 15.5 s at 11,264 bytes a
+second for its values alone, in base64, and about 0.013 s for each of its keys.
+"""
+
+import math
+from collections.abc import Iterable, Mapping, Sequence
+from dataclasses import dataclass
+from enum import Enum, auto
+from itertools import groupby
+from random import Random
+from typing import Any
+
+from irisstack.dynamic_settings.budget import ByteBudget
+from irisstack.dynamic_settings.etcd import (
+    ErrorKind,
+    GatewayError,
+    RangeAnswer,
+    RangeRequest,
+    ResponseHeader,
+    WatchAnswer,
+    WatchEvent,
+    WatchRequest,
+    range_end_of,
+)
+from irisstack.dynamic_settings.events import (
+    Action,
+    AskRange,
+    CallFailed,
+    Count,
+    DocumentAccepted,
+    DocumentRefused,
+    EndCall,
+    Event,
+    FailureKind,
+    FrameProgress,
+    Log,
+    LogLevel,
+    OpenWatch,
+    ProposeDocument,
+    RangeAnswered,
+    WakeAt,
+    WatchAnswered,
+)
+from irisstack.dynamic_settings.items import StreamItems, TooLarge
+from irisstack.dynamic_settings.members import FAILED_FOR_S, LIED_FOR_S, Members
+from irisstack.dynamic_settings.pages import SnapshotPages
+from irisstack.dynamic_settings.staleness import Staleness
 
 CONNECT_TIMEOUT_S = 1.5
 """Seconds until a connection that does not come about counts as failed."""
 ANSWER_TIMEOUT_S = 2.0
 """Seconds that a member may keep the node waiting for one answer, the node's own pauses left out."""
+RETRY_BASE_S = 1.5
+"""The first retry comes within this time, drawn at random; the range doubles with each failure."""
+RETRY_CAP_S = 5.0
+"""Where that doubling ends."""
+CHECK_MIN_S = 3.0
+CHECK_MAX_S = 4.0
+"""Between these, drawn at random, lies the time from the end of one check to the next."""
+FIRST_CHECK_S = 0.5
+"""A watch just confirmed is checked within this time."""
+CHECK_RETRY_S = 0.5
+"""As `RETRY_BASE_S`, for a check."""
+LAG_GRACE_S = 2.0
+"""Seconds that the watch is given to bring a change that a check has seen."""
+OVERSIZED_PAUSE_S = 15.0
+"""Seconds until what was too large to be held is looked at again."""
+MAX_ANSWER_BYTES = 512 * 1024
+"""Most bytes of the answer to a range request."""
+MAX_FRAME_BYTES = 256 * 1024
+"""Most bytes of a watch's frame: a longer one is a history that a snapshot is shorter than."""
+MAX_PROPOSALS = 16
+"""Of the revisions of one frame the last so many are checked; those before were superseded long ago."""
+
+
+@dataclass(slots=True, frozen=True)
+class Held:
+    """The document last in force, from an earlier life of the node."""
+
+    cluster_id: int
+    revision: int
+    items: Mapping[str, Any]
+
+
+class State(Enum):
+    """What the main call does."""
+
+    WAITING = auto()
+    FETCHING = auto()
+    OPENING = auto()
+    WATCHING = auto()
+
+
+@dataclass(slots=True, frozen=True)
+class Call:
+    """A call that is under way."""
+
+    number: int
+    member: str
+    asked_at: float
+    revision: int
+    """The last one received when the call was made."""
+
+
+@dataclass(slots=True)
+class Check:
+    """The check beside the watch."""
+
+    call: Call | None = None
+    due_at: float = math.inf
+    failures: int = 0
+    """In a row."""
+    other_next: bool = False
+    """Whether the next one goes to another member than the watch's."""
+    watch_doubted: bool = False
+    """Whether one at the watch's member has failed, and none since has given a good answer."""
+
+
+@dataclass(slots=True)
+class Lag:
+    """A check has seen what the watch has not brought."""
+
+    since: float
+    claimant: str
+
+
+class ContradictionError(Exception):
+    """An answer that contradicts what is known; the text is the name of the line for the log."""
+
+
+class Follower:
+    """The state machine of one node."""
+
+    def __init__(
+        self,
+        members: Sequence[str],
+        prefix: bytes,
+        budget: ByteBudget,
+        seed: int,
+        held: Held | None,
+        now: float,
+    ) -> None:
+        self._random = Random(seed)
+        self._members = Members(members, self._random)
+        self._prefix = prefix
+        self._range_end = range_end_of(prefix)
+        self._budget = budget
+        self._held = held  # until it is proposed
+        self._held_unsettled = held is not None  # until it is accepted or refused
+        self._now = now
+        self._actions: list[Action] = []
+
+        self._cluster_id = held.cluster_id if held is not None else None
+        self._revision = held.revision if held is not None else 0  # the last one received
+        self._seen_revision = self._revision  # up to here a check has seen no later change
+        self._least_revision = 0  # what a snapshot has to reach, after a compaction
+        self._accepted_revision = 0
+        self._items: StreamItems | None = None  # as of `_revision`
+        self._snapshot: SnapshotPages | None = None
+        self._snapshot_unproven = False  # nothing has come since the last one
+
+        self._state = State.WAITING
+        self._main: Call | None = None
+        self._calls = 0
+        self._retry_at = now
+        self._failures = 0  # in a row
+        self._check = Check()
+        self._lag: Lag | None = None
+        self._frame_bytes = 0  # of the watch's frame under way
+        self._staleness = Staleness(now)
+        self._refusal = (0, "")  # the last one's revision and reason, until a document is accepted
+        self._said: set[tuple[str, str]] = set()  # members and what was logged of each, until it works again
+
+    def step(self, now: float, events: Iterable[Event]) -> list[Action]:
+        """Take in what happened, in order, and the time; returns what to do, in order."""
+        self._now = now
+        self._actions = []
+        self._propose_held()
+        for event in events:
+            self._on(event)
+        self._on_time()
+        self._actions.append(WakeAt(self._next_time()))
+        return self._actions
+
+    @property
+    def state(self) -> State:
+        """What the main call does."""
+        return self._state
+
+    @property
+    def revision(self) -> int:
+        """The last revision received, good or bad."""
+        return self._revision
+
+    def _on(self, event: Event) -> None:
+        match event:
+            case RangeAnswered(number, answer):
+                if (call := self._check.call) is not None and call.number == number:
+                    self._on_check_answer(call, answer)
+                elif (call := self._main) is not None and call.number == number:
+                    self._on_page(call, answer)
+            case WatchAnswered(number, answer):
+                if (call := self._main) is not None and call.number == number:
+                    self._on_watch_answer(call, answer)
+            case FrameProgress(number, pending_bytes):
+                if (call := self._main) is not None and call.number == number:
+                    self._frame_bytes = pending_bytes
+            case CallFailed(number, kind, reason):
+                if (call := self._check.call) is not None and call.number == number:
+                    self._check_failed(call, kind.name.lower(), reason)
+                elif (call := self._main) is not None and call.number == number:
+                    self._main = None
+                    self._on_main_failure(call, kind, reason)
+            case DocumentAccepted(revision):
+                self._on_accepted(revision)
+            case DocumentRefused(revision, reason):
+                self._on_refused(revision, reason)
+                if self._held_unsettled:
+                    self._drop_held()
+
+    # ---- time ----
+
+    def _on_time(self) -> None:
+        """Do what has come due."""
+        self._actions += self._staleness.look(self._now, self._revision)
+        if self._lag is not None and self._now >= self._lag_ends_at(self._lag):
+            self._on_lag(self._lag)
+        if self._now >= self._main_due_at():
+            self._begin()
+        if self._check.call is None and self._now >= self._check.due_at:
+            self._ask_check()
+
+    def _next_time(self) -> float:
+        times = [self._main_due_at()]
+        if self._check.call is None:
+            times.append(self._check.due_at)
+        if self._lag is not None:
+            times.append(self._lag_ends_at(self._lag))
+        if (stale_at := self._staleness.due_at) is not None:
+            times.append(stale_at)
+        return min(times)
+
+    def _main_due_at(self) -> float:
+        """When the next main call begins: not before its time, nor before the bytes spent are earned."""
+        if self._main is not None or self._held_unsettled:
+            return math.inf
+        return max(self._retry_at, self._now + self._budget.delay(self._now))
+
+    def _lag_ends_at(self, lag: Lag) -> float:
+        """A long frame is given the time that the node's own budget makes it take."""
+        return lag.since + LAG_GRACE_S + self._frame_bytes / self._budget.bytes_per_s
+
+    def _within(self, base: float, failures: int) -> float:
+        """A time from now, drawn at random from a range that doubles with each failure."""
+        return self._now + self._random.uniform(0.0, min(RETRY_CAP_S, base * 2.0 ** min(failures, 16)))
+
+    # ---- the main call ----
+
+    def _new_call(self, member: str) -> Call:
+        self._calls += 1
+        return Call(self._calls, member, self._now, self._revision)
+
+    def _begin(self) -> None:
+        """Ask for a page or open the watch."""
+        call = self._main = self._new_call(self._members.pick(self._now))
+        if self._items is not None:
+            self._state = State.OPENING
+            start = max(self._revision, self._seen_revision) + 1
+            request = WatchRequest(self._prefix, self._range_end, start)
+            self._actions.append(OpenWatch(call.number, call.member, request))
+            return
+        self._state = State.FETCHING
+        if self._snapshot is None:
+            self._snapshot = SnapshotPages(self._prefix)
+        if not self._snapshot.revision:
+            self._snapshot.asked_at = self._now
+        self._actions.append(AskRange(call.number, call.member, self._snapshot.request()))
+
+    def _end_main(self) -> None:
+        """Give up the main call, if one is under way, and with it the check."""
+        if self._main is not None:
+            self._actions.append(EndCall(self._main.number))
+            self._main = None
+        if self._check.call is not None:
+            self._actions.append(EndCall(self._check.call.number))
+        self._check = Check()
+        self._lag = None
+        self._frame_bytes = 0
+        self._state = State.WAITING
+
+    def _retry(self, pause: float = 0.0) -> None:
+        """Begin the next main call after this pause."""
+        self._end_main()
+        self._retry_at = self._now + pause
+
+    def _back_off(self) -> None:
+        """Begin the next main call after a pause that grows with the failures in a row."""
+        self._end_main()
+        self._retry_at = self._within(RETRY_BASE_S, self._failures)
+        self._failures += 1
+
+    def _main_failed(self, member: str, what: str, reason: str, suspect_for: float = FAILED_FOR_S) -> None:
+        """The member is of no use for now: try another."""
+        self._say_of_member(member, what, reason)
+        self._members.failed(member, self._now, suspect_for)
+        self._back_off()
+
+    def _on_main_failure(self, call: Call, kind: FailureKind, reason: str) -> None:
+        watching = self._items is not None
+        if kind is FailureKind.COMPACTED:
+            self._on_compacted(call, 0)
+        elif kind is FailureKind.TOO_LARGE and watching:
+            self._log(LogLevel.INFO, "settings_history_too_long", member=call.member)
+            self._fetch_again(call)
+        elif kind is FailureKind.TOO_LARGE:
+            self._on_oversized(self._revision, reason)
+        else:
+            self._main_failed(call.member, kind.name.lower(), reason)
+
+    # ---- the snapshot ----
+
+    def _on_page(self, call: Call, answer: RangeAnswer) -> None:
+        self._main = None
+        snapshot = self._snapshot
+        if snapshot is None:
+            return
+        try:
+            self._check_header(answer.header, max(call.revision, self._least_revision, snapshot.revision))
+            complete = snapshot.take(answer)
+        except ContradictionError as error:
+            self._main_failed(call.member, str(error), self._seen(answer.header), LIED_FOR_S)
+        except GatewayError as error:
+            self._snapshot = None
+            self._main_failed(call.member, "malformed", str(error), LIED_FOR_S)
+        except TooLarge as error:
+            self._on_oversized(snapshot.revision, str(error))
+        else:
+            self._members.works(call.member)
+            if complete:
+                self._on_snapshot(snapshot)
+
+    def _on_snapshot(self, snapshot: SnapshotPages) -> None:
+        """The snapshot is whole: from here on the watch tells what changes."""
+        self._snapshot = None
+        self._snapshot_unproven = True
+        self._cluster_id = snapshot.cluster_id
+        self._items = snapshot.items
+        self._revision = self._seen_revision = snapshot.revision
+        self._least_revision = 0
+        self._actions += self._staleness.confirm(self._now, snapshot.asked_at, self._revision)
+        self._propose(snapshot.revision)
+        self._retry()
+
+    def _on_compacted(self, call: Call, compact_revision: int) -> None:
+        """The history no longer reaches back to where the watch or the snapshot stands."""
+        self._log(LogLevel.INFO, "settings_compacted", member=call.member, compact_revision=compact_revision)
+        self._least_revision = max(self._least_revision, compact_revision)
+        self._fetch_again(call)
+
+    def _fetch_again(self, call: Call) -> None:
+        """Begin a snapshot at the same member; where the last one led to nothing, later and at another."""
+        self._items = None
+        self._snapshot = None
+        if self._snapshot_unproven or self._state is State.FETCHING:
+            self._members.failed(call.member, self._now)
+            self._back_off()
+        else:
+            self._retry()
+
+    def _on_oversized(self, revision: int, reason: str) -> None:
+        """More lies below the prefix than is held: look again later whether that still is so."""
+        if reason != self._refusal[1]:
+            self._on_refused(revision, reason)
+        self._items = None
+        self._snapshot = None
+        self._retry(OVERSIZED_PAUSE_S)
+
+    # ---- the watch ----
+
+    def _on_watch_answer(self, call: Call, answer: WatchAnswer) -> None:
+        try:
+            self._check_header(answer.header, 0)
+            if answer.canceled:
+                self._on_canceled(call, answer)
+                return
+            if self._state is State.OPENING:
+                self._on_opened(call)
+            if answer.events:
+                self._on_changes(answer)
+        except ContradictionError as error:
+            self._main_failed(call.member, str(error), self._seen(answer.header), LIED_FOR_S)
+        except GatewayError as error:
+            self._main_failed(call.member, "malformed", str(error), LIED_FOR_S)
+
+    def _on_opened(self, call: Call) -> None:
+        self._state = State.WATCHING
+        self._members.works(call.member)
+        self._members.prefer(call.member)
+        self._check = Check(due_at=self._now + self._random.uniform(0.0, FIRST_CHECK_S))
+
+    def _on_canceled(self, call: Call, answer: WatchAnswer) -> None:
+        if answer.compact_revision > self._revision + 1:
+            self._on_compacted(call, answer.compact_revision)
+        else:
+            self._main_failed(call.member, "canceled", answer.cancel_reason)
+
+    def _on_changes(self, answer: WatchAnswer) -> None:
+        """Take in the changes revision by revision, each as a whole."""
+        revisions = [
+            (revision, list(events))
+            for revision, events in groupby(answer.events, key=lambda event: event.item.mod_revision)
+        ]
+        self._check_changes(answer, [revision for revision, _ in revisions])
+        self._failures = 0
+        self._snapshot_unproven = False
+        skipped = max(0, len(revisions) - MAX_PROPOSALS)
+        if skipped:
+            self._log(LogLevel.INFO, "settings_superseded", count=skipped, before=revisions[skipped][0])
+        for place, (revision, events) in enumerate(revisions):
+            if not self._change(revision, events, propose=place >= skipped):
+                return
+        if self._lag is not None:
+            self._lag.since = self._now
+
+    def _check_changes(self, answer: WatchAnswer, revisions: list[int]) -> None:
+        """Raises an error for changes that the stream cannot hold."""
+        last = self._revision
+        for revision in revisions:
+            if revision <= last:
+                raise ContradictionError("settings_older_revision")
+            last = revision
+        if last > answer.header.revision:
+            raise GatewayError(ErrorKind.MALFORMED, "a change of a later revision than the frame's")
+        if not all(event.item.key.startswith(self._prefix) for event in answer.events):
+            raise GatewayError(ErrorKind.MALFORMED, "a change of a key that was not asked for")
+
+    def _change(self, revision: int, events: list[WatchEvent], propose: bool) -> bool:
+        """Take in one revision; returns whether the watch still goes on."""
+        items = self._items
+        if items is None:
+            return False
+        self._revision = revision
+        self._seen_revision = max(self._seen_revision, revision)
+        try:
+            items.change(events)
+        except TooLarge as error:
+            self._on_oversized(revision, str(error))
+            return False
+        if propose:
+            self._propose(revision)
+        return True
+
+    # ---- the check ----
+
+    def _ask_check(self) -> None:
+        if self._main is None or self._state is not State.WATCHING:
+            return
+        check = self._check
+        if check.failures:
+            member = self._members.pick_any(self._random, self._now)
+        elif check.other_next:
+            member = self._members.pick_other(self._main.member, self._random, self._now)
+        else:
+            member = self._main.member
+        check.other_next = member == self._main.member
+        check.call = self._new_call(member)
+        request = RangeRequest(self._prefix, self._range_end, limit=1, newest_first=True, keys_only=True)
+        self._actions.append(AskRange(check.call.number, member, request))
+
+    def _on_check_answer(self, call: Call, answer: RangeAnswer) -> None:
+        try:
+            self._check_header(answer.header, call.revision)
+            if answer.items and answer.items[0].mod_revision > answer.header.revision:
+                raise GatewayError(ErrorKind.MALFORMED, "a change of a later revision than the answer's")
+        except ContradictionError as error:
+            self._check_failed(call, str(error), self._seen(answer.header), LIED_FOR_S)
+            return
+        except GatewayError as error:
+            self._check_failed(call, "malformed", str(error), LIED_FOR_S)
+            return
+        self._check.call = None
+        self._check.failures = 0
+        self._check.due_at = self._now + self._random.uniform(CHECK_MIN_S, CHECK_MAX_S)
+        self._members.works(call.member)
+        self._forget_said(call.member)
+        if self._shows_later_change(answer):
+            if self._lag is None:
+                self._lag = Lag(self._now, call.member)
+        else:
+            self._on_confirmed(call, answer)
+        self._settle_doubt(call)
+
+    def _shows_later_change(self, answer: RangeAnswer) -> bool:
+        """Whether the answer shows a change that the watch has not brought."""
+        if answer.items and answer.items[0].mod_revision > self._revision:
+            return True
+        held = len(self._items) if self._items is not None else 0
+        return answer.header.revision >= self._revision and answer.count != held
+
+    def _on_confirmed(self, call: Call, answer: RangeAnswer) -> None:
+        """What is held was the newest when the check was made."""
+        self._lag = None
+        self._failures = 0
+        self._snapshot_unproven = False
+        self._seen_revision = max(self._seen_revision, answer.header.revision)
+        self._actions += self._staleness.confirm(self._now, call.asked_at, self._revision)
+
+    def _settle_doubt(self, call: Call) -> None:
+        """A good answer has come: where the watch's own member gave none, the watch moves to this one."""
+        if not self._check.watch_doubted or self._main is None:
+            return
+        self._check.watch_doubted = False
+        if call.member != self._main.member:
+            self._log(LogLevel.INFO, "settings_watch_moved", member=self._main.member, to=call.member)
+            self._move_watch(call.member)
+
+    def _check_failed(self, call: Call, what: str, reason: str, suspect_for: float = FAILED_FOR_S) -> None:
+        """The member is of no use for now. The watch stays until another member has given a good answer."""
+        check = self._check
+        check.call = None
+        check.due_at = self._within(CHECK_RETRY_S, check.failures)
+        check.failures += 1
+        if self._main is not None and call.member == self._main.member:
+            check.watch_doubted = True
+        self._say_of_member(call.member, what, reason)
+        self._members.failed(call.member, self._now, suspect_for)
+
+    def _on_lag(self, lag: Lag) -> None:
+        """The watch has not brought in time what a check has seen: open it anew from what is held."""
+        if self._main is None:
+            return
+        member = self._main.member
+        self._log(LogLevel.WARNING, "settings_watch_behind", member=member, seen_at=lag.claimant)
+        self._seen_revision = self._revision
+        if lag.claimant == member:
+            self._members.failed(member, self._now, LIED_FOR_S)
+            self._retry()
+        else:
+            self._members.failed(member, self._now)
+            self._move_watch(lag.claimant)
+
+    def _move_watch(self, member: str) -> None:
+        self._members.prefer(member)
+        self._retry()
+
+    # ---- documents ----
+
+    def _propose_held(self) -> None:
+        """Put the document of an earlier life in force before anything is asked."""
+        held, self._held = self._held, None
+        if held is None:
+            return
+        try:
+            self._items = StreamItems.of_saved(self._prefix, held.items)
+        except TooLarge:
+            self._drop_held()
+            return
+        self._actions.append(ProposeDocument(held.revision, held.cluster_id, held.items))
+
+    def _drop_held(self) -> None:
+        """The document of an earlier life is of no use: begin with a snapshot."""
+        self._held_unsettled = False
+        self._items = None
+
+    def _propose(self, revision: int) -> None:
+        if self._items is None or self._cluster_id is None:
+            return
+        problem = self._items.problem()
+        if problem:
+            self._on_refused(revision, problem)
+        else:
+            self._actions.append(ProposeDocument(revision, self._cluster_id, self._items.values()))
+
+    def _on_accepted(self, revision: int) -> None:
+        self._refusal = (0, "")
+        self._held_unsettled = False
+        self._count("settings_revision", revision - self._accepted_revision)
+        self._accepted_revision = revision
+        self._log(LogLevel.INFO, "settings_accepted", revision=revision)
+
+    def _on_refused(self, revision: int, reason: str) -> None:
+        """Name a bad document, once; the one in force stays."""
+        if self._refusal == (revision, reason):
+            return
+        self._refusal = (revision, reason)
+        self._count("settings_refused")
+        in_force = self._accepted_revision
+        self._log(LogLevel.ERROR, "settings_refused", revision=revision, reason=reason, in_force=in_force)
+
+    # ---- what is known of the cluster ----
+
+    def _check_header(self, header: ResponseHeader, least_revision: int) -> None:
+        """Raises `ContradictionError` for an answer of another cluster, or from before what was received."""
+        if self._cluster_id is not None and header.cluster_id != self._cluster_id:
+            raise ContradictionError("settings_other_cluster")
+        if header.revision < least_revision:
+            raise ContradictionError("settings_older_revision")
+
+    def _seen(self, header: ResponseHeader) -> str:
+        return (
+            f"cluster {header.cluster_id} at revision {header.revision}, "
+            f"held are {self._cluster_id} and {self._revision}"
+        )
+
+    # ---- what is said ----
+
+    def _say_of_member(self, member: str, what: str, reason: str) -> None:
+        """Log what is wrong with a member, once until it works again."""
+        if (member, what) in self._said:
+            return
+        self._said.add((member, what))
+        contradicts = what.startswith("settings_")
+        level = LogLevel.WARNING if contradicts else LogLevel.INFO
+        event = what if contradicts else "settings_member_failed"
+        self._log(level, event, member=member, kind=what, reason=reason)
+
+    def _forget_said(self, member: str) -> None:
+        self._said = {said for said in self._said if said[0] != member}
+
+    def _log(self, level: LogLevel, event: str, **fields: Any) -> None:
+        self._actions.append(Log(level, event, fields))
+
+    def _count(self, name: str, amount: int = 1) -> None:
+        self._actions.append(Count(name, amount))
--- a/irisstack/dynamic_settings/members.py
+++ b/irisstack/dynamic_settings/members.py
@@ -37,6 +37,11 @@
         good = [name for name in others if not self.suspect(name, now)]
         return random.choice(good or others or [than])
 
+    def pick_any(self, random: Random, now: float) -> str:
+        """Any member, best one that is not suspect."""
+        good = [name for name in self._order if not self.suspect(name, now)]
+        return random.choice(good or self._order)
+
     def suspect(self, name: str, now: float) -> bool:
         """Whether the member failed or lied a short while ago."""
         return now < self._suspect_until.get(name, 0.0)
--- /dev/null
+++ b/irisstack/dynamic_settings/pages.py
@@ -0,0 +1,63 @@
+"""A snapshot of what lies below the prefix, put together from pages that all show one revision."""
+
+from irisstack.dynamic_settings.etcd import (
+    ErrorKind,
+    GatewayError,
+    KeyValue,
+    RangeAnswer,
+    RangeRequest,
+    key_after,
+    range_end_of,
+)
+from irisstack.dynamic_settings.items import StreamItems
+
+PAGE_KEYS = 64
+"""Most keys of one page."""
+
+
+class SnapshotPages:
+    """The pages that have come so far; the first one settles the revision of all."""
+
+    def __init__(self, prefix: bytes) -> None:
+        self._prefix = prefix
+        self._next_key = prefix
+        self.items = StreamItems(prefix)
+        self.revision = 0
+        """The revision of every page, 0 before the first one has come."""
+        self.cluster_id = 0
+        self.asked_at = 0.0
+        """When the first page was asked for: the snapshot is as new as that."""
+
+    def request(self) -> RangeRequest:
+        """What to ask for the next page."""
+        return RangeRequest(
+            self._next_key, range_end_of(self._prefix), revision=self.revision, limit=PAGE_KEYS
+        )
+
+    def take(self, answer: RangeAnswer) -> bool:
+        """Add a page; returns whether it was the last one.
+
+        Raises `GatewayError` for a page that the revision cannot have, and `TooLarge`.
+        """
+        if not self.revision:
+            self.revision = answer.header.revision
+            self.cluster_id = answer.header.cluster_id
+        if answer.header.cluster_id != self.cluster_id:
+            raise GatewayError(ErrorKind.MALFORMED, "a page of another cluster than the first one's")
+        last_key = b""
+        for item in answer.items:
+            self._check(item, last_key)
+            last_key = item.key
+            self.items.put(item)
+        if answer.more:
+            if not last_key:
+                raise GatewayError(ErrorKind.MALFORMED, "an empty page that says more follow")
+            self._next_key = key_after(last_key)
+            return False
+        return True
+
+    def _check(self, item: KeyValue, last_key: bytes) -> None:
+        if not item.key.startswith(self._prefix) or item.key < self._next_key or item.key <= last_key:
+            raise GatewayError(ErrorKind.MALFORMED, "a page with keys that were not asked for")
+        if not 0 < item.mod_revision <= self.revision:
+            raise GatewayError(ErrorKind.MALFORMED, "a page with a change of a later revision than its own")
--- /dev/null
+++ b/irisstack/dynamic_settings/snapshot.py
@@ -0,0 +1,139 @@
+"""The settings last accepted, kept in the lasting folder so that a restart needs no cluster.
+
+One JSON file, `settings.json`: a version, a checksum and the settings. It is written to another name and then
+renamed, so that a process that ends midway leaves the old one. Nothing is synced: the folder outlives the
+process, not the machine, and a file that a crash of the machine has torn is found by its checksum.
+
+A file is `MAX_FILE_BYTES` at most, and while one is written there are two: `DISK_RESERVE_BYTES` of the room that
+`disk_mb` grants the folder are to be left to them. It is written with each accepted revision and never else.
+"""
+
+import json
+import os
+import zlib
+from collections.abc import Mapping
+from dataclasses import asdict, dataclass, field
+from pathlib import Path
+from typing import Any
+
+import structlog
+
+FILE_NAME = "settings.json"
+NEW_FILE_NAME = "settings.json.new"
+VERSION = 1
+MAX_FILE_BYTES = 256 * 1024
+"""A document of 128 KiB and as much again for what it has retired and for the file's own marks."""
+DISK_RESERVE_BYTES = 2 * MAX_FILE_BYTES
+"""What the file and the one about to take its place need of the folder's room."""
+
+log = structlog.get_logger()
+
+
+@dataclass(slots=True, frozen=True)
+class SavedSettings:
+    """A document that was in force, and where in the stream of changes it stood."""
+
+    cluster_id: int
+    revision: int
+    items: Mapping[str, Any]
+    """The values by their path below the prefix."""
+    retired: Mapping[str, Any] = field(default_factory=dict)
+    """What the settings no longer name but messages may still be owed under."""
+
+
+class FileError(Exception):
+    """The file holds no settings; the text says why."""
+
+
+class SnapshotFile:
+    """The file in one folder. No trouble with it ever ends the node: it is one line of the log."""
+
+    def __init__(self, folder: Path) -> None:
+        self._path = folder / FILE_NAME
+        self._new_path = folder / NEW_FILE_NAME
+
+    def load(self) -> SavedSettings | None:
+        """What was saved; `None` if there is nothing, or nothing that can be used."""
+        try:
+            return _decode(self._read())
+        except FileNotFoundError:
+            return None
+        except OSError as error:
+            log.warning("settings_file_unread", path=str(self._path), error=str(error.strerror))
+        except FileError as error:
+            log.warning("settings_file_unread", path=str(self._path), error=str(error))
+        return None
+
+    def save(self, settings: SavedSettings) -> bool:
+        """Replace the file; returns whether that went well. If it did not, the old file stays."""
+        try:
+            data = _encode(settings)
+            self._write(data)
+        except OSError as error:
+            log.error("settings_not_saved", revision=settings.revision, error=str(error.strerror))
+        except FileError as error:
+            log.error("settings_not_saved", revision=settings.revision, error=str(error))
+        else:
+            return True
+        return False
+
+    def _read(self) -> bytes:
+        with self._path.open("rb") as file:
+            return file.read(MAX_FILE_BYTES + 1)
+
+    def _write(self, data: bytes) -> None:
+        try:
+            self._new_path.write_bytes(data)
+            os.replace(self._new_path, self._path)
+        except OSError:
+            self._new_path.unlink(missing_ok=True)
+            raise
+
+
+def _encode(settings: SavedSettings) -> bytes:
+    body = _canonical(asdict(settings))
+    head = {"version": VERSION, "crc32": zlib.crc32(body)}
+    data = _canonical(head)[:-1] + b',"settings":' + body + b"}\n"
+    if len(data) > MAX_FILE_BYTES:
+        raise FileError(f"{MAX_FILE_BYTES} bytes at most are due, not {len(data)}")
+    return data
+
+
+def _decode(data: bytes) -> SavedSettings:
+    if len(data) > MAX_FILE_BYTES:
+        raise FileError(f"{MAX_FILE_BYTES} bytes at most are due")
+    try:
+        raw = json.loads(data)
+    except (ValueError, RecursionError):
+        raise FileError("no JSON, perhaps torn") from None
+    if not isinstance(raw, dict):
+        raise FileError("an object is due")
+    if raw.get("version") != VERSION:
+        raise FileError(f"version {VERSION} is due, not {str(raw.get('version'))[:20]!r}")
+    settings = raw.get("settings")
+    if not isinstance(settings, dict) or raw.get("crc32") != zlib.crc32(_canonical(settings)):
+        raise FileError("the checksum does not fit")
+    try:
+        return _settings(**settings)
+    except TypeError:
+        raise FileError("cluster_id, revision, items and retired are due") from None
+
+
+def _settings(
+    cluster_id: int, revision: int, items: dict[str, Any], retired: dict[str, Any]
+) -> SavedSettings:
+    """Raises `TypeError` for what has the wrong type."""
+    if type(cluster_id) is not int or type(revision) is not int:
+        raise TypeError("whole numbers are due")
+    if not isinstance(items, dict) or not isinstance(retired, dict):
+        raise TypeError("objects are due")
+    return SavedSettings(cluster_id, revision, items, retired)
+
+
+def _canonical(value: object) -> bytes:
+    """The one form of a JSON value that the checksum is taken of; raises `FileError` for what is none."""
+    try:
+        text = json.dumps(value, sort_keys=True, separators=(",", ":"), ensure_ascii=False, allow_nan=False)
+    except (TypeError, ValueError, RecursionError) as error:
+        raise FileError(f"no JSON: {error}") from None
+    return text.encode("utf-8", "surrogatepass")
