--- a/irisstack/dynamic_settings/decisions.py
+++ b/irisstack/dynamic_settings/decisions.py
@@ -606,7 +606,6 @@
     def _on_accepted(self, revision: int) -> None:
         self._refusal = (0, "")
         self._held_unsettled = False
-        self._count("settings_revision", revision - self._accepted_revision)
         self._accepted_revision = revision
         self._log(LogLevel.INFO, "settings_accepted", revision=revision)
 
--- a/irisstack/dynamic_settings/snapshot.py
+++ b/irisstack/dynamic_settings/snapshot.py
@@ -4,8 +4,9 @@
 renamed, so that a process that ends midway leaves the old one. Nothing is synced: the folder outlives the
 process, not the machine, and a file that a crash of the machine has torn is found by its checksum.
 
-A file is `MAX_FILE_BYTES` at most, and while one is written there are two: `DISK_RESERVE_BYTES` of the room that
-`disk_mb` grants the folder are to be left to them. It is written with each accepted revision and never else.
+A file is `MAX_FILE_BYTES` at most, and while one is written there are two: `DISK_RESERVE_BYTES` of the room
+that `disk_mb` grants the folder are to be left to them. It is written with each accepted revision and never
+else.
 """
 
 import json
@@ -51,9 +52,20 @@
     def __init__(self, folder: Path) -> None:
         self._path = folder / FILE_NAME
         self._new_path = folder / NEW_FILE_NAME
+        self._loaded = False
+        self._saved: SavedSettings | None = None
 
     def load(self) -> SavedSettings | None:
-        """What was saved; `None` if there is nothing, or nothing that can be used."""
+        """What an earlier life saved; `None` if there is nothing, or nothing that can be used.
+
+        The file is read once, however often it is asked for.
+        """
+        if not self._loaded:
+            self._loaded = True
+            self._saved = self._load()
+        return self._saved
+
+    def _load(self) -> SavedSettings | None:
         try:
             return _decode(self._read())
         except FileNotFoundError:
--- /dev/null
+++ b/irisstack/node/member_call.py
@@ -0,0 +1,201 @@
+"""One call to a member of the settings' cluster: connected, sent and read within limits of time and bytes."""
+
+import time
+from collections.abc import Iterator
+from contextlib import contextmanager, suppress
+from http import HTTPStatus
+
+import gevent
+from gevent import socket
+
+from irisstack.dynamic_settings import etcd
+from irisstack.dynamic_settings.budget import PIECE_BYTES, ByteBudget
+from irisstack.dynamic_settings.decisions import (
+    ANSWER_TIMEOUT_S,
+    CONNECT_TIMEOUT_S,
+    MAX_ANSWER_BYTES,
+    MAX_FRAME_BYTES,
+)
+from irisstack.dynamic_settings.events import FailureKind
+from irisstack.node import http, sockets
+from irisstack.node.buffer import Buffer
+from irisstack.node.config import HostPort, name_of
+from irisstack.node.objects import ObjectStream
+
+RECEIVE_BUFFER_BYTES = 16 * 1024
+"""What the kernel may hold of an answer that the budget does not allow to be read yet."""
+SLACK_BYTES = 32 * 1024
+"""The parsers' own limits lie so far above the one kept here, which tells too long from malformed."""
+LEAST_WAIT_S = 0.001
+
+FAILURE_KINDS = {
+    etcd.ErrorKind.COMPACTED: FailureKind.COMPACTED,
+    etcd.ErrorKind.REFUSED: FailureKind.REFUSED,
+    etcd.ErrorKind.MALFORMED: FailureKind.MALFORMED,
+}
+
+
+class CallError(Exception):
+    """The call is over without an answer."""
+
+    def __init__(self, kind: FailureKind, reason: str) -> None:
+        super().__init__(reason)
+        self.kind = kind
+
+
+class _Piece:
+    """Lets a buffer read a piece at most from a socket."""
+
+    def __init__(self, connection: socket.socket) -> None:
+        self._connection = connection
+
+    def recv_into(self, buffer: memoryview, /) -> int:
+        with buffer[:PIECE_BYTES] as piece:
+            return self._connection.recv_into(piece)
+
+
+class MemberCall:
+    """A request to a member, and what comes back.
+
+    The member may keep the node waiting for `ANSWER_TIMEOUT_S` in all, in however many pieces it sends; the
+    time in which the node itself doesn't read, since its budget is spent, isn't counted.
+    """
+
+    def __init__(self, peer: HostPort, budget: ByteBudget) -> None:
+        self._peer = peer
+        self._budget = budget
+        self._buffer = Buffer()
+        self._patience_s: float | None = ANSWER_TIMEOUT_S
+        self._connection: socket.socket | None = None
+
+    def close(self) -> None:
+        if self._connection is not None:
+            self._connection.close()
+
+    def ask_range(self, request: etcd.RangeRequest) -> etcd.RangeAnswer:
+        """The answer to a range request; raises `CallError`."""
+        with _named_errors():
+            return self._ask_range(request)
+
+    def watch(self, request: etcd.WatchRequest) -> "Iterator[tuple[etcd.WatchAnswer | None, int]]":
+        """The watch's frames as they come, each with 0; between them `None` and the bytes of the next so far.
+
+        Ends with `CallError` alone.
+        """
+        with _named_errors():
+            yield from self._watch(request)
+
+    def _ask_range(self, request: etcd.RangeRequest) -> etcd.RangeAnswer:
+        self._send(etcd.RANGE_PATH, request.body())
+        reader = http.AnswerReader(MAX_ANSWER_BYTES + SLACK_BYTES)
+        answer = self._whole(reader, 0)
+        return etcd.read_range_answer(answer.status, bytes(answer.body))
+
+    def _whole(self, reader: http.AnswerReader, received: int) -> http.Message:
+        """Read an answer to its end."""
+        while (answer := reader.advance(self._buffer)) is None:
+            count = self._receive()
+            received += count
+            if received > MAX_ANSWER_BYTES:
+                raise CallError(FailureKind.TOO_LARGE, f"the answer: over {MAX_ANSWER_BYTES} bytes")
+            if not count:
+                answer = reader.ended()
+                if answer is None:
+                    raise CallError(FailureKind.ENDED, "the answer ended early")
+                break
+        return answer
+
+    def _watch(self, request: etcd.WatchRequest) -> "Iterator[tuple[etcd.WatchAnswer | None, int]]":
+        self._send(etcd.WATCH_PATH, request.body())
+        reader = http.AnswerReader(MAX_FRAME_BYTES + SLACK_BYTES)
+        frames = ObjectStream(MAX_FRAME_BYTES + SLACK_BYTES)
+        pending = 0
+        while count := self._receive():
+            pending += count
+            ended = reader.advance(self._buffer)
+            status = (ended or reader.message).status
+            if reader.head_done and status != HTTPStatus.OK:
+                answer = self._whole(reader, pending)
+                raise _refusal(answer)
+            if ended is not None and status != HTTPStatus.OK:
+                raise _refusal(ended)
+            body = bytes(ended.body) if ended is not None else reader.take_body()
+            for frame in frames.feed(body):
+                pending = 0
+                self._patience_s = None  # a watch is silent most of the time; the check looks after it
+                yield etcd.read_watch_answer(frame), 0
+            if pending > MAX_FRAME_BYTES:
+                raise CallError(FailureKind.TOO_LARGE, f"the frame: over {MAX_FRAME_BYTES} bytes")
+            if ended is not None:
+                break
+            if pending:
+                yield None, pending
+        raise CallError(FailureKind.ENDED, "the watch ended")
+
+    # ---- bytes ----
+
+    def _send(self, path: str, body: bytes) -> None:
+        """Connect and send the request."""
+        connection = self._connection = socket.socket()
+        connection.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER_BYTES)
+        connection.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        connection.settimeout(CONNECT_TIMEOUT_S)
+        try:
+            connection.connect(self._peer)
+        except OSError as error:
+            raise CallError(FailureKind.UNREACHABLE, str(error)) from None
+        headers = [("Content-Type", "application/json")]
+        data = http.request("POST", path, name_of(self._peer), headers, body)
+        connection.settimeout(ANSWER_TIMEOUT_S)
+        connection.sendall(data)
+        self._budget.spend(time.monotonic(), len(data))
+
+    def _receive(self) -> int:
+        """Read a piece once the budget allows; returns its size, 0 at the end of the stream."""
+        while (pause := self._budget.delay(time.monotonic())) > 0.0:
+            gevent.sleep(pause)
+        gevent.sleep(0)  # a flood must not keep the others from their turn
+        assert self._connection is not None, "the request was sent"
+        count = self._receive_piece(self._connection)
+        self._budget.spend(time.monotonic(), count)
+        return count
+
+    def _receive_piece(self, connection: socket.socket) -> int:
+        """Raises `CallError` once the member has used up its time and nothing lies there unread.
+
+        What has come counts, however late this node looks: after a standstill time-outs fire first.
+        """
+        while (patience := self._patience_s) is not None:
+            if patience <= 0.0 and sockets.quiet(connection):
+                raise CallError(FailureKind.SILENT, f"kept waiting for {ANSWER_TIMEOUT_S} s")
+            begun = time.monotonic()
+            connection.settimeout(max(LEAST_WAIT_S, patience))
+            try:
+                with suppress(TimeoutError):
+                    return self._buffer.receive(_Piece(connection))
+            finally:
+                self._patience_s = patience - (time.monotonic() - begun)
+        connection.settimeout(None)
+        return self._buffer.receive(_Piece(connection))
+
+
+def _refusal(answer: http.Message) -> CallError:
+    error = etcd.read_watch_refusal(answer.status, bytes(answer.body))
+    return CallError(FAILURE_KINDS[error.kind], str(error))
+
+
+@contextmanager
+def _named_errors() -> Iterator[None]:
+    """Turns whatever may go wrong with a connection and its bytes into `CallError`."""
+    try:
+        yield
+    except etcd.GatewayError as error:
+        raise CallError(FAILURE_KINDS[error.kind], str(error)) from None
+    except http.BadMessage as error:
+        too_large = error.status is HTTPStatus.REQUEST_ENTITY_TOO_LARGE
+        kind = FailureKind.TOO_LARGE if too_large else FailureKind.MALFORMED
+        raise CallError(kind, str(error)) from None
+    except ValueError as error:
+        raise CallError(FailureKind.MALFORMED, str(error)) from None
+    except OSError as error:
+        raise CallError(FailureKind.ENDED, str(error)) from None
--- /dev/null
+++ b/irisstack/node/settings_watch.py
@@ -0,0 +1,204 @@
+"""The actor that follows the settings: carries out on sockets what `dynamic_settings.decisions` decides."""
+
+import math
+import time
+from collections.abc import Callable, Mapping, Sequence
+from typing import Any, Generic, Protocol, TypeVar
+
+import gevent
+import structlog
+from gevent.queue import Empty, Queue
+
+from irisstack.dynamic_settings import etcd
+from irisstack.dynamic_settings.budget import ByteBudget
+from irisstack.dynamic_settings.decisions import Follower, Held
+from irisstack.dynamic_settings.events import (
+    Action,
+    AskRange,
+    CallFailed,
+    Count,
+    DocumentAccepted,
+    DocumentRefused,
+    EndCall,
+    Event,
+    FailureKind,
+    FrameProgress,
+    Log,
+    OpenWatch,
+    ProposeDocument,
+    RangeAnswered,
+    WakeAt,
+    WatchAnswered,
+)
+from irisstack.dynamic_settings.snapshot import SavedSettings, SnapshotFile
+from irisstack.node.config import HostPort, name_of
+from irisstack.node.counters import Counters
+from irisstack.node.member_call import CallError, MemberCall
+from irisstack.settings import SettingsError
+
+MAILBOX_SIZE = 16
+"""Events that wait at most; a call that has more to say waits."""
+LEAST_WAIT_S = 0.01
+"""Between two steps without an event: whatever the decisions say, the others get their turn."""
+RESTART_PAUSE_S = 5.0
+"""After a fault of this part itself, until it begins anew."""
+
+log = structlog.get_logger()
+
+
+class Accepted(Protocol):
+    """What the check makes of a good document."""
+
+    @property
+    def retired(self) -> Mapping[str, Any]: ...
+
+
+AcceptedType = TypeVar("AcceptedType", bound=Accepted)
+
+
+class SettingsWatch(Generic[AcceptedType]):
+    """Follows the settings for as long as the node runs, and never ends it.
+
+    `check` raises `SettingsError` for a document that is refused; `apply` puts in force what it returned and
+    must not raise. The seed has to differ from node to node: it spreads the nodes over members and time.
+
+    Counters: `settings_revision` is the revision in force, `settings_refused` the bad documents named,
+    `settings_stale` how often the settings became stale.
+    """
+
+    def __init__(
+        self,
+        members: Sequence[HostPort],
+        prefix: str,
+        bytes_per_s: float,
+        saved: SnapshotFile,
+        check: Callable[[Mapping[str, Any]], AcceptedType],
+        apply: Callable[[int, AcceptedType], None],
+        counters: Counters,
+        seed: int,
+    ) -> None:
+        self._members = {name_of(member): member for member in members}
+        self._prefix = prefix.encode()
+        self._saved_file = saved
+        self._check = check
+        self._apply = apply
+        self._counters = counters
+        self._seed = seed
+        self._budget = ByteBudget(bytes_per_s, time.monotonic())
+        self._held: Held | None = None
+        self._counted_revision = 0
+        self._calls: dict[int, gevent.Greenlet[..., None]] = {}
+        self._mailbox: Queue[Event] = Queue(MAILBOX_SIZE)
+
+    def run(self) -> None:
+        """Follow the settings; a fault of this part is logged, and it begins anew."""
+        saved = self._saved_file.load()
+        if saved is not None:
+            self._held = Held(saved.cluster_id, saved.revision, saved.items)
+        while True:
+            try:
+                self._follow()
+            except Exception as error:  # whatever it is, settings that stay as they are end no node
+                log.error("settings_watch_failed", error=repr(error))
+            for call in self._calls.values():
+                call.kill(block=False)
+            self._calls.clear()
+            gevent.sleep(RESTART_PAUSE_S)
+
+    def _follow(self) -> None:
+        self._mailbox = Queue(MAILBOX_SIZE)
+        now = time.monotonic()
+        follower = Follower(list(self._members), self._prefix, self._budget, self._seed, self._held, now)
+        events: list[Event] = []
+        while True:
+            actions = follower.step(time.monotonic(), events)
+            events = []
+            wake_at = math.inf
+            for action in actions:
+                if isinstance(action, WakeAt):
+                    wake_at = action.at
+                elif isinstance(action, ProposeDocument):
+                    events.append(self._propose(action))
+                else:
+                    self._carry_out(action)
+            if not events:
+                events = self._wait(wake_at)
+
+    def _wait(self, wake_at: float) -> list[Event]:
+        """All events that have come; none if the time is up first."""
+        left = max(LEAST_WAIT_S, wake_at - time.monotonic())
+        try:
+            events = [self._mailbox.get(timeout=left if left < math.inf else None)]
+        except Empty:
+            return []
+        while not self._mailbox.empty():
+            events.append(self._mailbox.get_nowait())
+        return events
+
+    def _carry_out(self, action: Action) -> None:
+        match action:
+            case AskRange(call, member, request):
+                self._calls[call] = gevent.spawn(self._ask_range, call, self._members[member], request)
+            case OpenWatch(call, member, request):
+                self._calls[call] = gevent.spawn(self._watch, call, self._members[member], request)
+            case EndCall(call):
+                if (greenlet := self._calls.pop(call, None)) is not None:
+                    greenlet.kill(block=False)
+            case Log(level, event, fields):
+                getattr(log, level.value)(event, **fields)
+            case Count(name, amount):
+                self._counters.add(name, amount)
+
+    # ---- documents ----
+
+    def _propose(self, proposal: ProposeDocument) -> Event:
+        """Check a document as a whole and put it in force; one that is refused changes nothing."""
+        gevent.sleep(0)  # a check may take a while: the others get their turn between two
+        try:
+            accepted = self._check(proposal.items)
+            self._apply(proposal.revision, accepted)
+        except SettingsError as error:
+            return DocumentRefused(proposal.revision, str(error))
+        except Exception as error:  # whatever it is, a document ends no node
+            return DocumentRefused(proposal.revision, f"the document: {error!r}")
+        self._held = Held(proposal.cluster_id, proposal.revision, proposal.items)
+        self._counters.add("settings_revision", proposal.revision - self._counted_revision)
+        self._counted_revision = proposal.revision
+        self._save(proposal, accepted)
+        return DocumentAccepted(proposal.revision)
+
+    def _save(self, proposal: ProposeDocument, accepted: AcceptedType) -> None:
+        settings = SavedSettings(proposal.cluster_id, proposal.revision, proposal.items, accepted.retired)
+        if self._saved_file.load() != settings:
+            self._saved_file.save(settings)
+
+    # ---- calls, each in a greenlet of its own ----
+
+    def _ask_range(self, number: int, peer: HostPort, request: etcd.RangeRequest) -> None:
+        call = MemberCall(peer, self._budget)
+        try:
+            self._mailbox.put(RangeAnswered(number, call.ask_range(request)))
+        except Exception as error:  # whatever it is, the decisions must hear of it, or they wait for ever
+            self._mailbox.put(_failure(number, error))
+        finally:
+            call.close()
+            self._calls.pop(number, None)
+
+    def _watch(self, number: int, peer: HostPort, request: etcd.WatchRequest) -> None:
+        call = MemberCall(peer, self._budget)
+        try:
+            for answer, pending in call.watch(request):
+                self._mailbox.put(FrameProgress(number, pending))
+                if answer is not None:
+                    self._mailbox.put(WatchAnswered(number, answer))
+        except Exception as error:  # as above
+            self._mailbox.put(_failure(number, error))
+        finally:
+            call.close()
+            self._calls.pop(number, None)
+
+
+def _failure(number: int, error: Exception) -> CallFailed:
+    if isinstance(error, CallError):
+        return CallFailed(number, error.kind, str(error))
+    return CallFailed(number, FailureKind.MALFORMED, repr(error))
