A stand-in of an etcd cluster behind its JSON gateway, on loopback

The node's side of dynamic settings needs something to follow in tests and plays; third-party servers are never run. Written from etcd's published rpc.proto.

--- /dev/null
+++ b/irisstack/lab/standins/etcd.py
@@ -0,0 +1,505 @@
+"""A key-value store with revisions, as etcd's v3 interface publishes it; no I/O, no clock.
+
+Every write makes a new revision of the whole store. Old revisions can be read and watched until a compaction
+drops them. Messages are named as in etcd's `rpc.proto`; `etcd_json` has them as the gateway's bytes.
+"""
+
+from bisect import bisect_left, bisect_right, insort
+from collections.abc import Iterator, Sequence
+from dataclasses import dataclass, field
+from enum import IntEnum
+
+ALL_KEYS = b"\0"
+"""As a range's end: every key from the range's start on."""
+FIRST_REVISION = 1
+"""The revision of a store that was never written to."""
+WATCH_BATCH = 1000
+"""Revisions at most in one response of a watch that catches up, as in etcd."""
+
+
+class Code(IntEnum):
+    """The codes of gRPC that the gateway's errors carry."""
+
+    INVALID_ARGUMENT = 3
+    OUT_OF_RANGE = 11
+    UNIMPLEMENTED = 12
+    UNAVAILABLE = 14
+
+
+class EtcdError(Exception):
+    """A request that etcd refuses."""
+
+    def __init__(self, code: Code, message: str) -> None:
+        super().__init__(message)
+        self.code = code
+        self.message = message
+
+
+class InvalidArgumentError(EtcdError):
+    """The request itself is wrong."""
+
+    def __init__(self, message: str) -> None:
+        super().__init__(Code.INVALID_ARGUMENT, message)
+
+
+class CompactedError(EtcdError):
+    """The revision asked for is dropped."""
+
+    def __init__(self) -> None:
+        super().__init__(Code.OUT_OF_RANGE, "etcdserver: mvcc: required revision has been compacted")
+
+
+class FutureRevisionError(EtcdError):
+    """The revision asked for is not there yet."""
+
+    def __init__(self) -> None:
+        super().__init__(Code.OUT_OF_RANGE, "etcdserver: mvcc: required revision is a future revision")
+
+
+class NoLeaderError(EtcdError):
+    """The member belongs to no quorum."""
+
+    def __init__(self) -> None:
+        super().__init__(Code.UNAVAILABLE, "etcdserver: no leader")
+
+
+class SortOrder(IntEnum):
+    NONE = 0
+    ASCEND = 1
+    DESCEND = 2
+
+
+class SortTarget(IntEnum):
+    KEY = 0
+    VERSION = 1
+    CREATE = 2
+    MOD = 3
+    VALUE = 4
+
+
+class CompareResult(IntEnum):
+    EQUAL = 0
+    GREATER = 1
+    LESS = 2
+    NOT_EQUAL = 3
+
+
+class CompareTarget(IntEnum):
+    VERSION = 0
+    CREATE = 1
+    MOD = 2
+    VALUE = 3
+
+
+class EventType(IntEnum):
+    PUT = 0
+    DELETE = 1
+
+
+@dataclass(slots=True, frozen=True)
+class KeyValue:
+    """One version of a key; `version` 0 marks a deletion, as in a watch's event."""
+
+    key: bytes
+    value: bytes
+    create_revision: int
+    mod_revision: int
+    version: int
+
+    @property
+    def deleted(self) -> bool:
+        return self.version == 0
+
+
+@dataclass(slots=True, frozen=True)
+class Event:
+    """One change of one key."""
+
+    type: EventType
+    kv: KeyValue
+    previous: KeyValue | None
+
+
+@dataclass(slots=True, frozen=True)
+class Change:
+    """What one revision changed."""
+
+    revision: int
+    events: tuple[Event, ...]
+
+
+@dataclass(slots=True, frozen=True)
+class RangeRequest:
+    """Keys from `key` up to, not including, `range_end`; without an end just `key`."""
+
+    key: bytes
+    range_end: bytes = b""
+    limit: int = 0
+    revision: int = 0
+    sort_order: SortOrder = SortOrder.NONE
+    sort_target: SortTarget = SortTarget.KEY
+    serializable: bool = False
+    keys_only: bool = False
+    count_only: bool = False
+
+
+@dataclass(slots=True, frozen=True)
+class PutRequest:
+    key: bytes
+    value: bytes
+    previous: bool = False
+
+
+@dataclass(slots=True, frozen=True)
+class DeleteRangeRequest:
+    key: bytes
+    range_end: bytes = b""
+    previous: bool = False
+
+
+@dataclass(slots=True, frozen=True)
+class Compare:
+    """A condition of a transaction on every key of a range."""
+
+    key: bytes
+    range_end: bytes
+    target: CompareTarget
+    result: CompareResult
+    operand: int | bytes
+
+
+@dataclass(slots=True, frozen=True)
+class TxnRequest:
+    """Operations that are carried out together: `success` where every comparison holds, else `failure`."""
+
+    compare: tuple[Compare, ...]
+    success: "tuple[Operation, ...]"
+    failure: "tuple[Operation, ...]"
+
+
+@dataclass(slots=True, frozen=True)
+class CompactionRequest:
+    revision: int
+
+
+@dataclass(slots=True, frozen=True)
+class WatchRequest:
+    """Changes of a range from a revision on; without one from the next change."""
+
+    key: bytes
+    range_end: bytes = b""
+    start_revision: int = 0
+    progress_notify: bool = False
+    previous: bool = False
+
+
+@dataclass(slots=True, frozen=True)
+class RangeResponse:
+    kvs: tuple[KeyValue, ...]
+    more: bool
+    count: int
+
+
+@dataclass(slots=True, frozen=True)
+class PutResponse:
+    previous: KeyValue | None
+
+
+@dataclass(slots=True, frozen=True)
+class DeleteRangeResponse:
+    deleted: int
+    previous: tuple[KeyValue, ...]
+
+
+@dataclass(slots=True, frozen=True)
+class TxnResponse:
+    succeeded: bool
+    responses: "tuple[OperationResponse, ...]"
+
+
+@dataclass(slots=True, frozen=True)
+class CompactionResponse:
+    """A compaction is done."""
+
+
+Operation = RangeRequest | PutRequest | DeleteRangeRequest | TxnRequest
+OperationResponse = RangeResponse | PutResponse | DeleteRangeResponse | TxnResponse
+Request = Operation | CompactionRequest
+Response = OperationResponse | CompactionResponse
+
+
+def in_range(key: bytes, start: bytes, end: bytes) -> bool:
+    """Whether a key lies in a range as etcd writes it."""
+    if not end:
+        return key == start
+    return key >= start and (end == ALL_KEYS or key < end)
+
+
+class Store:
+    """All revisions of all keys that no compaction has dropped."""
+
+    def __init__(self) -> None:
+        self.revision = FIRST_REVISION
+        self.compact_revision = 0
+        self._keys: list[bytes] = []
+        self._versions: dict[bytes, list[KeyValue]] = {}
+        self._changes: list[Change] = []
+
+    def copy(self) -> "Store":
+        """The store as it is now: a backup, or what a member that is cut off goes on with."""
+        copied = Store()
+        copied.revision, copied.compact_revision = self.revision, self.compact_revision
+        copied._keys = list(self._keys)
+        copied._versions = {key: list(versions) for key, versions in self._versions.items()}
+        copied._changes = list(self._changes)
+        return copied
+
+    def execute(self, request: Request) -> Response:
+        """Carry out one request; raises `EtcdError` and changes nothing if it is refused."""
+        if isinstance(request, CompactionRequest):
+            return self._compact(request.revision)
+        self._check(request, set())
+        events: list[Event] = []
+        response = self._apply(request, self.revision + 1, events)
+        if events:
+            self.revision += 1
+            self._changes.append(Change(self.revision, tuple(events)))
+        return response
+
+    def changes_from(self, revision: int) -> Sequence[Change]:
+        """The changes of that revision and later ones, a batch at most; raises `CompactedError`."""
+        if revision < self.compact_revision:
+            raise CompactedError
+        first = bisect_left(self._changes, revision, key=lambda change: change.revision)
+        return self._changes[first : first + WATCH_BATCH]
+
+    # ---- requests ----
+
+    def _check(self, request: Operation, written: set[bytes]) -> None:
+        """Refuse what cannot be carried out before anything is changed."""
+        match request:
+            case RangeRequest(revision=revision):
+                if revision > self.revision:
+                    raise FutureRevisionError
+                if 0 < revision < self.compact_revision:
+                    raise CompactedError
+            case PutRequest(key=key):
+                if not key:
+                    raise InvalidArgumentError("etcdserver: key is not provided")
+                if key in written:
+                    raise InvalidArgumentError("etcdserver: duplicate key given in txn request")
+                written.add(key)
+            case TxnRequest(success=success, failure=failure):
+                for branch in (success, failure):
+                    branch_written = set(written)
+                    for operation in branch:
+                        self._check(operation, branch_written)
+
+    def _apply(self, request: Operation, revision: int, events: list[Event]) -> OperationResponse:
+        match request:
+            case RangeRequest():
+                return self._range(request)
+            case PutRequest():
+                return self._put(request, revision, events)
+            case DeleteRangeRequest():
+                return self._delete(request, revision, events)
+            case TxnRequest():
+                succeeded = all(self._holds(compare) for compare in request.compare)
+                branch = request.success if succeeded else request.failure
+                return TxnResponse(succeeded, tuple(self._apply(one, revision, events) for one in branch))
+
+    def _range(self, request: RangeRequest) -> RangeResponse:
+        found = list(self._read(request.key, request.range_end, request.revision))
+        count = len(found)
+        if request.count_only:
+            return RangeResponse((), False, count)
+        if request.sort_order is not SortOrder.NONE:
+            found.sort(
+                key=lambda kv: _sort_value(kv, request.sort_target),
+                reverse=request.sort_order is SortOrder.DESCEND,
+            )
+        if request.limit:
+            found = found[: request.limit]
+        if request.keys_only:
+            found = [KeyValue(kv.key, b"", kv.create_revision, kv.mod_revision, kv.version) for kv in found]
+        return RangeResponse(tuple(found), len(found) < count, count)
+
+    def _put(self, request: PutRequest, revision: int, events: list[Event]) -> PutResponse:
+        previous = self._latest(request.key)
+        if previous is None:
+            kv = KeyValue(request.key, request.value, revision, revision, 1)
+        else:
+            kv = KeyValue(
+                request.key, request.value, previous.create_revision, revision, previous.version + 1
+            )
+        self._write(kv)
+        events.append(Event(EventType.PUT, kv, previous))
+        return PutResponse(previous if request.previous else None)
+
+    def _delete(self, request: DeleteRangeRequest, revision: int, events: list[Event]) -> DeleteRangeResponse:
+        found = tuple(self._read(request.key, request.range_end, 0))
+        for previous in found:
+            tombstone = KeyValue(previous.key, b"", 0, revision, 0)
+            self._write(tombstone)
+            events.append(Event(EventType.DELETE, tombstone, previous))
+        return DeleteRangeResponse(len(found), found if request.previous else ())
+
+    def _holds(self, compare: Compare) -> bool:
+        if compare.range_end:
+            return all(_compared(kv, compare) for kv in self._read(compare.key, compare.range_end, 0))
+        kv = self._latest(compare.key)
+        if kv is None:
+            if compare.target is CompareTarget.VALUE:
+                return False
+            kv = KeyValue(compare.key, b"", 0, 0, 0)
+        return _compared(kv, compare)
+
+    def _compact(self, revision: int) -> CompactionResponse:
+        if revision > self.revision:
+            raise FutureRevisionError
+        if revision <= self.compact_revision:
+            raise CompactedError
+        self.compact_revision = revision
+        self._changes = [change for change in self._changes if change.revision >= revision]
+        for key, versions in list(self._versions.items()):
+            kept = versions[max(0, _count_until(versions, revision) - 1) :]
+            if kept[0].deleted and kept[0].mod_revision < revision:
+                kept = kept[1:]
+            if kept:
+                self._versions[key] = kept
+            else:
+                del self._versions[key]
+        self._keys = sorted(self._versions)
+        return CompactionResponse()
+
+    # ---- keys ----
+
+    def _write(self, kv: KeyValue) -> None:
+        versions = self._versions.get(kv.key)
+        if versions is None:
+            insort(self._keys, kv.key)
+            self._versions[kv.key] = [kv]
+        else:
+            versions.append(kv)
+
+    def _latest(self, key: bytes) -> KeyValue | None:
+        versions = self._versions.get(key)
+        return None if versions is None or versions[-1].deleted else versions[-1]
+
+    def _read(self, start: bytes, end: bytes, revision: int) -> Iterator[KeyValue]:
+        """The keys of a range as they stood at a revision; 0 means now."""
+        for key in self._keys_in(start, end):
+            versions = self._versions[key]
+            count = len(versions) if not revision else _count_until(versions, revision)
+            if count and not versions[count - 1].deleted:
+                yield versions[count - 1]
+
+    def _keys_in(self, start: bytes, end: bytes) -> Sequence[bytes]:
+        if not end:
+            return [start] if start in self._versions else []
+        first = bisect_left(self._keys, start)
+        last = len(self._keys) if end == ALL_KEYS else bisect_left(self._keys, end)
+        return self._keys[first:last]
+
+
+def _count_until(versions: Sequence[KeyValue], revision: int) -> int:
+    """How many versions of a key were written up to a revision."""
+    return bisect_right(versions, revision, key=lambda kv: kv.mod_revision)
+
+
+def _sort_value(kv: KeyValue, target: SortTarget) -> int | bytes:
+    match target:
+        case SortTarget.KEY:
+            return kv.key
+        case SortTarget.VERSION:
+            return kv.version
+        case SortTarget.CREATE:
+            return kv.create_revision
+        case SortTarget.MOD:
+            return kv.mod_revision
+        case SortTarget.VALUE:
+            return kv.value
+
+
+def _compared(kv: KeyValue, compare: Compare) -> bool:
+    match compare.target:
+        case CompareTarget.VALUE:
+            return _order_holds(kv.value, compare.operand, compare.result)
+        case CompareTarget.VERSION:
+            return _order_holds(kv.version, compare.operand, compare.result)
+        case CompareTarget.CREATE:
+            return _order_holds(kv.create_revision, compare.operand, compare.result)
+        case CompareTarget.MOD:
+            return _order_holds(kv.mod_revision, compare.operand, compare.result)
+
+
+def _order_holds(left: int | bytes, right: int | bytes, result: CompareResult) -> bool:
+    if isinstance(left, bytes) != isinstance(right, bytes):
+        raise InvalidArgumentError("etcdserver: a comparison of unlike values")
+    order = (left > right) - (left < right)  # type: ignore[operator]  # alike, as the line above has it
+    match result:
+        case CompareResult.EQUAL:
+            return order == 0
+        case CompareResult.GREATER:
+            return order > 0
+        case CompareResult.LESS:
+            return order < 0
+        case CompareResult.NOT_EQUAL:
+            return order != 0
+
+
+@dataclass(slots=True, frozen=True)
+class WatchResponse:
+    """One message of a watch; `revision` is that of the header, 0 where etcd leaves it out."""
+
+    revision: int
+    created: bool = False
+    canceled: bool = False
+    compact_revision: int = 0
+    events: tuple[Event, ...] = ()
+
+
+@dataclass(slots=True, eq=False)
+class Watch:
+    """A cursor through a store's changes; the caller decides when to read on."""
+
+    request: WatchRequest
+    next_revision: int
+    canceled: bool = field(default=False)
+
+    @classmethod
+    def create(cls, request: WatchRequest, store: Store) -> tuple["Watch", WatchResponse]:
+        """A new watch, and the response that says so."""
+        next_revision = request.start_revision or store.revision + 1
+        return cls(request, next_revision), WatchResponse(store.revision, created=True)
+
+    def read(self, store: Store) -> WatchResponse | None:
+        """The next message, or `None` if there is nothing to say.
+
+        A compaction past the cursor ends the watch. As in etcd, the header of that message has no revision.
+        """
+        if self.canceled:
+            return None
+        while self.next_revision <= store.revision:
+            try:
+                changes = store.changes_from(self.next_revision)
+            except CompactedError:
+                self.canceled = True
+                return WatchResponse(0, canceled=True, compact_revision=store.compact_revision)
+            if not changes:
+                self.next_revision = store.revision + 1
+                return None
+            self.next_revision = changes[-1].revision + 1
+            events = tuple(event for change in changes for event in change.events if self._wants(event))
+            if events:
+                return WatchResponse(store.revision, events=events)
+        return None
+
+    def progress(self, store: Store) -> WatchResponse | None:
+        """The message without events that says up to which revision all is told; `None` if the watch lags."""
+        if self.canceled or self.next_revision <= store.revision:
+            return None
+        return WatchResponse(store.revision)
+
+    def _wants(self, event: Event) -> bool:
+        return in_range(event.kv.key, self.request.key, self.request.range_end)
--- /dev/null
+++ b/irisstack/lab/standins/etcd_json.py
@@ -0,0 +1,370 @@
+"""The bytes of etcd's v3 JSON gateway: bodies of requests into messages, messages into bodies.
+
+As in the gateway: names as in `rpc.proto`, bytes in base64, 64-bit numbers as strings, default values left
+out, a field that is not known refused.
+"""
+
+import base64
+import binascii
+import json
+from collections.abc import Callable, Mapping
+from dataclasses import dataclass
+from enum import IntEnum
+from typing import Any, TypeVar
+
+from irisstack.lab.standins import etcd
+
+Json = dict[str, Any]
+EnumType = TypeVar("EnumType", bound=IntEnum)
+
+HTTP_STATUS = {
+    etcd.Code.INVALID_ARGUMENT: 400,
+    etcd.Code.OUT_OF_RANGE: 400,
+    etcd.Code.UNIMPLEMENTED: 501,
+    etcd.Code.UNAVAILABLE: 503,
+}
+"""What the gateway makes of a gRPC code."""
+HTTP_PHRASE = {400: "Bad Request", 501: "Not Implemented", 503: "Service Unavailable"}
+
+
+@dataclass(slots=True, frozen=True)
+class Header:
+    """Who answers, and the revision of its store."""
+
+    cluster_id: int
+    member_id: int
+    revision: int
+    raft_term: int
+
+
+@dataclass(slots=True, frozen=True)
+class WatchCancelRequest:
+    watch_id: int
+
+
+@dataclass(slots=True, frozen=True)
+class WatchProgressRequest:
+    """Asks for a message that says up to which revision all is told."""
+
+
+WatchStreamRequest = etcd.WatchRequest | WatchCancelRequest | WatchProgressRequest
+
+
+class _Fields:
+    """The fields of one JSON object, each taken once; those left over are unknown."""
+
+    def __init__(self, message: str, raw: object) -> None:
+        if not isinstance(raw, dict):
+            raise etcd.InvalidArgumentError(f"json: cannot unmarshal a value into {message}")
+        self._message = message
+        self._left: Json = dict(raw)
+
+    def _wrong(self, name: str) -> etcd.InvalidArgumentError:
+        return etcd.InvalidArgumentError(f"invalid value for field {name!r} in etcdserverpb.{self._message}")
+
+    def has(self, name: str) -> bool:
+        return self._left.get(name) is not None
+
+    def bytes(self, name: str) -> bytes:
+        value = self._left.pop(name, "")
+        try:
+            return base64.b64decode(value, validate=True)
+        except (TypeError, binascii.Error, ValueError):
+            raise self._wrong(name) from None
+
+    def integer(self, name: str) -> int:
+        value = self._left.pop(name, 0)
+        if isinstance(value, bool) or not isinstance(value, int | str):
+            raise self._wrong(name)
+        try:
+            return int(value)
+        except ValueError:
+            raise self._wrong(name) from None
+
+    def boolean(self, name: str) -> bool:
+        value = self._left.pop(name, False)
+        if not isinstance(value, bool):
+            raise self._wrong(name)
+        return value
+
+    def enum(self, name: str, kind: type[EnumType]) -> EnumType:
+        value = self._left.pop(name, 0)
+        try:
+            return kind[value] if isinstance(value, str) else kind(value)
+        except (KeyError, ValueError):
+            raise self._wrong(name) from None
+
+    def list(self, name: str) -> list[Any]:
+        value = self._left.pop(name, [])
+        if not isinstance(value, list):
+            raise self._wrong(name)
+        return value
+
+    def object(self, name: str) -> object:
+        return self._left.pop(name)
+
+    def ignore(self, *names: str) -> None:
+        """Fields that change nothing here."""
+        for name in names:
+            self._left.pop(name, None)
+
+    def end(self) -> None:
+        for name in self._left:
+            raise etcd.InvalidArgumentError(f'unknown field "{name}" in etcdserverpb.{self._message}')
+
+
+# ---- requests ----
+
+
+def decode_range(raw: object) -> etcd.RangeRequest:
+    fields = _Fields("RangeRequest", raw)
+    request = etcd.RangeRequest(
+        fields.bytes("key"),
+        fields.bytes("range_end"),
+        fields.integer("limit"),
+        fields.integer("revision"),
+        fields.enum("sort_order", etcd.SortOrder),
+        fields.enum("sort_target", etcd.SortTarget),
+        fields.boolean("serializable"),
+        fields.boolean("keys_only"),
+        fields.boolean("count_only"),
+    )
+    fields.end()
+    return request
+
+
+def decode_put(raw: object) -> etcd.PutRequest:
+    fields = _Fields("PutRequest", raw)
+    request = etcd.PutRequest(fields.bytes("key"), fields.bytes("value"), fields.boolean("prev_kv"))
+    fields.ignore("lease")
+    fields.end()
+    return request
+
+
+def decode_delete_range(raw: object) -> etcd.DeleteRangeRequest:
+    fields = _Fields("DeleteRangeRequest", raw)
+    request = etcd.DeleteRangeRequest(
+        fields.bytes("key"), fields.bytes("range_end"), fields.boolean("prev_kv")
+    )
+    fields.end()
+    return request
+
+
+def decode_compaction(raw: object) -> etcd.CompactionRequest:
+    fields = _Fields("CompactionRequest", raw)
+    request = etcd.CompactionRequest(fields.integer("revision"))
+    fields.ignore("physical")
+    fields.end()
+    return request
+
+
+def decode_txn(raw: object) -> etcd.TxnRequest:
+    fields = _Fields("TxnRequest", raw)
+    request = etcd.TxnRequest(
+        tuple(_decode_compare(one) for one in fields.list("compare")),
+        tuple(_decode_operation(one) for one in fields.list("success")),
+        tuple(_decode_operation(one) for one in fields.list("failure")),
+    )
+    fields.end()
+    return request
+
+
+def _decode_compare(raw: object) -> etcd.Compare:
+    fields = _Fields("Compare", raw)
+    target = fields.enum("target", etcd.CompareTarget)
+    operand: int | bytes
+    match target:
+        case etcd.CompareTarget.VALUE:
+            operand = fields.bytes("value")
+        case etcd.CompareTarget.VERSION:
+            operand = fields.integer("version")
+        case etcd.CompareTarget.CREATE:
+            operand = fields.integer("create_revision")
+        case etcd.CompareTarget.MOD:
+            operand = fields.integer("mod_revision")
+    result = fields.enum("result", etcd.CompareResult)
+    compare = etcd.Compare(fields.bytes("key"), fields.bytes("range_end"), target, result, operand)
+    fields.end()
+    return compare
+
+
+def _decode_operation(raw: object) -> etcd.Operation:
+    fields = _Fields("RequestOp", raw)
+    for name, decode in _OPERATIONS.items():
+        if fields.has(name):
+            operation = decode(fields.object(name))
+            fields.end()
+            return operation
+    raise etcd.InvalidArgumentError("etcdserver: key not found")
+
+
+_OPERATIONS: Mapping[str, Callable[[object], etcd.Operation]] = {
+    "request_range": decode_range,
+    "request_put": decode_put,
+    "request_delete_range": decode_delete_range,
+    "request_txn": decode_txn,
+}
+_PATHS: Mapping[str, Callable[[object], etcd.Request]] = {
+    "/v3/kv/range": decode_range,
+    "/v3/kv/put": decode_put,
+    "/v3/kv/deleterange": decode_delete_range,
+    "/v3/kv/txn": decode_txn,
+    "/v3/kv/compaction": decode_compaction,
+}
+WATCH_PATH = "/v3/watch"
+
+
+def decode_request(path: str, body: bytes) -> etcd.Request | None:
+    """The message of a request's path and body; `None` for a path that the gateway has not."""
+    decode = _PATHS.get(path)
+    return None if decode is None else decode(_parsed(body))
+
+
+def decode_watch(body: bytes) -> WatchStreamRequest:
+    """The message that a body sends into a watch's stream."""
+    fields = _Fields("WatchRequest", _parsed(body))
+    request: WatchStreamRequest
+    if fields.has("create_request"):
+        request = _decode_watch_create(fields.object("create_request"))
+    elif fields.has("cancel_request"):
+        cancel = _Fields("WatchCancelRequest", fields.object("cancel_request"))
+        request = WatchCancelRequest(cancel.integer("watch_id"))
+        cancel.end()
+    elif fields.has("progress_request"):
+        _Fields("WatchProgressRequest", fields.object("progress_request")).end()
+        request = WatchProgressRequest()
+    else:
+        raise etcd.InvalidArgumentError("a watch's request is empty")
+    fields.end()
+    return request
+
+
+def _decode_watch_create(raw: object) -> etcd.WatchRequest:
+    fields = _Fields("WatchCreateRequest", raw)
+    request = etcd.WatchRequest(
+        fields.bytes("key"),
+        fields.bytes("range_end"),
+        fields.integer("start_revision"),
+        fields.boolean("progress_notify"),
+        fields.boolean("prev_kv"),
+    )
+    fields.ignore("watch_id", "fragment")
+    fields.end()
+    return request
+
+
+def _parsed(body: bytes) -> object:
+    try:
+        return json.loads(body or b"{}")
+    except ValueError as error:
+        raise etcd.InvalidArgumentError(str(error)) from None
+
+
+# ---- responses ----
+
+
+def encode_response(header: Header, response: etcd.Response) -> bytes:
+    """The body of an answer with status 200."""
+    return _body({"header": _header(header), **_response(response)})
+
+
+def encode_watch(header: Header, response: etcd.WatchResponse, *, previous: bool = False) -> bytes:
+    """One object of a watch's stream, with the line feed that follows it."""
+    events = [_event(event, previous=previous) for event in response.events]
+    result = {
+        "header": _header(header),
+        "created": response.created,
+        "canceled": response.canceled,
+        "compact_revision": _number(response.compact_revision),
+        "events": events,
+    }
+    return _body({"result": _without_defaults(result)}) + b"\n"
+
+
+def encode_error(error: etcd.EtcdError) -> tuple[int, bytes]:
+    """Status and body of an answer to a request that was refused."""
+    body = {"error": error.message, "code": int(error.code), "message": error.message}
+    return HTTP_STATUS[error.code], _body(body)
+
+
+def encode_stream_error(error: etcd.EtcdError) -> bytes:
+    """The object that ends a stream which is under way."""
+    status = HTTP_STATUS[error.code]
+    inner = {
+        "grpc_code": int(error.code),
+        "http_code": status,
+        "message": error.message,
+        "http_status": HTTP_PHRASE[status],
+    }
+    return _body({"error": inner}) + b"\n"
+
+
+def _response(response: etcd.Response) -> Json:
+    match response:
+        case etcd.RangeResponse(kvs, more, count):
+            raw: Json = {"kvs": [_key_value(kv) for kv in kvs], "more": more, "count": _number(count)}
+        case etcd.PutResponse(previous):
+            raw = {"prev_kv": previous and _key_value(previous)}
+        case etcd.DeleteRangeResponse(deleted, found):
+            raw = {"deleted": _number(deleted), "prev_kvs": [_key_value(kv) for kv in found]}
+        case etcd.TxnResponse(succeeded, responses):
+            raw = {"succeeded": succeeded, "responses": [_operation_response(one) for one in responses]}
+        case etcd.CompactionResponse():
+            raw = {}
+    return _without_defaults(raw)
+
+
+def _operation_response(response: etcd.OperationResponse) -> Json:
+    match response:
+        case etcd.RangeResponse():
+            name = "response_range"
+        case etcd.PutResponse():
+            name = "response_put"
+        case etcd.DeleteRangeResponse():
+            name = "response_delete_range"
+        case etcd.TxnResponse():
+            name = "response_txn"
+    return {name: _response(response)}
+
+
+def _header(header: Header) -> Json:
+    raw = {
+        "cluster_id": _number(header.cluster_id),
+        "member_id": _number(header.member_id),
+        "revision": _number(header.revision),
+        "raft_term": _number(header.raft_term),
+    }
+    return _without_defaults(raw)
+
+
+def _event(event: etcd.Event, *, previous: bool) -> Json:
+    raw = {
+        "type": event.type.name if event.type is not etcd.EventType.PUT else "",
+        "kv": _key_value(event.kv),
+        "prev_kv": _key_value(event.previous) if previous and event.previous is not None else None,
+    }
+    return _without_defaults(raw)
+
+
+def _key_value(kv: etcd.KeyValue) -> Json:
+    raw = {
+        "key": base64.b64encode(kv.key).decode(),
+        "create_revision": _number(kv.create_revision),
+        "mod_revision": _number(kv.mod_revision),
+        "version": _number(kv.version),
+        "value": base64.b64encode(kv.value).decode(),
+    }
+    return _without_defaults(raw)
+
+
+def _number(value: int) -> str:
+    """A 64-bit number; empty for 0, which is left out."""
+    return str(value) if value else ""
+
+
+def _without_defaults(raw: Json) -> Json:
+    return {name: value for name, value in raw.items() if value not in ("", False, None, [])}
+
+
+def _body(raw: Json) -> bytes:
+    return json.dumps(raw, separators=(",", ":")).encode()
--- /dev/null
+++ b/irisstack/lab/standins/etcd_server.py
@@ -0,0 +1,264 @@
+"""A cluster's members on loopback, each with a listener that speaks etcd's v3 JSON gateway.
+
+All members run on the caller's gevent hub. Tests bring about faults through the `Cluster` (a member that is
+down or hangs, a cut network) and through the server (a restored backup, streams that end, bytes in pieces).
+"""
+
+import time
+from contextlib import suppress
+from types import TracebackType
+
+import gevent
+import httptools
+from gevent import socket
+from gevent.event import Event
+from gevent.server import StreamServer
+
+from irisstack.lab.sockets import http
+from irisstack.lab.standins import etcd, etcd_json
+from irisstack.lab.standins.etcd_cluster import Cluster, Member, Reach
+from irisstack.lab.standins.traffic import Traffic
+
+HOST = "127.0.0.1"
+BACKLOG = 1024
+PROGRESS_INTERVAL = 600.0
+"""Seconds of silence after which a watch that asked for it is told the revision, etcd's default."""
+TRICKLE_BYTES = 16
+TRICKLE_INTERVAL = 0.1
+"""A member that trickles sends so many bytes at a time, so many seconds apart."""
+HAS_LEADER = "grpc-metadata-hasleader"
+"""The header by which a client asks to be refused when the member has no leader."""
+JSON_HEADERS = {"Content-Type": "application/json"}
+STREAM_HEAD = b"HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nTransfer-Encoding: chunked\r\n\r\n"
+STREAM_END = b"0\r\n\r\n"
+
+
+class Connection:
+    """One connection of a client to a member."""
+
+    def __init__(self, server: "MemberServer", sock: socket.socket) -> None:
+        self._server = server
+        self._socket = sock
+        self._stream: gevent.Greenlet[..., None] | None = None
+
+    def serve(self) -> None:
+        """Answer requests until the client leaves or the member ends the connection."""
+        reader = http.RequestReader()
+        try:
+            while data := self._socket.recv(65536):
+                request = reader.feed(data)
+                if request is not None and not self._take(request):
+                    break
+        except (OSError, httptools.HttpParserError):
+            pass
+        finally:
+            if self._stream is not None:
+                self._stream.kill(block=False)
+            self._socket.close()
+
+    def reset(self) -> None:
+        """End the connection at once; whoever reads from it wakes."""
+        with suppress(OSError):
+            self._socket.shutdown(socket.SHUT_RDWR)
+
+    def end_stream(self) -> None:
+        """End the watch that is held, as a server does that shuts down in good order."""
+        if self._stream is not None:
+            self._stream.kill()
+            with suppress(OSError):
+                self._send(STREAM_END)
+            self.reset()
+
+    @property
+    def watches(self) -> bool:
+        """Whether a watch is held on this connection."""
+        return self._stream is not None and not self._stream.dead
+
+    def _take(self, request: http.Request) -> bool:
+        """Answer one request; returns whether the connection goes on."""
+        server = self._server
+        server.traffic.requests.add(server.now())
+        if request.target == etcd_json.WATCH_PATH:
+            self._stream = gevent.spawn(self._watch, request)
+            return True
+        server.wait_while_silent()
+        if request.method != "POST":
+            self._send(http.reply(405))
+        else:
+            status, body = server.member.answer(request.target, request.body)
+            self._send(http.reply(status, JSON_HEADERS, body))
+        return request.headers.get("connection", "").lower() != "close"
+
+    def _watch(self, request: http.Request) -> None:
+        """Hold one watch until the connection ends."""
+        server = self._server
+        server.wait_while_silent()
+        try:
+            wanted = etcd_json.decode_watch(request.body)
+        except etcd.EtcdError as error:
+            status, body = etcd_json.encode_error(error)
+            self._send_to_the_end(http.reply(status, JSON_HEADERS, body))
+            return
+        if not isinstance(wanted, etcd.WatchRequest):
+            return  # cancels and progress refer to another stream, so nothing answers them
+        with suppress(OSError):
+            self._follow(wanted, needs_leader=request.headers.get(HAS_LEADER) == "true")
+
+    def _follow(self, wanted: etcd.WatchRequest, *, needs_leader: bool) -> None:
+        server, member = self._server, self._server.member
+        watch, response = etcd.Watch.create(wanted, member.store)
+        created = self._chunk(member.encode_watch(response))
+        self._send(STREAM_HEAD + created)
+        while True:
+            changed = server.changed
+            server.wait_while_silent()
+            if needs_leader and not member.has_quorum:
+                error = self._chunk(etcd_json.encode_stream_error(etcd.NoLeaderError()))
+                self._send_to_the_end(error + STREAM_END)
+                return
+            message = None if member.watches_silent else watch.read(member.store)
+            if message is None:
+                if changed.wait(server.progress_interval) or member.watches_silent:
+                    continue
+                message = watch.progress(member.store) if wanted.progress_notify else None
+            if message is not None:
+                self._send(self._chunk(member.encode_watch(message, previous=wanted.previous)))
+
+    @staticmethod
+    def _chunk(data: bytes) -> bytes:
+        return b"%x\r\n%b\r\n" % (len(data), data)
+
+    def _send_to_the_end(self, data: bytes) -> None:
+        with suppress(OSError):
+            self._send(data)
+        self.reset()
+
+    def _send(self, data: bytes) -> None:
+        """Write bytes, in pieces if the member is told to cut or trickles."""
+        server = self._server
+        size, pause = server.piece_size or len(data), 0.0
+        if server.member.reach is Reach.TRICKLING:
+            size, pause = TRICKLE_BYTES, TRICKLE_INTERVAL
+        for start in range(0, len(data), size):
+            if start:
+                gevent.sleep(pause)
+            piece = data[start : start + size]
+            self._socket.sendall(piece)
+            server.traffic.bytes_out.add(server.now(), len(piece))
+
+
+class MemberServer:
+    """One member's listener, on the same port whenever it is up."""
+
+    def __init__(self, member: Member, progress_interval: float) -> None:
+        self.member = member
+        self.progress_interval = progress_interval
+        self.piece_size: int | None = None
+        """Bytes at most in one write: a frame or a head may be cut anywhere."""
+        self.traffic = Traffic()
+        self.changed = Event()
+        self._connections: set[Connection] = set()
+        self._server: StreamServer | None = None
+        self._bound = (HOST, 0)
+        self._began = time.monotonic()
+        self._listen()
+
+    @property
+    def address(self) -> str:
+        return f"{self._bound[0]}:{self._bound[1]}"
+
+    @property
+    def watches(self) -> int:
+        """How many watches are held now."""
+        return sum(connection.watches for connection in self._connections)
+
+    def now(self) -> float:
+        """Seconds since the server began."""
+        return time.monotonic() - self._began
+
+    def wait_while_silent(self) -> None:
+        while self.member.reach is Reach.SILENT:
+            self.changed.wait()
+
+    def heed(self) -> None:
+        """Something changed in the cluster: listen or refuse, and wake the watches."""
+        if self.member.reach is Reach.DOWN:
+            self.stop()
+        else:
+            self._listen()
+        changed, self.changed = self.changed, Event()
+        changed.set()
+
+    def end_watches(self) -> None:
+        """End all watches in good order."""
+        for connection in list(self._connections):
+            connection.end_stream()
+
+    def reset_connections(self) -> None:
+        """End all connections at once."""
+        for connection in list(self._connections):
+            connection.reset()
+
+    def stop(self) -> None:
+        """Refuse connections and end those there are."""
+        if self._server is not None:
+            self._server.close()
+            self._server = None
+        self.reset_connections()
+
+    def _listen(self) -> None:
+        if self._server is not None:
+            return
+        listener = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+        listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        listener.bind(self._bound)
+        listener.listen(BACKLOG)
+        self._bound = listener.getsockname()
+        self._server = StreamServer(listener, self._accept)
+        self._server.start()
+
+    def _accept(self, sock: socket.socket, _: object) -> None:
+        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        self.traffic.connects.add(self.now())
+        connection = Connection(self, sock)
+        self._connections.add(connection)
+        try:
+            connection.serve()
+        finally:
+            self._connections.discard(connection)
+
+
+class EtcdServer:
+    """A cluster on loopback; a context manager that ends all members."""
+
+    def __init__(self, size: int = 1, progress_interval: float = PROGRESS_INTERVAL) -> None:
+        self.cluster = Cluster(size)
+        self.members = tuple(MemberServer(member, progress_interval) for member in self.cluster.members)
+        self.cluster.listeners.append(self._heed)
+
+    @property
+    def addresses(self) -> list[str]:
+        """`HOST:PORT` of each member."""
+        return [member.address for member in self.members]
+
+    def restore(self, backup: etcd.Store, cluster_id: int | None = None) -> None:
+        """Start all members over from a backup, which ends all connections."""
+        self.cluster.restore(backup, cluster_id)
+        for member in self.members:
+            member.reset_connections()
+
+    def stop(self) -> None:
+        for member in self.members:
+            member.stop()
+
+    def _heed(self) -> None:
+        for member in self.members:
+            member.heed()
+
+    def __enter__(self) -> "EtcdServer":
+        return self
+
+    def __exit__(
+        self, kind: type[BaseException] | None, error: BaseException | None, trace: TracebackType | None
+    ) -> None:
+        self.stop()
