The gateway's HTTP bytes in a module of their own

Members in virtual time are to send the same bytes as those on sockets, so that bytes can be counted there.

--- a/irisstack/lab/standins/etcd_server.py
+++ b/irisstack/lab/standins/etcd_server.py
@@ -15,7 +15,7 @@
 from gevent.server import StreamServer
 
 from irisstack.lab.sockets import http
-from irisstack.lab.standins import etcd, etcd_json
+from irisstack.lab.standins import etcd, etcd_http, etcd_json
 from irisstack.lab.standins.etcd_cluster import Cluster, Member, Reach
 from irisstack.lab.standins.traffic import Traffic
 
@@ -28,9 +28,6 @@
 """A member that trickles sends so many bytes at a time, so many seconds apart."""
 HAS_LEADER = "grpc-metadata-hasleader"
 """The header by which a client asks to be refused when the member has no leader."""
-JSON_HEADERS = {"Content-Type": "application/json"}
-STREAM_HEAD = b"HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nTransfer-Encoding: chunked\r\n\r\n"
-STREAM_END = b"0\r\n\r\n"
 
 
 class Connection:
@@ -66,7 +63,7 @@
         if self._stream is not None:
             self._stream.kill()
             with suppress(OSError):
-                self._send(STREAM_END)
+                self._send(etcd_http.STREAM_END)
             self.reset()
 
     @property
@@ -82,11 +79,7 @@
             self._stream = gevent.spawn(self._watch, request)
             return True
         server.wait_while_silent()
-        if request.method != "POST":
-            self._send(http.reply(405))
-        else:
-            status, body = server.member.answer(request.target, request.body)
-            self._send(http.reply(status, JSON_HEADERS, body))
+        self._send(etcd_http.answer(server.member, request.method, request.target, request.body))
         return request.headers.get("connection", "").lower() != "close"
 
     def _watch(self, request: http.Request) -> None:
@@ -96,8 +89,7 @@
         try:
             wanted = etcd_json.decode_watch(request.body)
         except etcd.EtcdError as error:
-            status, body = etcd_json.encode_error(error)
-            self._send_to_the_end(http.reply(status, JSON_HEADERS, body))
+            self._send_to_the_end(etcd_http.refusal(error))
             return
         if not isinstance(wanted, etcd.WatchRequest):
             return  # cancels and progress refer to another stream, so nothing answers them
@@ -107,14 +99,14 @@
     def _follow(self, wanted: etcd.WatchRequest, *, needs_leader: bool) -> None:
         server, member = self._server, self._server.member
         watch, response = etcd.Watch.create(wanted, member.store)
-        created = self._chunk(member.encode_watch(response))
-        self._send(STREAM_HEAD + created)
+        created = etcd_http.chunk(member.encode_watch(response))
+        self._send(etcd_http.STREAM_HEAD + created)
         while True:
             changed = server.changed
             server.wait_while_silent()
             if needs_leader and not member.has_quorum:
-                error = self._chunk(etcd_json.encode_stream_error(etcd.NoLeaderError()))
-                self._send_to_the_end(error + STREAM_END)
+                error = etcd_http.chunk(etcd_json.encode_stream_error(etcd.NoLeaderError()))
+                self._send_to_the_end(error + etcd_http.STREAM_END)
                 return
             message = None if member.watches_silent else watch.read(member.store)
             if message is None:
@@ -122,11 +114,7 @@
                     continue
                 message = watch.progress(member.store) if wanted.progress_notify else None
             if message is not None:
-                self._send(self._chunk(member.encode_watch(message, previous=wanted.previous)))
-
-    @staticmethod
-    def _chunk(data: bytes) -> bytes:
-        return b"%x\r\n%b\r\n" % (len(data), data)
+                self._send(etcd_http.chunk(member.encode_watch(message, previous=wanted.previous)))
 
     def _send_to_the_end(self, data: bytes) -> None:
         with suppress(OSError):
