--- a/irisstack/dynamic_settings/decisions.py
+++ b/irisstack/dynamic_settings/decisions.py
@@ -200,6 +200,7 @@
         self._calls = 0
         self._retry_at = now
         self._failures = 0  # in a row
+        self._oversized_member: str | None = None  # the last one with a page too long to be read
         self._check = Check()
         self._lag: Lag | None = None
         self._frame_bytes = 0  # of the watch's frame under way
@@ -351,7 +352,7 @@
             self._log(LogLevel.INFO, "settings_history_too_long", member=call.member)
             self._fetch_again(call)
         elif kind is FailureKind.TOO_LARGE:
-            self._on_oversized(self._revision, reason)
+            self._on_oversized_page(call, reason)
         else:
             self._main_failed(call.member, kind.name.lower(), reason)
 
@@ -371,7 +372,7 @@
             self._snapshot = None
             self._main_failed(call.member, "malformed", str(error), LIED_FOR_S)
         except TooLarge as error:
-            self._on_oversized(snapshot.revision, str(error))
+            self._on_oversized(call, snapshot.revision, str(error))
         else:
             self._members.works(call.member)
             if complete:
@@ -405,14 +406,22 @@
         else:
             self._retry()
 
-    def _on_oversized(self, revision: int, reason: str) -> None:
-        """More lies below the prefix than is held: look again later whether that still is so."""
+    def _on_oversized(self, call: Call, revision: int, reason: str) -> None:
+        """More lies below the prefix than is held: look again later, at another member."""
         if reason != self._refusal[1]:
             self._on_refused(revision, reason)
         self._items = None
         self._snapshot = None
+        self._members.failed(call.member, self._now)
         self._retry(OVERSIZED_PAUSE_S)
 
+    def _on_oversized_page(self, call: Call, reason: str) -> None:
+        """A page is longer than is read. That is said of the document once two members have shown it."""
+        if self._oversized_member not in (None, call.member) and reason != self._refusal[1]:
+            self._on_refused(self._revision, reason)
+        self._oversized_member = call.member
+        self._main_failed(call.member, "too_large", reason)
+
     # ---- the watch ----
 
     def _on_watch_answer(self, call: Call, answer: WatchAnswer) -> None:
@@ -424,7 +433,7 @@
             if self._state is State.OPENING:
                 self._on_opened(call)
             if answer.events:
-                self._on_changes(answer)
+                self._on_changes(call, answer)
         except ContradictionError as error:
             self._main_failed(call.member, str(error), self._seen(answer.header), LIED_FOR_S)
         except GatewayError as error:
@@ -442,7 +451,7 @@
         else:
             self._main_failed(call.member, "canceled", answer.cancel_reason)
 
-    def _on_changes(self, answer: WatchAnswer) -> None:
+    def _on_changes(self, call: Call, answer: WatchAnswer) -> None:
         """Take in the changes revision by revision, each as a whole."""
         revisions = [
             (revision, list(events))
@@ -455,7 +464,7 @@
         if skipped:
             self._log(LogLevel.INFO, "settings_superseded", count=skipped, before=revisions[skipped][0])
         for place, (revision, events) in enumerate(revisions):
-            if not self._change(revision, events, propose=place >= skipped):
+            if not self._change(call, revision, events, propose=place >= skipped):
                 return
         self._on_progress()
 
@@ -480,7 +489,7 @@
         if not all(event.item.key.startswith(self._prefix) for event in answer.events):
             raise GatewayError(ErrorKind.MALFORMED, "a change of a key that was not asked for")
 
-    def _change(self, revision: int, events: list[WatchEvent], propose: bool) -> bool:
+    def _change(self, call: Call, revision: int, events: list[WatchEvent], propose: bool) -> bool:
         """Take in one revision; returns whether the watch still goes on."""
         items = self._items
         if items is None:
@@ -490,7 +499,7 @@
         try:
             items.change(events)
         except TooLarge as error:
-            self._on_oversized(revision, str(error))
+            self._on_oversized(call, revision, str(error))
             return False
         if propose:
             self._propose(revision)
--- a/irisstack/dynamic_settings/etcd.py
+++ b/irisstack/dynamic_settings/etcd.py
@@ -192,11 +192,13 @@
     if "error" in raw:
         raise _refusal(raw, HTTPStatus.OK)
     result = _object(raw, "result")
+    canceled = _flag(result, "canceled")
     return WatchAnswer(
-        header=_header(result),
+        # Where a compaction cancels the watch, etcd leaves the revision out.
+        header=_header(result, least_revision=0 if canceled else 1),
         events=tuple(_watch_event(event, f"events[{i}]") for i, event in enumerate(_list(result, "events"))),
         created=_flag(result, "created"),
-        canceled=_flag(result, "canceled"),
+        canceled=canceled,
         compact_revision=_integer(result, "compact_revision"),
         cancel_reason=_shown(result.get("cancel_reason", "")),
     )
@@ -227,10 +229,10 @@
     return GatewayError(ErrorKind.REFUSED, text)
 
 
-def _header(raw: Mapping[str, Any]) -> ResponseHeader:
+def _header(raw: Mapping[str, Any], least_revision: int = 1) -> ResponseHeader:
     header = _object(raw, "header")
     revision = _integer(header, "revision")
-    if revision <= 0:
+    if revision < least_revision:
         raise _malformed("header.revision: 1 or more is due")
     return ResponseHeader(
         cluster_id=_integer(header, "cluster_id", MAX_UINT64),
