--- /dev/null
+++ b/irisstack/dynamic_settings/__init__.py
@@ -0,0 +1,1 @@
+"""Settings that change while a node runs."""
--- a/irisstack/settings.py
+++ b/irisstack/settings.py
@@ -108,16 +108,13 @@
         raise SettingsError(f"{raw.path('az')}: the place of one of {len(zones)} zones is due, not {zone}")
     if cross_zone_price < 0.0:
         raise SettingsError(f"{tariffs.path('crossZone')}: 0 or more is due, not {cross_zone_price!r}")
-    classes = tuple(_message_class(lane) for lane in raw.parts("lanes"))
+    classes = tuple(message_class(lane) for lane in raw.parts("lanes"))
     if not classes:
         raise SettingsError(f"{raw.path('lanes')}: at least one class is due")
     return Settings(
         classes=classes,
         kinds=kinds,
-        tenants=tuple(
-            Tenant(t.text("name"), t.number("allowancePerS", 0.0), t.number("share", 0.0))
-            for t in raw.parts("tenants")
-        ),
+        tenants=tuple(tenant(item) for item in raw.parts("tenants")),
         zones=tuple(zones),
         zone=zone,
         cross_zone_price=cross_zone_price,
@@ -153,7 +150,13 @@
     )
 
 
-def _message_class(lane: Reader) -> MessageClass:
+def tenant(item: Reader) -> Tenant:
+    """One tenant from its object."""
+    return Tenant(item.text("name"), item.number("allowancePerS", 0.0), item.number("share", 0.0))
+
+
+def message_class(lane: Reader) -> MessageClass:
+    """One class from its object."""
     return MessageClass(
         name=lane.text("name"),
         effect=lane.one_of("repeat", EFFECTS),
