Node: other settings may be put in force between two turns

Need: a setting other than discovery waits for a restart of the node. Change: event SettingsChanged; the decider takes NewSettings from its mailbox before anything else of a turn and has intake, list reader and endpoints follow. Config key dynamic_settings, refused beside watch. A load report read by other names is left out. Lines of the list of a kind not known yet are kept, bounded, where kinds may come.

--- a/irisstack/choice.py
+++ b/irisstack/choice.py
@@ -214,6 +214,8 @@
                     self._received(event)
                 case api.EndpointsUpdated():
                     self._updated(event)
+                case api.SettingsChanged():
+                    self._adopt(event.settings)
                 case api.MessageWithdrawn():
                     if (message := self._messages.get(event.message)) is not None and not message.over:
                         self._finish(message)
@@ -231,6 +233,14 @@
         self._set_timer(min(self._subscribe_at, self._dispatch()))
         return self._out
 
+    def _adopt(self, settings: api.Settings) -> None:
+        """Decide by other settings from here on; messages that are held keep the terms of their class."""
+        self._set, self._slots = settings, max(2, settings.max_calls // SLOT_PART)
+        self._home = settings.zone if settings.cross_zone_price else None
+        kinds = {kind.name: kind for kind in settings.kinds}
+        for destination in self._destinations.values():
+            destination.kind = kinds.get(destination.kind.name, destination.kind)
+
     # ---- the row ----
 
     def _failure(self, limit: _Limit, reason: Outcome | None, heard: bool = False) -> bool:
--- a/irisstack/dynamic_settings/merge.py
+++ b/irisstack/dynamic_settings/merge.py
@@ -116,12 +116,7 @@
     Both may be merged ones. What went is still there, so that a class that went and comes back with another
     effect is refused as well.
     """
-    _check_own_zone(in_force, proposed)
-    for field in fields(Settings):
-        rule = RULES[field.name]
-        changed = getattr(in_force, field.name) != getattr(proposed, field.name)
-        if rule.change is Change.RESTART and field.name != "zone" and changed:
-            raise SettingsError(f"{rule.path}: needs a restart to change: {rule.reason}")
+    check_restart(in_force, proposed)
     _check_names_stand(in_force, proposed)
     merged = replace(
         proposed,
@@ -135,7 +130,7 @@
     return merged
 
 
-def retired(merged: Settings, proposed: Settings) -> dict[str, Any]:
+def definitions_of_gone(merged: Settings, proposed: Settings) -> dict[str, Any]:
     """Definitions of the classes and kinds that went, by path, as `document.compose` takes them."""
     classes = {kind.name for kind in proposed.classes}
     kinds = {kind.name for kind in proposed.kinds}
@@ -145,15 +140,19 @@
     }
 
 
-def _check_own_zone(in_force: Settings, proposed: Settings) -> None:
-    """The own zone is compared by name: its position may differ in a list that was written anew."""
-    if _own_zone(in_force) != _own_zone(proposed):
-        rule = RULES["zone"]
-        raise SettingsError(f"{rule.path}: needs a restart to change: {rule.reason}")
+def check_restart(in_force: Settings, proposed: Settings) -> None:
+    """Raise `SettingsError` for a change of what a running node cannot follow."""
+    for field in fields(Settings):
+        rule = RULES[field.name]
+        if rule.change is Change.RESTART and _value(in_force, field.name) != _value(proposed, field.name):
+            raise SettingsError(f"{rule.path}: needs a restart to change: {rule.reason}")
 
 
-def _own_zone(settings: Settings) -> str | None:
-    return settings.zones[settings.zone] if settings.zones else None
+def _value(settings: Settings, field: str) -> Any:
+    """A field; the own zone by its name, since its position may differ in a list that was written anew."""
+    if field == "zone":
+        return settings.zones[settings.zone] if settings.zones else None
+    return getattr(settings, field)
 
 
 def _check_names_stand(in_force: Settings, proposed: Settings) -> None:
--- a/irisstack/interface.py
+++ b/irisstack/interface.py
@@ -247,6 +247,17 @@
     data: bytes
 
 
+@dataclass(slots=True, frozen=True)
+class SettingsChanged:
+    """Other settings are in force from here on.
+
+    Classes, kinds, tenants and zones keep the positions that they had under their names, those that went
+    included.
+    """
+
+    settings: Settings
+
+
 Event = (
     EndpointsUpdated
     | MessageReceived
@@ -256,6 +267,7 @@
     | TimerFired
     | ProbeEnded
     | PeerMessage
+    | SettingsChanged
 )
 
 
--- a/irisstack/node/config.py
+++ b/irisstack/node/config.py
@@ -15,12 +15,29 @@
 
 DEFAULT_SOCKETS = 1024
 DEFAULT_DISK_MB = 64.0
+DEFAULT_SETTINGS_BYTES_PER_S = 11264
+LEAST_SETTINGS_BYTES_PER_S = 1024
+"""Below this a whole settings document would take minutes."""
 
 
 class ConfigError(Exception):
     """The configuration cannot be used; the text names the key at fault."""
 
 
+@dataclass(slots=True, frozen=True)
+class DynamicSettings:
+    """Where settings come from that change while the node runs."""
+
+    members: tuple[HostPort, ...]
+    """Of the cluster that publishes them."""
+    prefix: str
+    """Of their keys."""
+    bytes_per_s: int
+    """The most that following them may take of the network."""
+    base: Mapping[str, Any]
+    """The settings object of the node's own file, over which they are laid."""
+
+
 @dataclass(slots=True, frozen=True)
 class Config:
     """All that a node is told at its start."""
@@ -38,6 +55,8 @@
     """The other nodes that notes go to and come from."""
     trial: Settings | None = None
     """Settings to watch beside those in force."""
+    dynamic_settings: DynamicSettings | None = None
+    """None where settings wait for a restart."""
 
 
 def host_port(text: str, key: str) -> HostPort:
@@ -89,7 +108,7 @@
         limits = raw.part("limits")
         known = {} if raw.value("known") is None else raw.value("known")
         peers = tuple(host_port(peer, f"peers[{i}]") for i, peer in enumerate(raw.texts("peers")))
-        settings = _with_peers(read(raw.part("settings")), peers)
+        settings = with_peers(read(raw.part("settings")), peers)
         Reader(known, raw.path("known"))
 
         def told(variable: str, key: str, default: str | None = None) -> str:
@@ -112,6 +131,7 @@
             settings=settings,
             peers=peers,
             trial=_trial(raw, settings),
+            dynamic_settings=_dynamic_settings(raw),
         )
     except OSError as error:
         raise ConfigError(f"RELAY_CONFIG: {path} cannot be read: {error.strerror}") from None
@@ -123,7 +143,7 @@
     return config
 
 
-def _with_peers(settings: Settings, peers: tuple[HostPort, ...]) -> Settings:
+def with_peers(settings: Settings, peers: tuple[HostPort, ...]) -> Settings:
     """Without the other nodes' places notes would reach nobody, so that nothing may count on them."""
     return settings if peers else replace(settings, may_tell_peers=False)
 
@@ -140,6 +160,30 @@
     return trial
 
 
+def _dynamic_settings(raw: Reader) -> DynamicSettings | None:
+    if raw.value("dynamic_settings") is None:
+        return None
+    if raw.value("watch") is not None:
+        raise SettingsError(
+            "watch: not together with dynamic_settings: settings on trial need ones that stay"
+        )
+    part = raw.part("dynamic_settings")
+    members = tuple(
+        host_port(member, f"{part.path('members')}[{i}]") for i, member in enumerate(part.texts("members"))
+    )
+    if not members:
+        raise SettingsError(f"{part.path('members')}: at least one host:port is due")
+    prefix = part.text("prefix")
+    if not prefix.endswith("/"):
+        raise SettingsError(f"{part.path('prefix')}: a prefix that ends with '/' is due, not {prefix!r}")
+    bytes_per_s = part.whole("bytes_per_s", DEFAULT_SETTINGS_BYTES_PER_S)
+    if bytes_per_s < LEAST_SETTINGS_BYTES_PER_S:
+        raise SettingsError(
+            f"{part.path('bytes_per_s')}: {LEAST_SETTINGS_BYTES_PER_S} at least are due, not {bytes_per_s}"
+        )
+    return DynamicSettings(members, prefix, bytes_per_s, raw.value("settings"))
+
+
 def _laid_over(below: Any, above: Any) -> Any:
     if not isinstance(below, Mapping) or not isinstance(above, Mapping):
         return above
--- a/irisstack/node/decider.py
+++ b/irisstack/node/decider.py
@@ -5,7 +5,7 @@
 """
 
 import time
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Collection, Sequence
 from dataclasses import dataclass, field
 from heapq import heappop, heappush
 from http import HTTPStatus
@@ -20,6 +20,7 @@
 from irisstack.node.config import name_of, peer_of
 from irisstack.node.counters import Counters
 from irisstack.node.endpoint import Call, CallOff, CloseIdle, Command, Ended, Hold, Outgoing
+from irisstack.node.mailbox import enlarge
 from irisstack.node.store import Entry, Store
 from irisstack.watch import Watching
 
@@ -57,6 +58,23 @@
     body: bytes
 
 
+@dataclass(slots=True, frozen=True)
+class NewSettings:
+    """Settings that passed every check, to be in force from the next turn on, in all parts of the node."""
+
+    revision: int
+    settings: api.Settings
+    """With the positions of those before them; what went is still at its place."""
+    classes: Collection[str]
+    """In which new messages are taken on."""
+    tenants: Collection[str]
+    """For whom new messages are taken on."""
+
+
+Item = Arrival | Ended | api.EndpointsUpdated | api.PeerMessage | NewSettings
+"""What comes to the decider's mailbox."""
+
+
 @dataclass(slots=True)
 class _Turn:
     """What one turn brings about, in the order in which it is carried out."""
@@ -85,32 +103,42 @@
         room: int,
         tell: Callable[[int | None, bytes], None] | None = None,
         trial: api.Settings | None = None,
+        settings_taken: Callable[[NewSettings], api.EndpointsUpdated | None] = lambda _: None,
     ) -> None:
-        self._settings = settings
+        self._settings_taken = settings_taken
         self._sender = Sender(settings, seed)
         if trial is not None:
             self._sender = Watching(settings, trial, seed, counters.add)
         self._tell = tell
-        self._most_notes = room // 2
         self._store = store
         self._counters = counters
         self._call = call
         self._ask = ask
         self._notice = notice
-        self.mailbox: Queue[Arrival | Ended | api.EndpointsUpdated | api.PeerMessage] = Queue(room)
+        self.mailbox: Queue[Item] = Queue(1)
+        self.make_room(room)
         self._next: list[api.Event] = []  # known already, for the next turn
         self._timers: list[tuple[float, int]] = []
         self._where: dict[int, tuple[api.Address, float]] = {}  # calls out: endpoint, sent at
-        self._classes = {kind.name: i for i, kind in enumerate(settings.classes)}
         self._listed: dict[api.Address, api.Endpoint] = {}
         self._gone: dict[api.Address, float] = {}  # of these, the ones no longer listed, and since when
-        self._remembered = max(kind.deadline for kind in settings.classes)
         self._destinations: set[int] = set()
         self._turned = -1.0
-        self._come_again = come_again(settings)
+        self._adopt(settings)
         self.refusing = False  # nothing new is taken on
         self.holding = False  # nothing more is sent
 
+    def _adopt(self, settings: api.Settings) -> None:
+        self._settings = settings
+        self._classes = {kind.name: i for i, kind in enumerate(settings.classes)}
+        self._remembered = max(kind.deadline for kind in settings.classes)
+        self._come_again = come_again(settings)
+
+    def make_room(self, room: int) -> None:
+        """Let the mailbox hold so many items at least; notes may fill half of it."""
+        enlarge(self.mailbox, room)
+        self._most_notes = room // 2
+
     @property
     def calls_out(self) -> int:
         return len(self._where)
@@ -176,18 +204,21 @@
         self.mailbox.put(note)
         return True
 
-    def _wait(self) -> list[Arrival | Ended | api.EndpointsUpdated | api.PeerMessage]:
+    def _wait(self) -> list[Item]:
         wait = max(0.0, self._timers[0][0] - time.monotonic()) if self._timers else None
         try:
             return [self.mailbox.get(timeout=wait)]
         except Empty:
             return []
 
-    def _turn(self, items: Iterable[Arrival | Ended | api.EndpointsUpdated | api.PeerMessage]) -> None:
+    def _turn(self, items: Sequence[Item]) -> None:
         now, unix = time.monotonic(), time.time()
         self._turned = now
         turn = _Turn()
-        events, self._next = self._next, []
+        # First of all: a turn is under one set of settings from its begin to its end.
+        events = self._take_settings(items, now)
+        events += self._next
+        self._next = []
         for item in items:
             match item:
                 case Arrival():
@@ -209,6 +240,23 @@
 
     # ---- events ----
 
+    def _take_settings(self, items: Sequence[Item], now: float) -> list[api.Event]:
+        """Put the newest of the settings that have come in force here and in all other parts."""
+        newest = None
+        for item in items:
+            if isinstance(item, NewSettings):
+                newest = item
+        if newest is None:
+            return []
+        self._adopt(newest.settings)
+        events: list[api.Event] = [api.SettingsChanged(newest.settings)]
+        update = self._settings_taken(newest)
+        if update is not None:
+            self._learn(update, now)
+            events.append(update)
+        log.info("settings_in_force", revision=newest.revision)
+        return events
+
     def _arrived(
         self, arrival: Arrival, turn: _Turn, events: list[api.Event], now: float, unix: float
     ) -> None:
@@ -284,7 +332,8 @@
                 result.outcome,
                 result.retry_after,
                 result.no_free_slot,
-                result.report,
+                # Numbers that were read by the names of settings no longer in force would pass for others.
+                result.report if result.report_fields == self._settings.report_fields else (),
             )
         )
 
--- a/irisstack/node/discovery.py
+++ b/irisstack/node/discovery.py
@@ -2,7 +2,7 @@
 
 import json
 import time
-from collections.abc import Callable, Mapping
+from collections.abc import Callable, Iterable, Mapping
 from contextlib import suppress
 from dataclasses import dataclass, replace
 from typing import Any
@@ -31,14 +31,20 @@
 What is missed from the last word on has to be here 6 s later: this, the pause and the next answer included.
 """
 
+UNNAMED_ZONES = 1 << 16
+"""The number of the first zone that the settings do not name; theirs stay below, also as zones are added."""
+
 log = structlog.get_logger()
 
 
 class ListReader:
     """The list's JSON as `EndpointsUpdated`; a line that cannot be read is logged and passed over."""
 
-    def __init__(self, settings: api.Settings) -> None:
+    def __init__(self, settings: api.Settings, most_waiting: int = 0) -> None:
         self._kinds = {kind.name: i for i, kind in enumerate(settings.kinds)}
+        self._most_waiting = most_waiting
+        self._waiting: dict[str, Mapping[str, Any]] = {}  # lines of kinds not known yet, by id
+        self._revision = 0
         self._zones = {name: i for i, name in enumerate(settings.zones)}
         self._addresses: dict[str, api.Address] = {}
         self._owners: dict[api.Address, str] = {}  # the id that stands for each address
@@ -48,21 +54,53 @@
         revision, members = int(raw["revision"]), raw["members"]
         if scope is None:
             scope = api.UpdateScope.FULL if raw["complete"] else api.UpdateScope.DELTA
-        endpoints: list[api.Endpoint] = []
-        for member in members:
-            try:
-                endpoints.extend(self._endpoints(member))
-            except Exception as error:  # a single bad line must not cost the rest of the list
-                log.warning("list_line_unread", line=str(member)[:200], error=repr(error))
+        if scope is not api.UpdateScope.DELTA:
+            self._waiting.clear()
+        self._revision = revision
+        endpoints = self._read(members)
         if scope is not api.UpdateScope.DELTA:  # what the whole list leaves out is forgotten
             here = {endpoint.address for endpoint in endpoints}
             self._addresses = {id_: address for id_, address in self._addresses.items() if address in here}
             self._owners = {address: id_ for address, id_ in self._owners.items() if address in here}
         return api.EndpointsUpdated(scope, revision, tuple(endpoints))
 
+    def follow(self, settings: api.Settings) -> api.EndpointsUpdated | None:
+        """Go by other settings; returns what can be read now of the lines that waited for their kind."""
+        self._kinds = {kind.name: i for i, kind in enumerate(settings.kinds)}
+        for i, name in enumerate(settings.zones):
+            self._zones.setdefault(name, i)
+        ready = [line for line in self._waiting.values() if line["flavor"] in self._kinds]
+        if not ready:
+            return None
+        return api.EndpointsUpdated(api.UpdateScope.DELTA, self._revision, tuple(self._read(ready)))
+
+    def _read(self, members: Iterable[Mapping[str, Any]]) -> list[api.Endpoint]:
+        endpoints: list[api.Endpoint] = []
+        for member in members:
+            try:
+                if not self._waits(member):
+                    endpoints.extend(self._endpoints(member))
+            except Exception as error:  # a single bad line must not cost the rest of the list
+                log.warning("list_line_unread", line=str(member)[:200], error=repr(error))
+        return endpoints
+
+    def _waits(self, member: Mapping[str, Any]) -> bool:
+        """Whether a line is kept until its kind is known; the newest of each id counts."""
+        if not self._most_waiting:
+            return False
+        id_ = str(member["id"])
+        self._waiting.pop(id_, None)
+        if member["flavor"] in self._kinds or STATES[member["phase"]] is api.EndpointState.GONE:
+            return False
+        if len(self._waiting) >= self._most_waiting:
+            return False
+        self._waiting[id_] = member
+        log.info("list_line_waits_for_its_kind", id=id_, kind=member["flavor"])
+        return True
+
     def _zone(self, name: object) -> int:
         """A zone's number. One that the settings do not name gets its own: it must not pass for another."""
-        return self._zones.setdefault(str(name), len(self._zones))
+        return self._zones.setdefault(str(name), UNNAMED_ZONES + len(self._zones))
 
     def _endpoints(self, member: Mapping[str, Any]) -> list[api.Endpoint]:
         """What a line says, place by place: an address under another id is another endpoint.
--- a/irisstack/node/endpoint.py
+++ b/irisstack/node/endpoint.py
@@ -17,6 +17,7 @@
 from irisstack.node.buffer import Buffer
 from irisstack.node.config import HostPort, name_of
 from irisstack.node.counters import Counters
+from irisstack.node.mailbox import enlarge
 from irisstack.node.results import DELIVERED, Ending, Reached, Result, answered, answered_each, unanswered
 from irisstack.node.store import Store
 
@@ -98,7 +99,18 @@
     """The list no longer offers the endpoint: it gets nothing more, and the actor ends with its last call."""
 
 
-Command = Call | CallOff | CloseIdle | Hold | Retire
+@dataclass(slots=True, frozen=True)
+class ChangeTerms:
+    """Other settings are in force: what is begun from now on goes by these."""
+
+    connect_timeout: float
+    idle_limit: float
+    most_idle: int
+    most_calls: int
+    report_fields: Sequence[str]
+
+
+Command = Call | CallOff | CloseIdle | Hold | Retire | ChangeTerms
 
 
 @dataclass(slots=True, frozen=True)
@@ -132,13 +144,17 @@
 
     def __init__(self, peer: HostPort, connect_timeout: float, report_fields: Sequence[str]) -> None:
         self._peer = peer
-        self._connect_timeout = connect_timeout
-        self._fields = report_fields
+        self.adopt(connect_timeout, report_fields)
         self._socket: socket.socket | None = None
         self._buffer = Buffer()
         self._reader = http.AnswerReader()
         self.idle_since = 0.0
 
+    def adopt(self, connect_timeout: float, report_fields: Sequence[str]) -> None:
+        """Go by these from the next call on."""
+        self._connect_timeout = connect_timeout
+        self._fields = report_fields
+
     def usable(self) -> bool:
         """Whether nothing, not even an end, waits to be read on an idle connection."""
         return self._socket is not None and sockets.quiet(self._socket)
@@ -284,18 +300,22 @@
         self._post = post
         self._store = store
         self._counters = counters
-        self._connect_timeout = connect_timeout
-        self._trusted = idle_limit * (1.0 - IDLE_MARGIN) if idle_limit else LONG
-        self._most_idle = most_idle
-        self._report_fields = report_fields
-        # A call, its cancelling and its end for each slot, and what the list tells beside them.
-        self.mailbox: Queue[Command | _Back] = Queue(4 * most_calls + 16)
+        self.mailbox: Queue[Command | _Back] = Queue(1)
+        self._adopt(ChangeTerms(connect_timeout, idle_limit, most_idle, most_calls, report_fields))
         self._calls: list[Call] = []
         self._idle: deque[Connection] = deque()
         self._retired = False
         self._held_until = 0.0
         self.worker: gevent.Greenlet[..., None] = gevent.Greenlet(self.run)
 
+    def _adopt(self, terms: ChangeTerms) -> None:
+        self._connect_timeout = terms.connect_timeout
+        self._report_fields = terms.report_fields
+        self._trusted = terms.idle_limit * (1.0 - IDLE_MARGIN) if terms.idle_limit else LONG
+        self._most_idle = terms.most_idle
+        # A call, its cancelling and its end for each slot, and what the list tells beside them.
+        enlarge(self.mailbox, 4 * terms.most_calls + 16)
+
     def run(self) -> None:
         """Take what is in the mailbox until the endpoint is retired and nothing is left to do."""
         while not (self._retired and not self._calls and self.mailbox.empty()):
@@ -326,6 +346,10 @@
                     self._idle.append(connection)
                     if self._retired or len(self._idle) > self._most_idle:
                         self._idle.popleft().close()
+            case ChangeTerms():
+                self._adopt(command)
+                while len(self._idle) > self._most_idle:
+                    self._idle.popleft().close()
             case Hold(until):
                 self._held_until = max(self._held_until, until)
             case Retire():
@@ -343,6 +367,7 @@
         while self._idle:
             connection = self._idle.pop()
             if time.monotonic() - connection.idle_since < self._trusted and connection.usable():
+                connection.adopt(self._connect_timeout, self._report_fields)
                 return connection
             connection.close()
         self._counters.add("connections_opened")
--- a/irisstack/node/intake.py
+++ b/irisstack/node/intake.py
@@ -4,7 +4,7 @@
 import math
 import re
 import time
-from collections.abc import Callable
+from collections.abc import Callable, Collection
 from contextlib import suppress
 from enum import Enum, auto
 from http import HTTPStatus
@@ -271,17 +271,27 @@
         most: int,
     ) -> None:
         self.post = post
-        self.classes = {kind.name: i for i, kind in enumerate(settings.classes)}
-        self._kinds = settings.classes
-        self._tenants = {tenant.name: i for i, tenant in enumerate(settings.tenants)}
+        self.offer(
+            settings,
+            {kind.name for kind in settings.classes},
+            {tenant.name for tenant in settings.tenants},
+        )
         self._most = most
         self._connections: dict[int, _Connection] = {}
         self._server = StreamServer(listen, self._serve, backlog=BACKLOG)
         self._server.max_accept = ACCEPTS
-        self.come_again = come_again(settings)
         self.counters = counters
         self.stage = Stage.ACCEPTING
 
+    def offer(self, settings: api.Settings, classes: Collection[str], tenants: Collection[str]) -> None:
+        """Take new messages on in these classes, for these tenants, whose positions the settings tell."""
+        self.classes = {kind.name: i for i, kind in enumerate(settings.classes) if kind.name in classes}
+        self._kinds = settings.classes
+        self._tenants = {
+            tenant.name: i for i, tenant in enumerate(settings.tenants) if tenant.name in tenants
+        }
+        self.come_again = come_again(settings)
+
     def start(self) -> None:
         self._server.start()
 
--- a/irisstack/node/results.py
+++ b/irisstack/node/results.py
@@ -2,7 +2,7 @@
 
 import math
 from collections.abc import Sequence
-from dataclasses import dataclass
+from dataclasses import dataclass, field, replace
 from enum import IntEnum, auto
 
 from irisstack.interface import Outcome
@@ -37,6 +37,8 @@
     retry_after: float | None = None
     no_free_slot: bool = False
     report: tuple[float, ...] = ()
+    report_fields: tuple[str, ...] = field(default=(), compare=False)
+    """What the numbers of the report are."""
 
 
 DELIVERED = Result(Outcome.OK, Reached.ANSWERED, over=True)
@@ -103,7 +105,7 @@
             outcome, over = Outcome.NOT_SENT, True
         case _:
             outcome, over = Outcome.ERROR, False
-    return Result(outcome, Reached.ANSWERED, over, wait, busy, report)
+    return Result(outcome, Reached.ANSWERED, over, wait, busy, report, tuple(fields))
 
 
 def answered_each(message: Message, ids: Sequence[str], fields: Sequence[str]) -> dict[str, Result]:
@@ -120,5 +122,5 @@
     results = {}
     for id_ in ids:
         outcome, over = ENDS.get(told.get(id_, ""), (Outcome.RESET, False))
-        results[id_] = Result(outcome, Reached.ANSWERED, over, alike.retry_after, report=alike.report)
+        results[id_] = replace(alike, outcome=outcome, over=over, no_free_slot=False)
     return results
--- a/irisstack/node/service.py
+++ b/irisstack/node/service.py
@@ -4,6 +4,7 @@
 import sys
 import time
 from dataclasses import fields, replace
+from typing import TYPE_CHECKING
 
 import gevent
 import structlog
@@ -11,15 +12,21 @@
 
 from irisstack import interface as api
 from irisstack.common import logs
-from irisstack.node.config import Config, ConfigError, load, name_of, peer_of
+from irisstack.node.config import Config, ConfigError, DynamicSettings, load, name_of, peer_of
 from irisstack.node.counters import Counters
-from irisstack.node.decider import Decider
+from irisstack.node.decider import Decider, NewSettings
 from irisstack.node.discovery import Discovery, ListReader, Moved
-from irisstack.node.endpoint import Call, Command, Endpoint, Retire
+from irisstack.node.endpoint import Call, ChangeTerms, Command, Endpoint, Retire
 from irisstack.node.intake import Intake, Stage
 from irisstack.node.notices import Notices
 from irisstack.node.peers import Peers
 from irisstack.node.store import Store
+from irisstack.settings import SettingsError
+
+if TYPE_CHECKING:  # loaded only where settings may change
+    from irisstack.dynamic_settings.accepted import AcceptedSettings
+    from irisstack.node.live_settings import LiveSettings
+    from irisstack.node.settings_watch import SettingsWatch
 
 SEND_UNTIL = 2.2
 """Seconds after SIGTERM in which calls still leave."""
@@ -29,6 +36,10 @@
 """Seconds after SIGTERM in which clients may still come."""
 OWN_DESCRIPTORS = 48
 """Kept for the listening socket, clients in the doorway, the list, notices and the folder."""
+SNAPSHOT = "settings.json"
+"""The file in the lasting folder with the settings last accepted, where these change while the node runs."""
+MOST_WAITING_LINES = 1024
+"""Lines of the list that are kept until their kind is known, where kinds may come while the node runs."""
 LOOK = 0.05
 """Seconds between two looks at what is left to end."""
 FOLLOWED = ("discovery", "known", "seed")
@@ -44,23 +55,27 @@
         self._config = config
         self._stop = stop
         self._reread = reread
-        settings = config.settings
         self.counters = Counters()
         self._store = Store(config.state, config.disk_bytes, time.time())
+        self._most_clients = config.sockets // 3
+        self._live: LiveSettings | None = None
+        self._settings_watch: SettingsWatch | None = None
+        if config.dynamic_settings is not None:
+            self._start_dynamic_settings(config.dynamic_settings)
+        settings = self._settings = config.settings if self._live is None else self._live.in_force.settings
         self._notices = Notices(config.discovery, self._store, self.counters)
-        reader = ListReader(settings)
-        known = self._known(reader)
+        self._reader = ListReader(settings, 0 if self._live is None else MOST_WAITING_LINES)
+        known = self._known(self._reader)
         self._discovery = Discovery(
-            config.discovery, reader, self._listed, known.version, pushed=not settings.discovery_on_request
+            config.discovery,
+            self._reader,
+            self._listed,
+            known.version,
+            pushed=not settings.discovery_on_request,
         )
         self._endpoints: dict[api.Address, Endpoint] = {}
         self._retired: list[Endpoint] = []  # no longer offered, their last calls still out
         self._listed_now: set[api.Address] = set()
-        # A third of the descriptors for clients; of the rest, what calls and the node itself do not need may
-        # hold connections that are kept.
-        self._most_clients = config.sockets // 3
-        self._most_idle = config.sockets - self._most_clients - settings.max_calls - OWN_DESCRIPTORS
-        most_batch = max((kind.max_batch for kind in settings.kinds), default=1)
         self._decider = Decider(
             settings,
             config.seed,
@@ -69,9 +84,10 @@
             call=self._to_endpoint,
             ask=self._discovery.mailbox.put,
             notice=self._notices.owe,
-            room=self._most_clients + settings.max_calls * most_batch + 64,
+            room=self._mailbox_room(settings),
             tell=self._tell,
             trial=config.trial,
+            settings_taken=self._take_settings,
         )
         self._peers: Peers | None = None
         if config.peers:
@@ -79,6 +95,8 @@
         self._intake = Intake(
             config.listen, settings, self._decider.mailbox.put, self.counters, self._most_clients
         )
+        if self._live is not None:
+            self._intake.offer(settings, self._live.in_force.classes, self._live.in_force.tenants)
         self._follow(known)
         self._decider.recover(known)
 
@@ -96,6 +114,8 @@
             if self._peers is not None:
                 self._peers.start()
                 runs.append(self._peers.run)
+            if self._settings_watch is not None:
+                runs.append(self._settings_watch.run)
             self._intake.start()
         except OSError as error:
             raise ConfigError(f"listen: {name_of(self._config.listen)}: {error.strerror}") from None
@@ -212,18 +232,17 @@
                 old.mailbox.put(command)
 
     def _start_endpoint(self, address: api.Address) -> Endpoint:
-        settings = self._config.settings
         endpoint = Endpoint(
             address,
             peer_of(address),
             self._decider.mailbox.put,
             self._store,
             self.counters,
-            connect_timeout=settings.connect_timeout,
-            idle_limit=settings.keepalive,
-            most_idle=max(1, self._most_idle // max(1, len(self._listed_now))),
-            most_calls=settings.max_calls,
-            report_fields=settings.report_fields,
+            connect_timeout=self._settings.connect_timeout,
+            idle_limit=self._settings.keepalive,
+            most_idle=self._most_idle(),
+            most_calls=self._settings.max_calls,
+            report_fields=self._settings.report_fields,
         )
         endpoint.worker.start()
         if address in self._listed_now:
@@ -232,6 +251,81 @@
             self._retire(endpoint)
         return endpoint
 
+    def _most_idle(self) -> int:
+        """Connections to one endpoint that may be kept.
+
+        A third of the descriptors is for clients; of the rest, what calls and the node itself do not need is
+        shared out among the endpoints.
+        """
+        spare = self._config.sockets - self._most_clients - self._settings.max_calls - OWN_DESCRIPTORS
+        return max(1, spare // max(1, len(self._listed_now)))
+
+    def _mailbox_room(self, settings: api.Settings) -> int:
+        """What may be under way to the decider at once."""
+        most_batch = max((kind.max_batch for kind in settings.kinds), default=1)
+        return self._most_clients + settings.max_calls * most_batch + 64
+
+    # ---- settings that change ----
+
+    def _start_dynamic_settings(self, source: DynamicSettings) -> None:
+        """Take the settings of the life before, and get ready to follow those that come."""
+        from irisstack.dynamic_settings.snapshot import SnapshotFile
+        from irisstack.node.live_settings import LiveSettings
+        from irisstack.node.settings_watch import SettingsWatch
+
+        config = self._config
+        try:
+            live = LiveSettings(source.base, config.peers, config.sockets - self._most_clients - OWN_DESCRIPTORS)
+        except SettingsError as error:
+            raise ConfigError(f"settings: {error}") from None
+        snapshot = SnapshotFile(config.state / SNAPSHOT)
+        saved = snapshot.load()
+        if saved is not None:
+            owed = {entry.message_class for entry in self._store.entries.values() if entry.owed}
+            live.restore(saved.items, saved.retired, owed)
+        self._live = live
+        self._settings_watch = SettingsWatch(
+            source.members,
+            source.prefix,
+            source.bytes_per_s,
+            snapshot,
+            live.check,
+            self._accept_settings,
+            self.counters,
+            config.seed,
+        )
+
+    def _accept_settings(self, revision: int, accepted: "AcceptedSettings") -> None:
+        """Settings that passed the check: the decider has them take effect between two turns."""
+        assert self._live is not None
+        self._live.in_force = accepted
+        self._decider.mailbox.put(
+            NewSettings(revision, accepted.settings, accepted.classes, accepted.tenants)
+        )
+
+    def _take_settings(self, new: NewSettings) -> api.EndpointsUpdated | None:
+        """Put new settings in force in all parts; called by the decider between two turns.
+
+        Nothing here can fail, and all but the endpoints' commands is done before anything else may run.
+        Returns what can now be read of the list.
+        """
+        settings = self._settings = new.settings
+        self._intake.offer(settings, new.classes, new.tenants)
+        self._decider.make_room(self._mailbox_room(settings))
+        update = self._reader.follow(settings)
+        if update is not None:
+            self._follow(update)
+        terms = ChangeTerms(
+            settings.connect_timeout,
+            settings.keepalive,
+            self._most_idle(),
+            settings.max_calls,
+            settings.report_fields,
+        )
+        for endpoint in list(self._endpoints.values()):
+            endpoint.mailbox.put(terms)
+        return update
+
 
 def main(log_format: str = "json", log_level: str = "info") -> int:
     """Run a node from the environment; a configuration that cannot be used is one line and code 2."""
--- a/irisstack/settings.py
+++ b/irisstack/settings.py
@@ -13,11 +13,28 @@
 GROUPS = {"all": DedupScope.DESTINATION, "zone": DedupScope.ZONE}
 FADES = {"even": Decay.LINEAR, "by_half": Decay.HALVING}
 
+LONGEST_SHOWN = 80
+"""Characters of a value that an error repeats."""
+
 
 class SettingsError(Exception):
     """A key that is missing or holds what it may not; the text begins with its whole path."""
 
 
+def _is_finite(value: float) -> bool:
+    """Whether it is a number that a float can hold."""
+    try:
+        return math.isfinite(value)
+    except OverflowError:
+        return False
+
+
+def _shown(value: object) -> str:
+    """A value in an error of one line."""
+    text = repr(value) if not isinstance(value, int) or value.bit_length() < 64 else "a number far too large"
+    return text if len(text) <= LONGEST_SHOWN else f"{text[:LONGEST_SHOWN]}..."
+
+
 class Reader:
     """One JSON object, read key by key."""
 
@@ -36,8 +53,8 @@
 
     def number(self, key: str, default: float | None = None) -> float:
         value = self._raw.get(key, default)
-        if isinstance(value, bool) or not isinstance(value, int | float) or not math.isfinite(value):
-            raise SettingsError(f"{self.path(key)}: a number is due, not {value!r}")
+        if isinstance(value, bool) or not isinstance(value, int | float) or not _is_finite(value):
+            raise SettingsError(f"{self.path(key)}: a number is due, not {_shown(value)}")
         return float(value)
 
     def whole(self, key: str, default: int | None = None) -> int:
