--- a/irisstack/node/service.py
+++ b/irisstack/node/service.py
@@ -275,7 +275,9 @@
 
         config = self._config
         try:
-            live = LiveSettings(source.base, config.peers, config.sockets - self._most_clients - OWN_DESCRIPTORS)
+            live = LiveSettings(
+                source.base, config.peers, config.sockets - self._most_clients - OWN_DESCRIPTORS
+            )
         except SettingsError as error:
             raise ConfigError(f"settings: {error}") from None
         snapshot = SnapshotFile(config.state / SNAPSHOT)
