Files: the key dynamic_settings in the model of a node's file

Need: irisstack config check, show and schema know the key as the node does. Change: members, prefix, bytes_per_s; refused together with watch.

--- a/irisstack/configuration/node_file.py
+++ b/irisstack/configuration/node_file.py
@@ -6,7 +6,7 @@
 
 from typing import Any, Literal
 
-from pydantic import Field, field_validator, model_validator
+from pydantic import Field, ValidationInfo, field_validator, model_validator
 
 from irisstack.configuration.document import Section
 
@@ -155,6 +155,24 @@
     resolution: Seconds = Field(0.0, ge=0.0)
 
 
+class DynamicSettingsFile(Section):
+    """The etcd cluster whose settings the node follows while it runs."""
+
+    members: list[str] = Field(min_length=1)
+    """The members' client addresses, host:port each."""
+    prefix: str = Field(pattern="/$")
+    """Of the settings' keys."""
+    bytes_per_s: int = Field(11264, ge=1024)
+    """The most that following the settings may take of the network."""
+
+    @field_validator("members")
+    @classmethod
+    def _addresses(cls, value: list[str]) -> list[str]:
+        for member in value:
+            _check_address(member)
+        return value
+
+
 class NodeFile(Section):
     """A node's file. The variables in `VARIABLES` stand above their keys."""
 
@@ -171,6 +189,8 @@
     settings: SettingsFile
     peers: list[str] = []
     """The other nodes, host:port each: notes go to them and come from them, where `mayTell` holds."""
+    dynamic_settings: DynamicSettingsFile | None = None
+    """Where the node follows changes of its settings; without it they wait for a restart."""
     watch: dict[str, Any] | None = None
     """Settings to lay over those in force and to watch: what they would have decided otherwise is counted."""
 
@@ -178,9 +198,14 @@
     @classmethod
     def _address(cls, value: str | None) -> str | None:
         if value is not None:
-            host, _, port = value.rpartition(":")
-            if not host or not port.isascii() or not port.isdigit() or not 0 < int(port) < 65536:
-                raise ValueError(f"host:port is due, not {value!r}")
+            _check_address(value)
+        return value
+
+    @field_validator("watch")
+    @classmethod
+    def _alone(cls, value: dict[str, Any] | None, info: ValidationInfo) -> dict[str, Any] | None:
+        if value is not None and info.data.get("dynamic_settings") is not None:
+            raise ValueError("not together with dynamic_settings: settings on trial need ones that stay")
         return value
 
     @field_validator("seed")
@@ -200,3 +225,9 @@
     "state": "RELAY_STATE",
 }
 """The variable that stands above each of these keys."""
+
+
+def _check_address(text: str) -> None:
+    host, _, port = text.rpartition(":")
+    if not host or not port.isascii() or not port.isdigit() or not 0 < int(port) < 65536:
+        raise ValueError(f"host:port is due, not {text!r}")
