Node: follows its settings where dynamic_settings is configured

Need: the watch's documents have to reach every part of a running node, and the next life. Change: LiveSettings checks a document against what is in force and restores a saved one at the start, with the definitions that owed messages need; the service starts the watch and puts its documents to the decider. A document is saved before it is put in force. The folder's room is less by the file's.

--- a/irisstack/dynamic_settings/document.py
+++ b/irisstack/dynamic_settings/document.py
@@ -50,7 +50,7 @@
     `retired` holds definitions, by path, of classes and kinds that went and are still needed; they follow the
     others in their lists. A document that defines one of these otherwise is refused.
     """
-    _check_size(items)
+    check_size(items)
     _check_paths(items)
     document: dict[str, Any] = dict(base)
     for path in sorted(items):
@@ -91,7 +91,8 @@
 # ---- checks of the items ----
 
 
-def _check_size(items: Mapping[str, Any]) -> None:
+def check_size(items: Mapping[str, Any]) -> None:
+    """Refuse items that are no JSON or too many."""
     size = sum(len(path.encode()) + len(_compact(path, value)) for path, value in items.items())
     if size > MAX_DOCUMENT_BYTES:
         raise SettingsError(f"the document: {MAX_DOCUMENT_BYTES} bytes at most are due, not {size}")
--- a/irisstack/node/config.py
+++ b/irisstack/node/config.py
@@ -15,6 +15,8 @@
 
 DEFAULT_SOCKETS = 1024
 DEFAULT_DISK_MB = 64.0
+LEAST_DISK_WITH_SETTINGS = 2_000_000
+"""The file of the settings in force takes a part of the folder's room."""
 DEFAULT_SETTINGS_BYTES_PER_S = 11264
 LEAST_SETTINGS_BYTES_PER_S = 1024
 """Below this a whole settings document would take minutes."""
@@ -204,6 +206,8 @@
         raise ConfigError(f"limits.sockets: 64 at least are due, not {config.sockets}")
     if config.disk_bytes < 1_000_000:
         raise ConfigError("limits.disk_mb: 1 at least is due")
+    if config.dynamic_settings is not None and config.disk_bytes < LEAST_DISK_WITH_SETTINGS:
+        raise ConfigError("limits.disk_mb: 2 at least are due with dynamic_settings")
     if not config.settings.kinds:
         raise ConfigError("settings.shapes: at least one kind is due")
     if config.settings.max_calls < 1:
--- a/irisstack/node/live_settings.py
+++ b/irisstack/node/live_settings.py
@@ -10,7 +10,7 @@
 import structlog
 
 from irisstack.dynamic_settings.accepted import AcceptedSettings
-from irisstack.dynamic_settings.document import KINDS, LANES, compose
+from irisstack.dynamic_settings.document import KINDS, LANES, check_size, compose
 from irisstack.dynamic_settings.merge import check_restart, definitions_of_gone, merge
 from irisstack.dynamic_settings.values import check_values
 from irisstack.interface import Settings
@@ -55,7 +55,9 @@
             raise
         except Exception as error:  # whatever it is, a node that serves is not ended by a document
             raise SettingsError(f"the document: {error!r}") from error
-        return _accepted(merged, proposed, definitions_of_gone(merged, proposed))
+        gone = definitions_of_gone(merged, proposed)
+        check_size(gone)
+        return _accepted(merged, proposed, gone)
 
     def _read(self, document: Mapping[str, Any]) -> Settings:
         settings = with_peers(read(Reader(document)), self._peers)
--- a/irisstack/node/service.py
+++ b/irisstack/node/service.py
@@ -3,6 +3,7 @@
 import signal
 import sys
 import time
+import zlib
 from dataclasses import fields, replace
 from typing import TYPE_CHECKING
 
@@ -36,8 +37,6 @@
 """Seconds after SIGTERM in which clients may still come."""
 OWN_DESCRIPTORS = 48
 """Kept for the listening socket, clients in the doorway, the list, notices and the folder."""
-SNAPSHOT = "settings.json"
-"""The file in the lasting folder with the settings last accepted, where these change while the node runs."""
 MOST_WAITING_LINES = 1024
 """Lines of the list that are kept until their kind is known, where kinds may come while the node runs."""
 LOOK = 0.05
@@ -56,10 +55,10 @@
         self._stop = stop
         self._reread = reread
         self.counters = Counters()
-        self._store = Store(config.state, config.disk_bytes, time.time())
+        self._store = self._open_store()
         self._most_clients = config.sockets // 3
         self._live: LiveSettings | None = None
-        self._settings_watch: SettingsWatch | None = None
+        self._settings_watch: SettingsWatch[AcceptedSettings] | None = None
         if config.dynamic_settings is not None:
             self._start_dynamic_settings(config.dynamic_settings)
         settings = self._settings = config.settings if self._live is None else self._live.in_force.settings
@@ -267,6 +266,15 @@
 
     # ---- settings that change ----
 
+    def _open_store(self) -> Store:
+        """The lasting folder, less the room of the settings' file where there is one."""
+        disk_bytes = self._config.disk_bytes
+        if self._config.dynamic_settings is not None:
+            from irisstack.dynamic_settings.snapshot import DISK_RESERVE_BYTES
+
+            disk_bytes -= DISK_RESERVE_BYTES
+        return Store(self._config.state, disk_bytes, time.time())
+
     def _start_dynamic_settings(self, source: DynamicSettings) -> None:
         """Take the settings of the life before, and get ready to follow those that come."""
         from irisstack.dynamic_settings.snapshot import SnapshotFile
@@ -274,27 +282,25 @@
         from irisstack.node.settings_watch import SettingsWatch
 
         config = self._config
+        most_calls = config.sockets - self._most_clients - OWN_DESCRIPTORS
         try:
-            live = LiveSettings(
-                source.base, config.peers, config.sockets - self._most_clients - OWN_DESCRIPTORS
-            )
+            self._live = LiveSettings(source.base, config.peers, most_calls)
         except SettingsError as error:
             raise ConfigError(f"settings: {error}") from None
-        snapshot = SnapshotFile(config.state / SNAPSHOT)
-        saved = snapshot.load()
-        if saved is not None:
+        file = SnapshotFile(config.state)
+        if (saved := file.load()) is not None:
             owed = {entry.message_class for entry in self._store.entries.values() if entry.owed}
-            live.restore(saved.items, saved.retired, owed)
-        self._live = live
+            self._live.restore(saved.items, saved.retired, owed)
         self._settings_watch = SettingsWatch(
             source.members,
             source.prefix,
             source.bytes_per_s,
-            snapshot,
-            live.check,
+            file,
+            self._live.check,
             self._accept_settings,
             self.counters,
-            config.seed,
+            # Nodes that were given one seed, or none, must not all ask one member at one time.
+            zlib.crc32(f"{config.name} {name_of(config.listen)} {config.seed}".encode()),
         )
 
     def _accept_settings(self, revision: int, accepted: "AcceptedSettings") -> None:
--- a/irisstack/node/settings_watch.py
+++ b/irisstack/node/settings_watch.py
@@ -156,6 +156,8 @@
         gevent.sleep(0)  # a check may take a while: the others get their turn between two
         try:
             accepted = self._check(proposal.items)
+            # Saved first: a message taken on under a new class is known again, whenever the process ends.
+            self._save(proposal, accepted)
             self._apply(proposal.revision, accepted)
         except SettingsError as error:
             return DocumentRefused(proposal.revision, str(error))
@@ -164,7 +166,6 @@
         self._held = Held(proposal.cluster_id, proposal.revision, proposal.items)
         self._counters.add("settings_revision", proposal.revision - self._counted_revision)
         self._counted_revision = proposal.revision
-        self._save(proposal, accepted)
         return DocumentAccepted(proposal.revision)
 
     def _save(self, proposal: ProposeDocument, accepted: AcceptedType) -> None:
