Tests: a real node whose settings change while it serves, with the stand-in of a cluster

Need: nothing owed is lost, doubled or failed untried by a change, across a kill too; nothing is half taken.

--- a/irisstack/lab/scale/gossip_experiments.py
+++ b/irisstack/lab/scale/gossip_experiments.py
@@ -184,9 +184,7 @@
     )
     sender.turn(0.0, [api.EndpointsUpdated(api.UpdateScope.CACHED, 1, endpoints)])
     failing = max(1, round(destinations * TARGET_DOWN_SHARE))
-    events = [
-        [api.PeerMessage(1, FAILED + _key(1 + i % failing))] for i in range(messages)
-    ]
+    events = [[api.PeerMessage(1, FAILED + _key(1 + i % failing))] for i in range(messages)]
     began = time.process_time()
     for i, event in enumerate(events):
         sender.turn(1.0 + i * 0.001, event)
--- a/irisstack/lab/scale/hollow_node.py
+++ b/irisstack/lab/scale/hollow_node.py
@@ -89,9 +89,7 @@
         self.counts.delivered += final
         self.turn(
             now,
-            api.AttemptEnded(
-                call.message, call.endpoint, call.attempt, elapsed, final, outcome, retry_after
-            ),
+            api.AttemptEnded(call.message, call.endpoint, call.attempt, elapsed, final, outcome, retry_after),
         )
         if final:
             self._forget(call.message)
--- /dev/null
+++ b/tests/node/settings_support.py
@@ -0,0 +1,111 @@
+"""A node that follows its settings, beside the stand-in of a cluster that publishes them."""
+
+import contextlib
+import json
+import threading
+from collections.abc import Callable, Iterator, Mapping
+from concurrent.futures import Future
+from pathlib import Path
+from queue import Empty, SimpleQueue
+from typing import Any
+
+import gevent
+
+from irisstack.lab.standins import etcd
+from irisstack.lab.standins.etcd_server import EtcdServer
+from tests.node_support import SETTINGS, EndpointPeer, Node, PlatformPeer, eventually
+
+PREFIX = "/irisstack/settings/"
+LOOK = 0.005
+"""Seconds between two looks of the cluster's thread at what a test wants."""
+
+LANES: dict[str, dict[str, Any]] = {lane["name"]: lane for lane in SETTINGS["lanes"]}
+"""The classes of the node's file, by name."""
+
+
+def lanes(*names: str, **others: Mapping[str, Any]) -> dict[str, Any]:
+    """Items of these classes of the file, and of others."""
+    return {f"lanes/{name}": lane for name, lane in [*((n, LANES[n]) for n in names), *others.items()]}
+
+
+class SettingsCluster:
+    """A cluster of one member on a hub of its own, in a thread of its own."""
+
+    def __init__(self) -> None:
+        self._wishes: SimpleQueue[tuple[Callable[[EtcdServer], Any], Future[Any]]] = SimpleQueue()
+        self._addresses: Future[list[str]] = Future()
+        self._ended = False
+        self._thread = threading.Thread(target=self._serve, daemon=True)
+        self._thread.start()
+        self.addresses = self._addresses.result()
+
+    def _serve(self) -> None:
+        with EtcdServer(1) as server:
+            self._addresses.set_result(server.addresses)
+            while not self._ended:
+                with contextlib.suppress(Empty):
+                    wish, done = self._wishes.get_nowait()
+                    done.set_result(wish(server))
+                gevent.sleep(LOOK)
+
+    def _have(self, wish: Callable[[EtcdServer], Any]) -> Any:
+        done: Future[Any] = Future()
+        self._wishes.put((wish, done))
+        return done.result()
+
+    def publish(self, items: Mapping[str, Any], *gone: str) -> int:
+        """Set items and delete others in one revision, which is returned."""
+        puts = [etcd.PutRequest(f"{PREFIX}{p}".encode(), json.dumps(v).encode()) for p, v in items.items()]
+        deletes = [etcd.DeleteRangeRequest(f"{PREFIX}{path}".encode()) for path in gone]
+
+        def write(server: EtcdServer) -> int:
+            server.cluster.members[0].execute(etcd.TxnRequest((), (*puts, *deletes), ()))
+            return server.cluster.store.revision
+
+        return int(self._have(write))
+
+    def stop(self) -> None:
+        self._ended = True
+        self._thread.join()
+
+
+def logged(node: Node, event: str) -> list[dict[str, Any]]:
+    """The node's lines of this event, of all of its lives."""
+    lines = [json.loads(line) for line in node.log.read_text().splitlines() if line.startswith("{")]
+    return [line for line in lines if line["event"] == event]
+
+
+def in_force(node: Node, revision: int) -> None:
+    """Wait until a revision, or a later one, is in force in this life of the node."""
+
+    def reached() -> bool:
+        lines = [json.loads(line) for line in node.log.read_text().splitlines() if line.startswith("{")]
+        for line in reversed(lines):
+            if line["event"] == "serving":
+                return False
+            if line["event"] == "settings_in_force":
+                return bool(line["revision"] >= revision)
+        return False
+
+    eventually(reached, f"revision {revision} in force")
+
+
+@contextlib.contextmanager
+def changing(
+    folder: Path, *endpoints: EndpointPeer, start: bool = True, **raw: Any
+) -> Iterator[tuple[Node, PlatformPeer, SettingsCluster]]:
+    """A node that follows a cluster, which has published nothing yet; the endpoints are of destination 1."""
+    platform, cluster = PlatformPeer(), SettingsCluster()
+    for number, peer in enumerate(endpoints, start=1):
+        platform.list(peer, number, cell=1)
+    node = Node(folder, platform)
+    node.raw.update(dynamic_settings={"members": cluster.addresses, "prefix": PREFIX}, **raw)
+    try:
+        yield node.start() if start else node, platform, cluster
+    finally:
+        if node.process is not None and node.process.poll() is None:
+            node.kill()
+        platform.close()
+        cluster.stop()
+        for endpoint in endpoints:
+            endpoint.close()
