Node: a message whose class is not known at the start waits for the settings

Need: with the saved settings torn or not written, a message owed under a published class was failed untried. Change: where settings may change, recover keeps it until its class comes or its time is up. A turn is under one set of settings.

--- a/irisstack/dynamic_settings/document.py
+++ b/irisstack/dynamic_settings/document.py
@@ -91,11 +91,11 @@
 # ---- checks of the items ----
 
 
-def check_size(items: Mapping[str, Any]) -> None:
-    """Refuse items that are no JSON or too many."""
+def check_size(items: Mapping[str, Any], what: str = "the document") -> None:
+    """Refuse items that are no JSON, or hold more together than a document may."""
     size = sum(len(path.encode()) + len(_compact(path, value)) for path, value in items.items())
     if size > MAX_DOCUMENT_BYTES:
-        raise SettingsError(f"the document: {MAX_DOCUMENT_BYTES} bytes at most are due, not {size}")
+        raise SettingsError(f"{what}: {MAX_DOCUMENT_BYTES} bytes at most are due, not {size}")
 
 
 def _compact(path: str, value: Any) -> bytes:
--- a/irisstack/dynamic_settings/merge.py
+++ b/irisstack/dynamic_settings/merge.py
@@ -20,7 +20,7 @@
 from irisstack.interface import Settings
 from irisstack.settings import SettingsError
 
-MAX_POSITIONS = 1024
+MAX_POSITIONS = 4096
 """The most classes, kinds, tenants or zones, those that went included, until a restart drops these."""
 
 
--- a/irisstack/node/decider.py
+++ b/irisstack/node/decider.py
@@ -24,6 +24,8 @@
 from irisstack.node.store import Entry, Store
 from irisstack.watch import Watching
 
+NO_TOKEN = -1
+"""Of a timer that the node set for itself."""
 COME_AGAIN = 1.0
 """Seconds after which one that finds no room here may come again, where the settings allow such advice."""
 
@@ -103,9 +105,11 @@
         room: int,
         tell: Callable[[int | None, bytes], None] | None = None,
         trial: api.Settings | None = None,
-        settings_taken: Callable[[NewSettings], api.EndpointsUpdated | None] = lambda _: None,
+        settings_taken: Callable[[NewSettings], api.EndpointsUpdated | None] | None = None,
     ) -> None:
+        """`settings_taken` puts other settings in force in all other parts; None where they never change."""
         self._settings_taken = settings_taken
+        self._classless: list[Entry] = []  # owed, under classes that the settings do not name yet
         self._sender = Sender(settings, seed)
         if trial is not None:
             self._sender = Watching(settings, trial, seed, counters.add)
@@ -155,15 +159,35 @@
                 self._notice(entry)
             if not entry.owed:
                 continue
-            if entry.message_class not in self._classes:  # the settings changed between two lives
-                log.error("class_gone", message_class=entry.message_class, id=entry.id)
-                self._store.write([self._over(entry.number, "dead")], unix)
-                self._notice(entry)
-                continue
-            owed.append(self._received(entry, now, unix))
+            if entry.message_class in self._classes:
+                owed.append(self._received(entry, now, unix))
+            elif self._settings_taken is not None:  # the settings that it was taken on under may yet come
+                self._classless.append(entry)
+                heappush(self._timers, (now + entry.due - unix, NO_TOKEN))
+            else:  # the settings changed between two lives
+                self._class_gone(entry, unix)
         self._next = [known, *owed]
         self._counters.add("recovered", len(owed))
 
+    def _class_gone(self, entry: Entry, unix: float) -> None:
+        log.error("class_gone", message_class=entry.message_class, id=entry.id)
+        self._store.write([self._over(entry.number, "dead")], unix)
+        self._notice(entry)
+
+    def _recover_classless(self, now: float, unix: float) -> list[api.Event]:
+        """What is owed under a class that is known now goes on; whose time is up has ended."""
+        events: list[api.Event] = []
+        waiting, self._classless = self._classless, []
+        for entry in waiting:
+            if entry.message_class in self._classes:
+                events.append(self._received(entry, now, unix))
+            elif entry.due > unix:
+                self._classless.append(entry)
+            else:
+                self._class_gone(entry, unix)
+        self._counters.add("recovered", len(events))
+        return events
+
     def _received(self, entry: Entry, now: float, unix: float) -> api.MessageReceived:
         """What the module is told of a message, be it new or one that outlived a process."""
         ran = None if entry.ran_at is None else now + entry.ran_at - unix
@@ -219,6 +243,8 @@
         events = self._take_settings(items, now)
         events += self._next
         self._next = []
+        if self._classless:
+            events += self._recover_classless(now, unix)
         for item in items:
             match item:
                 case Arrival():
@@ -246,7 +272,7 @@
         for item in items:
             if isinstance(item, NewSettings):
                 newest = item
-        if newest is None:
+        if newest is None or self._settings_taken is None:
             return []
         self._adopt(newest.settings)
         events: list[api.Event] = [api.SettingsChanged(newest.settings)]
--- a/irisstack/node/live_settings.py
+++ b/irisstack/node/live_settings.py
@@ -4,7 +4,8 @@
 service and the decider put it in force in all parts of the node.
 """
 
-from collections.abc import Collection, Mapping
+from collections.abc import Collection, Iterator, Mapping
+from contextlib import contextmanager
 from typing import Any
 
 import structlog
@@ -48,16 +49,12 @@
 
     def check(self, items: Mapping[str, Any]) -> AcceptedSettings:
         """What the node would run by under these items; raises `SettingsError` if it cannot."""
-        try:
+        with _only_settings_errors():
             proposed = self._read(compose(self._base, items))
             merged = merge(self.in_force.settings, proposed)
-        except SettingsError:
-            raise
-        except Exception as error:  # whatever it is, a node that serves is not ended by a document
-            raise SettingsError(f"the document: {error!r}") from error
-        gone = definitions_of_gone(merged, proposed)
-        check_size(gone)
-        return _accepted(merged, proposed, gone)
+            gone = definitions_of_gone(merged, proposed)
+            check_size(gone, "what went")  # it has to be saved; a restart drops what nothing needs
+            return _accepted(merged, proposed, gone)
 
     def _read(self, document: Mapping[str, Any]) -> Settings:
         settings = with_peers(read(Reader(document)), self._peers)
@@ -71,18 +68,20 @@
     def _restored(
         self, items: Mapping[str, Any], retired: Mapping[str, Any], owed: Collection[str]
     ) -> AcceptedSettings:
-        proposed = self._read(compose(self._base, items))
-        check_restart(self._own, proposed)
-        needed = {path: value for path, value in retired.items() if _is_needed(path, owed)}
-        settings = self._read(compose(self._base, items, needed))
-        return _accepted(settings, proposed, definitions_of_gone(settings, proposed))
+        with _only_settings_errors():
+            proposed = self._read(compose(self._base, items))
+            check_restart(self._own, proposed)
+            needed = {path: value for path, value in retired.items() if _is_needed(path, owed)}
+            settings = self._read(compose(self._base, items, needed))
+            return _accepted(settings, proposed, definitions_of_gone(settings, proposed))
 
     def _usable(self, definitions: Mapping[str, Any]) -> dict[str, Any]:
         """Those that may stand beside the node's own file."""
         usable = {}
         for path, value in definitions.items():
             try:
-                self._read(compose(self._base, {}, {path: value}))
+                with _only_settings_errors():
+                    self._read(compose(self._base, {}, {path: value}))
             except SettingsError as error:
                 log.error("saved_definition_refused", error=str(error))
             else:
@@ -90,6 +89,17 @@
         return usable
 
 
+@contextmanager
+def _only_settings_errors() -> Iterator[None]:
+    """Whatever is wrong with a document, it ends no node."""
+    try:
+        yield
+    except SettingsError:
+        raise
+    except Exception as error:
+        raise SettingsError(f"the document: {error!r}") from error
+
+
 def _accepted(settings: Settings, offered: Settings, retired: Mapping[str, Any]) -> AcceptedSettings:
     return AcceptedSettings(
         settings,
--- a/irisstack/node/service.py
+++ b/irisstack/node/service.py
@@ -86,7 +86,7 @@
             room=self._mailbox_room(settings),
             tell=self._tell,
             trial=config.trial,
-            settings_taken=self._take_settings,
+            settings_taken=None if self._live is None else self._take_settings,
         )
         self._peers: Peers | None = None
         if config.peers:
