--- a/irisstack/node/decider.py
+++ b/irisstack/node/decider.py
@@ -5,7 +5,7 @@
 """
 
 import time
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Collection, Sequence
 from dataclasses import dataclass, field
 from heapq import heappop, heappush
 from http import HTTPStatus
@@ -20,9 +20,12 @@
 from irisstack.node.config import name_of, peer_of
 from irisstack.node.counters import Counters
 from irisstack.node.endpoint import Call, CallOff, CloseIdle, Command, Ended, Hold, Outgoing
+from irisstack.node.mailbox import enlarge
 from irisstack.node.store import Entry, Store
 from irisstack.watch import Watching
 
+NO_TOKEN = -1
+"""Of a timer that the node set for itself."""
 COME_AGAIN = 1.0
 """Seconds after which one that finds no room here may come again, where the settings allow such advice."""
 
@@ -57,6 +60,23 @@
     body: bytes
 
 
+@dataclass(slots=True, frozen=True)
+class NewSettings:
+    """Settings that passed every check, to be in force from the next turn on, in all parts of the node."""
+
+    revision: int
+    settings: api.Settings
+    """With the positions of those before them; what went is still at its place."""
+    classes: Collection[str]
+    """In which new messages are taken on."""
+    tenants: Collection[str]
+    """For whom new messages are taken on."""
+
+
+Item = Arrival | Ended | api.EndpointsUpdated | api.PeerMessage | NewSettings
+"""What comes to the decider's mailbox."""
+
+
 @dataclass(slots=True)
 class _Turn:
     """What one turn brings about, in the order in which it is carried out."""
@@ -85,32 +105,44 @@
         room: int,
         tell: Callable[[int | None, bytes], None] | None = None,
         trial: api.Settings | None = None,
+        settings_taken: Callable[[NewSettings], api.EndpointsUpdated | None] | None = None,
     ) -> None:
-        self._settings = settings
+        """`settings_taken` puts other settings in force in all other parts; None where they never change."""
+        self._settings_taken = settings_taken
+        self._classless: list[Entry] = []  # owed, under classes that the settings do not name yet
         self._sender = Sender(settings, seed)
         if trial is not None:
             self._sender = Watching(settings, trial, seed, counters.add)
         self._tell = tell
-        self._most_notes = room // 2
         self._store = store
         self._counters = counters
         self._call = call
         self._ask = ask
         self._notice = notice
-        self.mailbox: Queue[Arrival | Ended | api.EndpointsUpdated | api.PeerMessage] = Queue(room)
+        self.mailbox: Queue[Item] = Queue(1)
+        self.make_room(room)
         self._next: list[api.Event] = []  # known already, for the next turn
         self._timers: list[tuple[float, int]] = []
         self._where: dict[int, tuple[api.Address, float]] = {}  # calls out: endpoint, sent at
-        self._classes = {kind.name: i for i, kind in enumerate(settings.classes)}
         self._listed: dict[api.Address, api.Endpoint] = {}
         self._gone: dict[api.Address, float] = {}  # of these, the ones no longer listed, and since when
-        self._remembered = max(kind.deadline for kind in settings.classes)
         self._destinations: set[int] = set()
         self._turned = -1.0
-        self._come_again = come_again(settings)
+        self._adopt(settings)
         self.refusing = False  # nothing new is taken on
         self.holding = False  # nothing more is sent
 
+    def _adopt(self, settings: api.Settings) -> None:
+        self._settings = settings
+        self._classes = {kind.name: i for i, kind in enumerate(settings.classes)}
+        self._remembered = max(kind.deadline for kind in settings.classes)
+        self._come_again = come_again(settings)
+
+    def make_room(self, room: int) -> None:
+        """Let the mailbox hold so many items at least; notes may fill half of it."""
+        enlarge(self.mailbox, room)
+        self._most_notes = room // 2
+
     @property
     def calls_out(self) -> int:
         return len(self._where)
@@ -127,15 +159,35 @@
                 self._notice(entry)
             if not entry.owed:
                 continue
-            if entry.message_class not in self._classes:  # the settings changed between two lives
-                log.error("class_gone", message_class=entry.message_class, id=entry.id)
-                self._store.write([self._over(entry.number, "dead")], unix)
-                self._notice(entry)
-                continue
-            owed.append(self._received(entry, now, unix))
+            if entry.message_class in self._classes:
+                owed.append(self._received(entry, now, unix))
+            elif self._settings_taken is not None:  # the settings that it was taken on under may yet come
+                self._classless.append(entry)
+                heappush(self._timers, (now + entry.due - unix, NO_TOKEN))
+            else:  # the settings changed between two lives
+                self._class_gone(entry, unix)
         self._next = [known, *owed]
         self._counters.add("recovered", len(owed))
 
+    def _class_gone(self, entry: Entry, unix: float) -> None:
+        log.error("class_gone", message_class=entry.message_class, id=entry.id)
+        self._store.write([self._over(entry.number, "dead")], unix)
+        self._notice(entry)
+
+    def _recover_classless(self, now: float, unix: float) -> list[api.Event]:
+        """What is owed under a class that is known now goes on; whose time is up has ended."""
+        events: list[api.Event] = []
+        waiting, self._classless = self._classless, []
+        for entry in waiting:
+            if entry.message_class in self._classes:
+                events.append(self._received(entry, now, unix))
+            elif entry.due > unix:
+                self._classless.append(entry)
+            else:
+                self._class_gone(entry, unix)
+        self._counters.add("recovered", len(events))
+        return events
+
     def _received(self, entry: Entry, now: float, unix: float) -> api.MessageReceived:
         """What the module is told of a message, be it new or one that outlived a process."""
         ran = None if entry.ran_at is None else now + entry.ran_at - unix
@@ -176,18 +228,23 @@
         self.mailbox.put(note)
         return True
 
-    def _wait(self) -> list[Arrival | Ended | api.EndpointsUpdated | api.PeerMessage]:
+    def _wait(self) -> list[Item]:
         wait = max(0.0, self._timers[0][0] - time.monotonic()) if self._timers else None
         try:
             return [self.mailbox.get(timeout=wait)]
         except Empty:
             return []
 
-    def _turn(self, items: Iterable[Arrival | Ended | api.EndpointsUpdated | api.PeerMessage]) -> None:
+    def _turn(self, items: Sequence[Item]) -> None:
         now, unix = time.monotonic(), time.time()
         self._turned = now
         turn = _Turn()
-        events, self._next = self._next, []
+        # First of all: a turn is under one set of settings from its begin to its end.
+        events = self._take_settings(items, now)
+        events += self._next
+        self._next = []
+        if self._classless:
+            events += self._recover_classless(now, unix)
         for item in items:
             match item:
                 case Arrival():
@@ -209,6 +266,23 @@
 
     # ---- events ----
 
+    def _take_settings(self, items: Sequence[Item], now: float) -> list[api.Event]:
+        """Put the newest of the settings that have come in force here and in all other parts."""
+        newest = None
+        for item in items:
+            if isinstance(item, NewSettings):
+                newest = item
+        if newest is None or self._settings_taken is None:
+            return []
+        self._adopt(newest.settings)
+        events: list[api.Event] = [api.SettingsChanged(newest.settings)]
+        update = self._settings_taken(newest)
+        if update is not None:
+            self._learn(update, now)
+            events.append(update)
+        log.info("settings_in_force", revision=newest.revision)
+        return events
+
     def _arrived(
         self, arrival: Arrival, turn: _Turn, events: list[api.Event], now: float, unix: float
     ) -> None:
@@ -284,7 +358,8 @@
                 result.outcome,
                 result.retry_after,
                 result.no_free_slot,
-                result.report,
+                # Numbers that were read by the names of settings no longer in force would pass for others.
+                result.report if result.report_fields == self._settings.report_fields else (),
             )
         )
 
