--- a/irisstack/cli/root.py
+++ b/irisstack/cli/root.py
@@ -11,6 +11,7 @@
 from irisstack.cli.lab import lab
 from irisstack.cli.output import ASKED_WRONGLY, FAILED
 from irisstack.cli.scale import scale
+from irisstack.cli.settings import settings
 from irisstack.common import logs
 from irisstack.start import run_node
 
@@ -67,6 +68,7 @@
 
 root.add_command(config)
 root.add_command(lab)
+root.add_command(settings)
 lab.add_command(scale)
 
 
--- a/irisstack/dynamic_settings/etcd.py
+++ b/irisstack/dynamic_settings/etcd.py
@@ -9,7 +9,7 @@
 import base64
 import binascii
 import json
-from collections.abc import Mapping
+from collections.abc import Mapping, Sequence
 from dataclasses import dataclass
 from enum import Enum, IntEnum, auto
 from http import HTTPStatus
@@ -122,6 +122,38 @@
     count: int
 
 
+@dataclass(slots=True, frozen=True)
+class TxnRequest:
+    """Changes keys of a range in one revision, unless a key of the range has changed since another one."""
+
+    key: bytes
+    range_end: bytes
+    unchanged_since: int
+    """The revision behind which no key of the range may have changed."""
+    untouched: Mapping[bytes, int]
+    """Keys that must still have the revision of their last change: a deletion shows in no other way."""
+    puts: Mapping[bytes, bytes]
+    deletes: Sequence[bytes]
+
+    def body(self) -> bytes:
+        none_later = _compare(self.key, "LESS", self.unchanged_since + 1)
+        none_later["range_end"] = _text(self.range_end)
+        compares = [_compare(key, "EQUAL", revision) for key, revision in self.untouched.items()]
+        puts = [
+            {"request_put": {"key": _text(key), "value": _text(value)}} for key, value in self.puts.items()
+        ]
+        deletes = [{"request_delete_range": {"key": _text(key)}} for key in self.deletes]
+        return _dump({"compare": [none_later, *compares], "success": [*puts, *deletes]})
+
+
+@dataclass(slots=True, frozen=True)
+class TxnAnswer:
+    """Whether a transaction's conditions held; if so, its revision is the header's."""
+
+    header: ResponseHeader
+    succeeded: bool
+
+
 @dataclass(slots=True, frozen=True)
 class WatchRequest:
     """Asks for each change of the range from a revision on."""
@@ -178,6 +210,14 @@
     )
 
 
+def read_txn_answer(status: int, body: bytes) -> TxnAnswer:
+    """The answer to a `TxnRequest`; raises `GatewayError`."""
+    raw = _document(body)
+    if status != HTTPStatus.OK or "error" in raw:
+        raise _refusal(raw, status)
+    return TxnAnswer(_header(raw), _flag(raw, "succeeded"))
+
+
 def read_watch_refusal(status: int, body: bytes) -> GatewayError:
     """Why a watch was not opened, of an answer whose status is not 200."""
     try:
@@ -324,5 +364,9 @@
     return base64.b64encode(data).decode("ascii")
 
 
+def _compare(key: bytes, result: str, mod_revision: int) -> dict[str, Any]:
+    return {"key": _text(key), "target": "MOD", "result": result, "mod_revision": str(mod_revision)}
+
+
 def _dump(fields: Mapping[str, Any]) -> bytes:
     return json.dumps(fields, separators=(",", ":")).encode()
--- a/irisstack/dynamic_settings/snapshot.py
+++ b/irisstack/dynamic_settings/snapshot.py
@@ -22,8 +22,8 @@
 FILE_NAME = "settings.json"
 NEW_FILE_NAME = "settings.json.new"
 VERSION = 1
-MAX_FILE_BYTES = 256 * 1024
-"""A document of 128 KiB and as much again for what it has retired and for the file's own marks."""
+MAX_FILE_BYTES = 384 * 1024
+"""A document of 128 KiB, as much again for what it has retired, and room for the file's own marks."""
 DISK_RESERVE_BYTES = 2 * MAX_FILE_BYTES
 """What the file and the one about to take its place need of the folder's room."""
 
--- a/irisstack/node/member_call.py
+++ b/irisstack/node/member_call.py
@@ -75,7 +75,14 @@
     def ask_range(self, request: etcd.RangeRequest) -> etcd.RangeAnswer:
         """The answer to a range request; raises `CallError`."""
         with _named_errors():
-            return self._ask_range(request)
+            answer = self._ask(etcd.RANGE_PATH, request.body())
+            return etcd.read_range_answer(answer.status, bytes(answer.body))
+
+    def ask_txn(self, request: etcd.TxnRequest) -> etcd.TxnAnswer:
+        """The answer to a transaction; raises `CallError`, after which it may have been carried out."""
+        with _named_errors():
+            answer = self._ask(etcd.TXN_PATH, request.body())
+            return etcd.read_txn_answer(answer.status, bytes(answer.body))
 
     def watch(self, request: etcd.WatchRequest) -> "Iterator[tuple[etcd.WatchAnswer | None, int]]":
         """The watch's frames as they come, each with 0; between them `None` and the bytes of the next so far.
@@ -85,11 +92,9 @@
         with _named_errors():
             yield from self._watch(request)
 
-    def _ask_range(self, request: etcd.RangeRequest) -> etcd.RangeAnswer:
-        self._send(etcd.RANGE_PATH, request.body())
-        reader = http.AnswerReader(MAX_ANSWER_BYTES + SLACK_BYTES)
-        answer = self._whole(reader, 0)
-        return etcd.read_range_answer(answer.status, bytes(answer.body))
+    def _ask(self, path: str, body: bytes) -> http.Message:
+        self._send(path, body)
+        return self._whole(http.AnswerReader(MAX_ANSWER_BYTES + SLACK_BYTES), 0)
 
     def _whole(self, reader: http.AnswerReader, received: int) -> http.Message:
         """Read an answer to its end."""
