--- a/irisstack/lab/standins/traffic.py
+++ b/irisstack/lab/standins/traffic.py
@@ -21,6 +21,10 @@
         """The most in one second."""
         return max(self.by_second.values(), default=0)
 
+    def peak_from(self, second: int) -> int:
+        """The most in one second from that one on."""
+        return max((count for at, count in self.by_second.items() if at >= second), default=0)
+
 
 @dataclass(slots=True)
 class Traffic:
