A benchmark of following the settings over loopback

Hollow nodes say nothing of processor time, memory and sockets. Here many of the node's real actors run in a process against the stand-in's seven members in another.

--- /dev/null
+++ b/benchmarks/settings_loopback.py
@@ -0,0 +1,433 @@
+"""What following the settings costs: the node's real actor, many in a process, against members in another.
+
+    python benchmarks/settings_loopback.py --nodes 10,40,105,210,420,840 --out docs/measurements/capacity
+    python benchmarks/settings_loopback.py --nodes 40 --document-kib 1,8,32,128
+
+All on loopback: the stand-in of etcd with seven members in one process, the nodes in one or two others. Each
+node has its own connections, byte budget and folder; what a real node does with an accepted document is left out.
+Processor time is that of the process (user and system), memory the growth of its resident set.
+"""
+
+import argparse
+import json
+import os
+import subprocess
+import sys
+import tempfile
+import time
+from collections.abc import Iterator, Mapping, Sequence
+from dataclasses import asdict, dataclass, field
+from pathlib import Path
+from types import TracebackType
+from typing import Any
+
+import gevent
+from gevent.fileobject import FileObjectPosix
+
+from irisstack.common import logs
+from irisstack.dynamic_settings.snapshot import SnapshotFile
+from irisstack.lab.scale.results import Point, Slope, mean, write
+from irisstack.lab.scale.settings_fleet import MEMBERS, Document, FleetSize, encoded, key_of
+from irisstack.lab.standins.etcd_server import EtcdServer
+from irisstack.node.config import host_port
+from irisstack.node.counters import Counters
+from irisstack.node.settings_watch import SettingsWatch
+
+PREFIX = "/irisstack/settings/"
+BYTES_PER_S = 11264.0
+KIB = 1024
+ITEM_BYTES = 256
+READY_WITHIN_S = 120.0
+START_SPREAD_S = 4.0
+SETTLE_S = 5.0
+LAST_CHANGE_S = 5.0
+"""Seconds that the last change of a phase is given before the phase is summed up."""
+LOOK_S = 0.05
+PAGE_BYTES = os.sysconf("SC_PAGE_SIZE")
+
+
+@dataclass(slots=True, frozen=True)
+class Usage:
+    """What a process has used so far."""
+
+    at: float
+    processor_s: float
+    resident_bytes: int
+
+
+def usage() -> Usage:
+    """Of this process; raises `OSError` elsewhere than on Linux."""
+    pages = int(Path("/proc/self/statm").read_text().split()[1])
+    return Usage(time.monotonic(), time.process_time(), pages * PAGE_BYTES)
+
+
+# ---- the members' process ----
+
+
+class Writer:
+    """Writes a change now and then, and remembers when."""
+
+    def __init__(self, server: EtcdServer, document_bytes: int, item_bytes: int) -> None:
+        self.changes: dict[int, float] = {}
+        self.every_s: float | None = None
+        self._cluster = server.cluster
+        self._size = FleetSize(0, document_bytes, min(item_bytes, document_bytes))
+        self._document = Document(self._size)
+        self._written = 0
+
+    def write_all(self) -> int:
+        """Write the whole document; returns its revision."""
+        paths = [self._document.path(number) for number in range(self._size.items)]
+        return self._cluster.put_all((key_of(path), encoded(self._document.value(path))) for path in paths)
+
+    def run(self) -> None:
+        """Write a change each time the pause is over, while there is a pause."""
+        while True:
+            gevent.sleep(self.every_s or LOOK_S)
+            if self.every_s is not None:
+                path = self._document.path(self._written * 7)
+                self._written += 1
+                at = time.monotonic()
+                self.changes[self._cluster.put(key_of(path), encoded(self._document.value(path)))] = at
+
+
+def serve_members(arguments: argparse.Namespace) -> None:
+    """Serve until standard input ends; a line that is a number is the seconds between changes, 0 for none."""
+    with EtcdServer(MEMBERS) as server:
+        writer = Writer(server, arguments.document_bytes, arguments.item_bytes)
+        revision = writer.write_all()
+        say(addresses=server.addresses, revision=revision)
+        writing = gevent.spawn(writer.run)
+        for line in FileObjectPosix(sys.stdin.fileno(), "rb", close=False):
+            writer.every_s = float(line) or None
+            traffic = [member.traffic for member in server.members]
+            say(
+                usage=asdict(usage()),
+                changes=writer.changes,
+                connects=[each.connects.total for each in traffic],
+                connects_peak=max(each.connects.peak for each in traffic),
+                requests=[each.requests.total for each in traffic],
+                bytes_out=[each.bytes_out.total for each in traffic],
+                watches=[member.watches for member in server.members],
+            )
+        writing.kill()
+
+
+# ---- the nodes' process ----
+
+
+@dataclass(slots=True, frozen=True)
+class Taken:
+    """What the check makes of a document: nothing more is done with it here."""
+
+    retired: Mapping[str, Any] = field(default_factory=dict)
+
+
+def take(items: Mapping[str, Any]) -> Taken:
+    """Accept any document."""
+    return Taken()
+
+
+class Applied:
+    """Which revisions are in force at how many nodes, and since when at the last of them."""
+
+    def __init__(self) -> None:
+        self.nodes: dict[int, int] = {}
+        self.last_at: dict[int, float] = {}
+
+    def apply(self, revision: int, taken: Taken) -> None:
+        self.nodes[revision] = self.nodes.get(revision, 0) + 1
+        self.last_at[revision] = time.monotonic()
+
+
+def run_nodes(arguments: argparse.Namespace) -> None:
+    """Run so many nodes until standard input ends; each line is answered with what came of them so far."""
+    logs.configure(stream=open(os.devnull, "w"))  # noqa: SIM115  # written to until the process ends
+    members = [host_port(address, "members") for address in arguments.members.split(",")]
+    applied, counters, before = Applied(), Counters(), usage()
+    with tempfile.TemporaryDirectory() as folder:
+        for number in range(arguments.count):
+            state = Path(folder) / str(number)
+            state.mkdir()
+            seed = arguments.first + number
+            watch = SettingsWatch(
+                members, PREFIX, BYTES_PER_S, SnapshotFile(state), take, applied.apply, counters, seed
+            )
+            gevent.spawn_later(START_SPREAD_S * number / arguments.count, watch.run)
+        while applied.nodes.get(arguments.revision, 0) < arguments.count:
+            gevent.sleep(LOOK_S)
+        say(ready=True)
+        for _ in FileObjectPosix(sys.stdin.fileno(), "rb", close=False):
+            say(
+                usage=asdict(usage()),
+                before=asdict(before),
+                nodes=applied.nodes,
+                last_at=applied.last_at,
+                counters=counters.snapshot(),
+            )
+
+
+def say(**fields: object) -> None:
+    """One line to the process that started this one."""
+    sys.stdout.write(json.dumps(fields) + "\n")
+    sys.stdout.flush()
+
+
+# ---- the run ----
+
+
+class Worker:
+    """A process that answers lines; it ends with the context."""
+
+    def __init__(self, core: int | None, *words: object) -> None:
+        pinned = ["taskset", "-c", str(core)] if core is not None else []
+        self._process = subprocess.Popen(
+            [*pinned, sys.executable, __file__, *map(str, words)],
+            stdin=subprocess.PIPE,
+            stdout=subprocess.PIPE,
+            text=True,
+        )
+
+    def ask(self, line: str) -> dict[str, Any]:
+        assert self._process.stdin is not None
+        self._process.stdin.write(line + "\n")
+        self._process.stdin.flush()
+        return self.hear()
+
+    def hear(self) -> dict[str, Any]:
+        assert self._process.stdout is not None
+        line = self._process.stdout.readline()
+        if not line:
+            raise RuntimeError("a process ended early")
+        told: dict[str, Any] = json.loads(line)
+        return told
+
+    def __enter__(self) -> "Worker":
+        return self
+
+    def __exit__(
+        self, kind: type[BaseException] | None, error: BaseException | None, trace: TracebackType | None
+    ) -> None:
+        assert self._process.stdin is not None
+        self._process.stdin.close()
+        try:
+            self._process.wait(10.0)
+        except subprocess.TimeoutExpired:
+            self._process.kill()
+            self._process.wait()
+
+
+@dataclass(slots=True, frozen=True)
+class Phase:
+    """What a stretch of time cost."""
+
+    node_share: float
+    """Part of a core for each node."""
+    member_share: float
+    """Part of a core for each member."""
+    node_bytes_per_s: float
+    """Bytes a second that members send to each node."""
+    member_requests_per_s: float
+    """At the busiest member."""
+
+
+@dataclass(slots=True, frozen=True)
+class Run:
+    """What one run found."""
+
+    nodes: int
+    document_bytes: int
+    quiet: Phase
+    changing: Phase
+    resident_bytes: float
+    """For each node."""
+    last_s: float
+    """The longest time until a change was in force at the last node."""
+    changes: int
+    never: int
+    """Changes that some node had not in force by the end."""
+    connects_peak: int
+    """At one member in one second, the start included."""
+    stale: int
+
+
+@dataclass(slots=True, frozen=True)
+class Sample:
+    """What members and nodes tell at one moment."""
+
+    members: dict[str, Any]
+    nodes: list[dict[str, Any]]
+
+
+def measure(nodes: int, document_bytes: int, arguments: argparse.Namespace) -> Run:
+    """One run: the nodes start, a quiet phase, a phase with changes."""
+    sizes = ["--document-bytes", document_bytes, "--item-bytes", arguments.item_bytes]
+    with Worker(arguments.member_core, "members", *sizes) as members:
+        begun = members.hear()
+        shares = [nodes // arguments.processes] * arguments.processes
+        shares[0] += nodes - sum(shares)
+        with _Nodes(shares, begun, arguments.node_core) as workers:
+            for worker in workers:
+                worker.hear()
+            time.sleep(SETTLE_S)
+            first = _sample(members, workers, 0.0)
+            time.sleep(arguments.seconds)
+            second = _sample(members, workers, arguments.changes_every)
+            time.sleep(arguments.seconds)
+            members.ask("0")
+            time.sleep(LAST_CHANGE_S)
+            third = _sample(members, workers, 0.0)
+    return _run(nodes, document_bytes, (first, second, third))
+
+
+class _Nodes:
+    """The nodes' processes, as one context."""
+
+    def __init__(self, shares: Sequence[int], begun: Mapping[str, Any], core: int | None) -> None:
+        self._workers: list[Worker] = []
+        first = 1
+        for count in shares:
+            words = ["--members", ",".join(begun["addresses"]), "--revision", begun["revision"]]
+            self._workers.append(Worker(core, "nodes", *words, "--count", count, "--first", first))
+            first += count
+
+    def __enter__(self) -> list[Worker]:
+        return self._workers
+
+    def __exit__(
+        self, kind: type[BaseException] | None, error: BaseException | None, trace: TracebackType | None
+    ) -> None:
+        for worker in self._workers:
+            worker.__exit__(kind, error, trace)
+
+
+def _sample(members: Worker, workers: Sequence[Worker], changes_every: float) -> Sample:
+    told = members.ask(f"{changes_every:g}")
+    return Sample(told, [worker.ask("") for worker in workers])
+
+
+def _run(nodes: int, document_bytes: int, samples: tuple[Sample, Sample, Sample]) -> Run:
+    first, second, third = samples
+    lags, never = _lags(third, nodes)
+    grown = sum(w["usage"]["resident_bytes"] - w["before"]["resident_bytes"] for w in third.nodes)
+    return Run(
+        nodes,
+        document_bytes,
+        _phase(nodes, first, second),
+        _phase(nodes, second, third),
+        grown / nodes,
+        max(lags, default=0.0),
+        len(third.members["changes"]),
+        never,
+        third.members["connects_peak"],
+        sum(worker["counters"].get("settings_stale", 0) for worker in third.nodes),
+    )
+
+
+def _lags(sample: Sample, nodes: int) -> tuple[list[float], int]:
+    """The seconds until each change was in force at the last node, and how many never were."""
+    lags, never = [], 0
+    for revision, written_at in sample.members["changes"].items():
+        if sum(worker["nodes"].get(revision, 0) for worker in sample.nodes) < nodes:
+            never += 1
+        else:
+            lags.append(max(w["last_at"][revision] for w in sample.nodes if revision in w["last_at"]))
+            lags[-1] -= written_at
+    return lags, never
+
+
+def _phase(nodes: int, before: Sample, after: Sample) -> Phase:
+    seconds = after.members["usage"]["at"] - before.members["usage"]["at"]
+    sent = sum(after.members["bytes_out"]) - sum(before.members["bytes_out"])
+    requests = [
+        now - then for now, then in zip(after.members["requests"], before.members["requests"], strict=True)
+    ]
+    used = sum(
+        now["usage"]["processor_s"] - then["usage"]["processor_s"]
+        for now, then in zip(after.nodes, before.nodes, strict=True)
+    )
+    of_members = after.members["usage"]["processor_s"] - before.members["usage"]["processor_s"]
+    return Phase(
+        used / nodes / seconds,
+        of_members / MEMBERS / seconds,
+        sent / nodes / seconds,
+        max(requests) / seconds,
+    )
+
+
+def _slopes(runs: Sequence[Run], by: str, arguments: argparse.Namespace) -> Iterator[Slope]:
+    """The figures against the nodes or against the document."""
+    prefix = "settings-loopback" if by == "nodes" else "settings-loopback-document"
+    notes = (
+        f"loopback, the node's actor with {arguments.processes} process(es) of nodes, members in another; "
+        f"{arguments.seconds:g} s quiet, {arguments.seconds:g} s with a change every "
+        f"{arguments.changes_every:g} s; items of {arguments.item_bytes} bytes"
+    )
+    figures = (
+        ("node-processor-share-quiet", "part of a core for a node that waits", "cores", "quiet.node_share"),
+        ("node-processor-share", "part of a core for a node", "cores", "changing.node_share"),
+        (
+            "member-processor-share",
+            "part of a core for a stand-in's member",
+            "cores",
+            "changing.member_share",
+        ),
+        ("node-resident-bytes", "resident memory for a node", "bytes", "resident_bytes"),
+        ("in-force-seconds", "time until a change is in force at the last node", "s", "last_s"),
+    )
+    for name, title, unit, path in figures:
+        points = []
+        for run in runs:
+            value: Any = run
+            for part in path.split("."):
+                value = getattr(value, part)
+            size = run.nodes if by == "nodes" else run.document_bytes
+            points.append(Point(size, mean([value])))
+        variable = by if by == "nodes" else "document bytes"
+        yield Slope(f"{prefix}-{name}", title, variable, unit, tuple(points), notes)
+
+
+def _whole_numbers(text: str) -> list[int]:
+    return [int(word) for word in text.split(",")]
+
+
+def _arguments() -> argparse.Namespace:
+    parser = argparse.ArgumentParser(description=__doc__, formatter_class=argparse.RawTextHelpFormatter)
+    parser.add_argument("role", nargs="?", choices=("run", "members", "nodes"), default="run")
+    parser.add_argument("--nodes", type=_whole_numbers, default=[40])
+    parser.add_argument("--document-kib", type=_whole_numbers, default=[8])
+    parser.add_argument("--processes", type=int, default=1, help="of nodes")
+    parser.add_argument("--seconds", type=float, default=30.0, help="of each phase")
+    parser.add_argument("--changes-every", type=float, default=5.0)
+    parser.add_argument("--node-core", type=int)
+    parser.add_argument("--member-core", type=int)
+    parser.add_argument("--out", type=Path, help="write each slope as a JSON file to this folder")
+    parser.add_argument("--item-bytes", type=int, default=ITEM_BYTES)
+    for name in ("--document-bytes", "--count", "--first", "--revision"):
+        parser.add_argument(name, type=int, help=argparse.SUPPRESS)
+    parser.add_argument("--members", help=argparse.SUPPRESS)
+    return parser.parse_args()
+
+
+def main() -> int:
+    arguments = _arguments()
+    if arguments.role == "members":
+        serve_members(arguments)
+        return 0
+    if arguments.role == "nodes":
+        run_nodes(arguments)
+        return 0
+    runs = []
+    for nodes in arguments.nodes:
+        for kib in arguments.document_kib:
+            runs.append(measure(nodes, kib * KIB, arguments))
+            print(json.dumps(asdict(runs[-1])), flush=True)
+    if arguments.out is not None:
+        by = "nodes" if len(arguments.nodes) > 1 else "document"
+        for slope in _slopes(runs, by, arguments):
+            write(arguments.out, slope, "python benchmarks/settings_loopback.py " + " ".join(sys.argv[1:]))
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
