--- a/irisstack/lab/scale/settings_plays.py
+++ b/irisstack/lab/scale/settings_plays.py
@@ -102,47 +102,39 @@
 COLUMNS = (
     "play",
     "changes",
-    "never",
     "last s",
-    "median s",
     "starts",
     "caught up s",
-    "node bytes/s, 1 s",
-    "10 s",
-    "mean",
+    "node B/s",
     "connects/s",
     "requests/s",
-    "bytes out/s",
-    "stale nodes",
-    "first s",
+    "sent B/s",
+    "stale",
     "fresh s",
-    "refused",
-    "moved",
+    "behind",
     "faults",
 )
 
 
 def row(name: str, found: PlayFigures) -> tuple[object, ...]:
-    """A play's figures under `COLUMNS`; those of members are of the busiest member's busiest second."""
+    """A play's figures under `COLUMNS`.
+
+    Bytes of the node are those of its worst ten seconds, both ways; connects, requests and bytes sent are the
+    most at one member in one second; "fresh" is when the last node said so; "behind" is changes and nodes.
+    """
     return (
         name,
         found.changes,
-        found.never,
         round(found.last_s, 2),
-        round(found.median_s, 2),
         found.starts,
         round(found.caught_up_s, 2),
-        round(found.node_worst_second),
         round(found.node_worst_10_s),
-        round(found.node_mean),
         found.members.peak_connects,
         found.members.peak_requests,
         found.members.peak_bytes_out,
         found.stale_nodes,
-        _shown(found.first_stale_s),
         _shown(found.last_fresh_s),
-        found.refused,
-        found.moved_watches,
+        found.never + found.catching_up,
         len(found.faults),
     )
 
