--- a/irisstack/dynamic_settings/decisions.py
+++ b/irisstack/dynamic_settings/decisions.py
@@ -98,7 +98,7 @@
 LEAST_FRAME_SHARE = 0.5
 """A long frame has to come at this share of the budget's rate; the rest is for what comes beside it."""
 OVERSIZED_PAUSE_S = 15.0
-"""Seconds until what was too large to be held is looked at again."""
+"""Seconds until what was too large to be held, by more than one member's word, is looked at again."""
 MAX_ANSWER_BYTES = 512 * 1024
 """Most bytes of the answer to a range request."""
 MAX_FRAME_BYTES = 256 * 1024
@@ -407,13 +407,15 @@
             self._retry()
 
     def _on_oversized(self, call: Call, revision: int, reason: str) -> None:
-        """More lies below the prefix than is held: look again later, at another member."""
-        if reason != self._refusal[1]:
-            self._on_refused(revision, reason)
+        """More lies below the prefix than is held: look again at another member, and again later."""
         self._items = None
         self._snapshot = None
         self._members.failed(call.member, self._now)
-        self._retry(OVERSIZED_PAUSE_S)
+        if reason == self._refusal[1]:
+            self._retry(OVERSIZED_PAUSE_S)
+        else:
+            self._on_refused(revision, reason)
+            self._back_off()
 
     def _on_oversized_page(self, call: Call, reason: str) -> None:
         """A page is longer than is read. That is said of the document once two members have shown it."""
--- a/tests/dynamic_settings/support.py
+++ b/tests/dynamic_settings/support.py
@@ -1,4 +1,4 @@
-"""A cluster and nodes that follow it, in virtual time: `Follower` with members that behave as a test says.
+"""Nodes that follow the stand-in of a cluster, in virtual time, with members that behave as a test says.
 
 The bytes are those of the gateway, so that the codec is part of every play.
 """
@@ -41,9 +41,12 @@
     WakeAt,
     WatchAnswered,
 )
+from irisstack.lab.standins import etcd as standin
+from irisstack.lab.standins import etcd_cluster, etcd_json
 
 PREFIX = b"/irisstack/settings/"
 CLUSTER = 77
+OTHER_CLUSTER = 99
 LATENCY_S = 0.005
 HEAD_BYTES = 200
 """What the heads of a request and its answer come to."""
@@ -54,15 +57,6 @@
     return base64.b64encode(data).decode()
 
 
-def header(revision: int, cluster: int = CLUSTER, member: int = 1) -> dict[str, str]:
-    return {
-        "cluster_id": str(cluster),
-        "member_id": str(member),
-        "revision": str(revision),
-        "raft_term": "2",
-    }
-
-
 @dataclass(slots=True, frozen=True)
 class Change:
     """One key's new value, `None` for a deletion."""
@@ -71,84 +65,26 @@
     value: bytes | None
 
 
-class Store:
-    """Keys, their history and its compaction."""
-
-    def __init__(self) -> None:
-        self.revision = 1
-        self.compact_revision = 0
-        self.history: list[tuple[int, list[Change]]] = []
-
-    def commit(self, changes: list[Change]) -> int:
-        self.revision += 1
-        self.history.append((self.revision, changes))
-        return self.revision
-
-    def at(self, revision: int) -> dict[bytes, tuple[bytes, int]]:
-        """Each key's value and the revision of its last change."""
-        items: dict[bytes, tuple[bytes, int]] = {}
-        for changed_at, changes in self.history:
-            if changed_at > revision:
-                break
-            for change in changes:
-                if change.value is None:
-                    items.pop(change.key, None)
-                else:
-                    items[change.key] = (change.value, changed_at)
-        return items
-
-
-def kv(key: bytes, value: bytes | None, revision: int, keys_only: bool = False) -> dict[str, Any]:
-    made: dict[str, Any] = {"key": encoded(key), "create_revision": str(revision)}
-    made |= {"mod_revision": str(revision), "version": "1"}
-    if value and not keys_only:
-        made["value"] = encoded(value)
-    return made
-
-
-def range_answer(store: Store, request: etcd.RangeRequest, cluster: int = CLUSTER) -> bytes:
-    """What a healthy member answers."""
-    revision = request.revision or store.revision
-    if revision < store.compact_revision:
-        text = "etcdserver: mvcc: required revision has been compacted"
-        return json.dumps({"error": text, "code": 11, "message": text}).encode()
-    found = [(k, *v) for k, v in store.at(revision).items() if request.key <= k < request.range_end]
-    found.sort(key=lambda item: -item[2] if request.newest_first else 0)
-    if not request.newest_first:
-        found.sort()
-    page = found[: request.limit or None]
-    raw: dict[str, Any] = {"header": header(store.revision, cluster)}
-    if page:
-        raw["kvs"] = [kv(key, value, changed, request.keys_only) for key, value, changed in page]
-    if len(page) < len(found):
-        raw["more"] = True
-    if found:
-        raw["count"] = str(len(found))
-    return json.dumps(raw, separators=(",", ":")).encode()
-
-
-def event_of(change: Change, revision: int) -> dict[str, Any]:
-    if change.value is None:
-        return {"type": "DELETE", "kv": {"key": encoded(change.key), "mod_revision": str(revision)}}
-    return {"kv": kv(change.key, change.value, revision)}
+def frame_of(response: standin.WatchResponse, cluster: int = CLUSTER) -> bytes:
+    return etcd_json.encode_watch(etcd_json.Header(cluster, 1, response.revision, 2), response)
 
 
 def changes_frame(revisions: list[tuple[int, list[Change]]], newest: int) -> bytes:
+    """A watch's frame with these changes, whether or not a member would ever send it."""
     events = [event_of(change, revision) for revision, changes in revisions for change in changes]
-    raw = {"result": {"header": header(newest), "events": events}}
-    return json.dumps(raw, separators=(",", ":")).encode()
+    return frame_of(standin.WatchResponse(newest, events=tuple(events)))
 
 
 def created_frame(revision: int, cluster: int = CLUSTER) -> bytes:
-    return json.dumps({"result": {"header": header(revision, cluster), "created": True}}).encode()
+    return frame_of(standin.WatchResponse(revision, created=True), cluster)
 
 
-def compacted_frame(compact_revision: int) -> bytes:
-    """The end of a watch whose history is gone; its header tells no revision, as in etcd."""
-    told = header(0)
-    del told["revision"]
-    result = {"header": told, "canceled": True, "compact_revision": str(compact_revision)}
-    return json.dumps({"result": result}).encode()
+def event_of(change: Change, revision: int) -> standin.Event:
+    if change.value is None:
+        gone = standin.KeyValue(change.key, b"", 0, revision, 0)
+        return standin.Event(standin.EventType.DELETE, gone, None)
+    written = standin.KeyValue(change.key, change.value, revision, revision, 1)
+    return standin.Event(standin.EventType.PUT, written, None)
 
 
 class Mode(Enum):
@@ -165,6 +101,8 @@
     """Good, but that its watches bring no change."""
     SAYS_NEWER = auto()
     """Claims a newer change than there is."""
+    SAYS_TOO_MUCH = auto()
+    """Has a value of 300 KiB in every snapshot."""
     SAYS_OLDER = auto()
     """Answers with the first revision."""
     OTHER_CLUSTER = auto()
@@ -191,28 +129,33 @@
         self.run_until(self.now + seconds)
 
 
+UNANSWERED = (Mode.REFUSES_CONNECTION, Mode.NO_ROUTE, Mode.SILENT)
+"""Modes in which a member sends nothing, on connections old or new."""
+
+
 @dataclass(slots=True)
 class Watcher:
     """A watch that a member serves."""
 
     node: "Node"
     call: int
-    next_revision: int
+    watch: standin.Watch
 
 
 class Cluster:
-    """The members of one store."""
+    """The stand-in's members, and how each behaves to a node that calls it."""
 
     def __init__(self, loop: Loop, size: int = 7) -> None:
         self.loop = loop
-        self.store = Store()
-        self.modes = {f"10.0.0.{i}:2379": Mode.GOOD for i in range(1, size + 1)}
-        self.watchers: dict[str, list[Watcher]] = {name: [] for name in self.modes}
+        self.etcd = etcd_cluster.Cluster(size, CLUSTER)
+        self.members = {f"10.0.0.{i}:2379": member for i, member in enumerate(self.etcd.members, 1)}
+        self.modes = dict.fromkeys(self.members, Mode.GOOD)
+        self.watchers: dict[str, list[Watcher]] = {name: [] for name in self.members}
         self.connects: list[tuple[float, str]] = []
 
     @property
     def names(self) -> list[str]:
-        return list(self.modes)
+        return list(self.members)
 
     def put(self, **values: Any) -> int:
         """One revision that sets paths to JSON values; `__` stands for a slash."""
@@ -221,66 +164,88 @@
 
     def write(self, values: Mapping[str, bytes | None]) -> int:
         """One revision that sets paths to bytes, or deletes them."""
-        revision = self.store.commit([Change(PREFIX + p.encode(), v) for p, v in values.items()])
-        for name in self.modes:
+        return self.commit([Change(PREFIX + path.encode(), value) for path, value in values.items()])
+
+    def commit(self, changes: list[Change]) -> int:
+        """One revision, made by whoever has a quorum."""
+        operations = tuple(
+            standin.DeleteRangeRequest(change.key)
+            if change.value is None
+            else standin.PutRequest(change.key, change.value)
+            for change in changes
+        )
+        self.etcd.store.execute(standin.TxnRequest((), operations, ()))
+        for name in self.members:
             self._serve(name)
-        return revision
+        return self.etcd.store.revision
 
     def compact(self, revision: int) -> None:
-        self.store.compact_revision = revision
+        self.etcd.compact(revision)
 
     def set_mode(self, name: str, mode: Mode) -> None:
         """A member behaves otherwise from now on; one that ends takes its connections with it."""
         self.modes[name] = mode
+        member = self.members[name]
+        member.watches_silent = mode is Mode.WATCH_SILENT
+        member.told_revision = 1 if mode is Mode.SAYS_OLDER else None
+        member.cluster_id = OTHER_CLUSTER if mode is Mode.OTHER_CLUSTER else None
+        if mode is Mode.NO_LEADER:
+            member.lose_quorum()
+        else:
+            member.regain_quorum()
         if mode is Mode.REFUSES_CONNECTION:
             for watcher in self.watchers[name]:
                 watcher.node.fail(watcher.call, FailureKind.ENDED, LATENCY_S)
             self.watchers[name] = []
-        if mode is Mode.GOOD:
-            self._serve(name)
+        self._serve(name)
 
     def set_all(self, mode: Mode) -> None:
-        for name in self.modes:
+        for name in self.members:
             self.set_mode(name, mode)
 
     def _serve(self, name: str) -> None:
-        if self.modes[name] not in (Mode.GOOD, Mode.SAYS_NEWER):
+        """Tell the member's watches what they have not been told."""
+        member = self.members[name]
+        if self.modes[name] in UNANSWERED or member.watches_silent:
             return
         for watcher in self.watchers[name]:
-            due = [entry for entry in self.store.history if entry[0] >= watcher.next_revision]
-            if due:
-                watcher.next_revision = due[-1][0] + 1
-                watcher.node.frame(watcher.call, changes_frame(due, self.store.revision))
+            while (response := watcher.watch.read(member.store)) is not None:
+                watcher.node.frame(watcher.call, member.encode_watch(response))
 
     def ask_range(self, node: "Node", call: AskRange) -> None:
         mode = self._connect(node, call.call, call.member)
         if mode is None:
             return
-        if mode is Mode.NO_LEADER:
-            node.fail(call.call, FailureKind.REFUSED, LATENCY_S)
-            return
-        store = self.store
-        if mode is Mode.SAYS_OLDER:
-            store = Store()
-        body = range_answer(store, call.request, 99 if mode is Mode.OTHER_CLUSTER else CLUSTER)
+        status, body = self.members[call.member].answer(etcd.RANGE_PATH, call.request.body())
         if mode is Mode.SAYS_NEWER and call.request.newest_first:
-            raw = json.loads(body)
-            raw["header"]["revision"] = str(store.revision + 5)
-            raw["kvs"] = [kv(PREFIX + b"x", b"", store.revision + 5)]
-            body = json.dumps(raw).encode()
-        node.answer(call.call, body)
+            body = self._newer(body)
+        if mode is Mode.SAYS_TOO_MUCH and not call.request.newest_first:
+            body = self._too_much(body)
+        node.answer(call.call, body, status)
+
+    def _newer(self, body: bytes) -> bytes:
+        """The answer with a change in it that there never was."""
+        raw = json.loads(body)
+        newer = str(self.etcd.store.revision + 5)
+        raw["header"]["revision"] = newer
+        raw["kvs"] = [{"key": encoded(PREFIX + b"x"), "mod_revision": newer}]
+        return json.dumps(raw).encode()
+
+    def _too_much(self, body: bytes) -> bytes:
+        raw = json.loads(body)
+        value = encoded(b'"' + b"x" * 300 * 1024 + b'"')
+        raw["kvs"] = [{"key": encoded(PREFIX + b"x"), "mod_revision": "2", "value": value}]
+        return json.dumps(raw).encode()
 
     def open_watch(self, node: "Node", call: OpenWatch) -> None:
-        mode = self._connect(node, call.call, call.member)
-        if mode is None:
-            return
-        start = call.request.start_revision
-        cluster = 99 if mode is Mode.OTHER_CLUSTER else CLUSTER
-        node.frame(call.call, created_frame(self.store.revision, cluster))
-        if start < self.store.compact_revision:
-            node.frame(call.call, compacted_frame(self.store.compact_revision))
+        if self._connect(node, call.call, call.member) is None:
             return
-        self.watchers[call.member].append(Watcher(node, call.call, start))
+        member = self.members[call.member]
+        wanted = etcd_json.decode_watch(call.request.body())
+        assert isinstance(wanted, standin.WatchRequest)
+        watch, response = standin.Watch.create(wanted, member.store)
+        node.frame(call.call, member.encode_watch(response))
+        self.watchers[call.member].append(Watcher(node, call.call, watch))
         self._serve(call.member)
 
     def _connect(self, node: "Node", call: int, member: str) -> Mode | None:
@@ -313,6 +278,7 @@
     member: str
     is_watch: bool
     waiting: list[bytes] = field(default_factory=list)
+    status: int = 200
     read: int = 0
     """Bytes of the first of them."""
     reading: bool = False
@@ -379,10 +345,11 @@
     def fail(self, call: int, kind: FailureKind, delay: float) -> None:
         self.loop.after(delay, lambda: self._fail(call, kind, kind.name))
 
-    def answer(self, call: int, body: bytes) -> None:
-        self.loop.after(LATENCY_S, lambda: self._incoming(call, body))
+    def answer(self, call: int, body: bytes, status: int) -> None:
+        self.loop.after(LATENCY_S, lambda: self._incoming(call, body, status))
 
-    frame = answer
+    def frame(self, call: int, frame: bytes) -> None:
+        self.loop.after(LATENCY_S, lambda: self._incoming(call, frame, 200))
 
     # ---- carrying out ----
 
@@ -440,9 +407,10 @@
             self.cluster.forget(self, call)
             self.step([CallFailed(call, kind, reason)])
 
-    def _incoming(self, call: int, data: bytes) -> None:
+    def _incoming(self, call: int, data: bytes, status: int) -> None:
         incoming = self._calls.get(call)
         if incoming is not None:
+            incoming.status = status
             incoming.waiting.append(data)
             if not incoming.reading:
                 incoming.reading = True
@@ -481,7 +449,7 @@
             if incoming.is_watch:
                 self.step([FrameProgress(call, 0), WatchAnswered(call, etcd.read_watch_answer(data))])
                 return
-            answer = etcd.read_range_answer(200, data)
+            answer = etcd.read_range_answer(incoming.status, data)
             del self._calls[call]
             self.step([RangeAnswered(call, answer)])
         except etcd.GatewayError as error:
--- a/tests/dynamic_settings/test_decisions.py
+++ b/tests/dynamic_settings/test_decisions.py
@@ -196,8 +196,7 @@
 def test_a_key_without_a_path_in_utf_8_is_refused() -> None:
     cluster = cluster_with(good=1)
     node = settled(cluster)
-    cluster.store.commit([Change(PREFIX + b"\xff\n", b"1")])
-    cluster.set_all(Mode.GOOD)
+    cluster.commit([Change(PREFIX + b"\xff\n", b"1")])
     cluster.loop.run_for(1.0)
     assert node.lines("settings_refused")[0].fields["reason"] == "\ufffd?: a path in UTF-8 is due"
     assert node.document == {"good": 1}
@@ -309,7 +308,7 @@
     cluster = cluster_with(n=1)
     node = settled(cluster)
     for _ in range(50):
-        cluster.store.commit([Change(b"/others", b"1")])
+        cluster.commit([Change(b"/others", b"1")])
     cluster.loop.run_for(10.0)
     cluster.compact(50)
     cluster.set_mode(node.watch_member, Mode.REFUSES_CONNECTION)
@@ -468,9 +467,21 @@
     assert node.snapshots == 1
 
 
+def test_a_member_that_says_too_much_holds_nobody_up() -> None:
+    cluster = cluster_with(n=1)
+    for name in cluster.names[:3]:
+        cluster.set_mode(name, Mode.SAYS_TOO_MUCH)
+    for seed in range(10):
+        node = Node(cluster, seed=seed)
+        cluster.loop.run_for(200.0)
+        assert node.document == {"n": 1}
+        assert len(node.lines("settings_refused")) <= 1
+        assert_within_budget(node)
+
+
 def test_a_member_that_says_compacted_again_and_again_is_left() -> None:
     cluster = cluster_with(n=1)
-    cluster.compact(50)  # beyond the newest: no honest member says so
+    cluster.etcd.store.compact_revision = 50  # beyond the newest: no honest member says so
     node = Node(cluster, held=Held(CLUSTER, 2, {"n": 1}))
     cluster.loop.run_for(60.0)
     assert node.document == {"n": 1}
