Dynamic settings: no second spends more than bytes_per_s

Cause: plays of 140 nodes showed 11,709 bytes in a node's busiest second, for a budget of 11,264. Change: the budget earns a burst and a piece less than it is given; pieces of 256 bytes.

--- a/irisstack/dynamic_settings/budget.py
+++ b/irisstack/dynamic_settings/budget.py
@@ -1,9 +1,9 @@
 """How many bytes a second the node may spend on following the settings."""
 
-BURST_S = 0.25
-"""A budget that has rested holds what this many seconds bring."""
-PIECE_BYTES = 2048
+PIECE_BYTES = 256
 """Most bytes to read from a connection at once, so that a debt stays small."""
+BURST_S = 0.02
+"""A budget that has rested holds what so many seconds bring: a timer which fires late loses nothing."""
 ROUNDING_BYTES = 0.5
 """A debt below this counts as none: times are floats."""
 
@@ -11,13 +11,15 @@
 class ByteBudget:
     """A token bucket that may go into debt: what was spent has to be earned before more is spent.
 
-    Over any time of T seconds no more than `(T + BURST_S) * bytes_per_s + PIECE_BYTES` are spent by one that
-    asks `delay` before each piece. Bytes are those of HTTP, both ways, without the heads of TCP and IP.
+    It earns a burst and a piece less than `bytes_per_s`, so that one who asks `delay` before each piece
+    spends no more than `bytes_per_s` in any second. Bytes are those of HTTP, both ways, without the heads of
+    TCP and IP.
     """
 
     def __init__(self, bytes_per_s: float, now: float) -> None:
-        self.bytes_per_s = bytes_per_s
-        self._most = bytes_per_s * BURST_S
+        self._most = BURST_S * bytes_per_s
+        self.rate = bytes_per_s - self._most - PIECE_BYTES
+        """Bytes earned in a second."""
         self._balance = self._most
         self._at = now
 
@@ -31,9 +33,9 @@
         self._refill(now)
         if self._balance >= -ROUNDING_BYTES:
             return 0.0
-        return -self._balance / self.bytes_per_s
+        return -self._balance / self.rate
 
     def _refill(self, now: float) -> None:
         passed = max(0.0, now - self._at)
-        self._balance = min(self._most, self._balance + passed * self.bytes_per_s)
+        self._balance = min(self._most, self._balance + passed * self.rate)
         self._at = max(self._at, now)
--- a/irisstack/dynamic_settings/decisions.py
+++ b/irisstack/dynamic_settings/decisions.py
@@ -30,8 +30,11 @@
 
 Where the dead member had ended its connections it is RETRY_BASE_S, 1.5. Where it lets the watch lag but
 answers checks, 4.0 + LAG_GRACE_S, 2.0. Where the whole cluster was away and comes back with one dead member,
-RETRY_CAP_S, 3.5 and RETRY_CAP_S again: 13.5. A whole document of 128 KiB takes 15.5 s at 11,264 bytes a
-second for its values alone, in base64, and about 0.013 s for each of its keys.
+RETRY_CAP_S, 3.5 and RETRY_CAP_S again: 13.5.
+
+A whole document of 128 KiB, 174,763 bytes in base64, takes 16.2 s at the 10,783 bytes a second that a budget
+of 11,264 earns, and 0.013 s for each of its keys: about 17 s where its items have 2 KiB. In items of 256 B
+it takes longer than 18 s.
 """
 
 import math
@@ -285,7 +288,7 @@
 
     def _lag_ends_at(self, lag: Lag) -> float:
         """A long frame is given the time that the node's own budget makes it take."""
-        return lag.since + LAG_GRACE_S + self._frame_bytes / (self._budget.bytes_per_s * LEAST_FRAME_SHARE)
+        return lag.since + LAG_GRACE_S + self._frame_bytes / (self._budget.rate * LEAST_FRAME_SHARE)
 
     def _within(self, base: float, failures: int) -> float:
         """A time from now, drawn at random from a range that doubles with each failure."""
--- a/tests/dynamic_settings/test_budget.py
+++ b/tests/dynamic_settings/test_budget.py
@@ -16,7 +16,7 @@
         max_size=60,
     )
 )
-def test_one_that_asks_first_never_spends_more_than_the_rate_the_burst_and_a_piece(
+def test_one_that_asks_first_never_spends_more_in_a_second_than_is_allowed(
     steps: list[tuple[float, int]],
 ) -> None:
     now = 5.0
@@ -32,15 +32,17 @@
         total = 0
         for at, size in spent[first:]:
             total += size
-            assert total <= (at - begun + BURST_S) * RATE + PIECE_BYTES + 1
+            assert total <= max(1.0, at - begun) * RATE + 1
 
 
 def test_a_debt_takes_as_long_as_its_bytes_at_the_rate() -> None:
-    budget = ByteBudget(1000.0, 0.0)
-    budget.spend(0.0, int(1000 * BURST_S) + 2000)
-    assert budget.delay(0.0) == pytest.approx(2.0)
-    assert budget.delay(1.5) == pytest.approx(0.5)
-    assert budget.delay(2.0) == 0.0
+    budget = ByteBudget(RATE, 0.0)
+    budget.spend(0.0, int(RATE * BURST_S))
+    assert budget.delay(0.0) == 0.0
+    budget.spend(0.0, 2 * round(budget.rate))
+    assert budget.delay(0.0) == pytest.approx(2.0, abs=0.001)
+    assert budget.delay(1.5) == pytest.approx(0.5, abs=0.001)
+    assert budget.delay(2.001) == 0.0
 
 
 def test_a_clock_that_stands_still_or_goes_back_earns_nothing() -> None:
--- a/tests/dynamic_settings/test_decisions.py
+++ b/tests/dynamic_settings/test_decisions.py
@@ -10,7 +10,6 @@
 import pytest
 
 from irisstack.dynamic_settings import decisions
-from irisstack.dynamic_settings.budget import BURST_S, PIECE_BYTES
 from irisstack.dynamic_settings.decisions import Held, State
 from irisstack.dynamic_settings.events import LogLevel
 from irisstack.dynamic_settings.items import MAX_DOCUMENT_BYTES
@@ -31,6 +30,8 @@
 PROMISE_S = 18.0
 """A change is in force everywhere within this time."""
 SEEDS = range(40)
+REQUEST_BYTES = 512
+"""More than any request of the follower's."""
 
 
 def cluster_with(**values: Any) -> Cluster:
@@ -617,14 +618,15 @@
 
 
 def assert_within_budget(node: Node) -> None:
-    """Over no time was more spent than the budget's rate, its burst and one piece."""
-    for first, (begun, _) in enumerate(node.received):
-        total = 0
-        for at, size in node.received[first:]:
-            total += size
-            allowed = (at - begun + BURST_S) * BYTES_PER_S + PIECE_BYTES
-            # A request goes out without waiting; there is one main call and one check at a time.
-            assert total <= allowed + 2 * 512, f"{total} bytes in {at - begun} s"
+    """In no second was more spent than is allowed, but for a check's request, which doesn't wait."""
+    first = 0
+    total = 0
+    for at, size in node.received:
+        total += size
+        while at - node.received[first][0] >= 1.0:
+            total -= node.received[first][1]
+            first += 1
+        assert total <= BYTES_PER_S + REQUEST_BYTES, f"{total} bytes in a second"
 
 
 @pytest.mark.parametrize("keys", [1, 16, 64, 128])
