--- a/irisstack/dynamic_settings/decisions.py
+++ b/irisstack/dynamic_settings/decisions.py
@@ -95,6 +95,8 @@
 """As `RETRY_BASE_S`, for a check."""
 LAG_GRACE_S = 2.0
 """Seconds that the watch is given to bring a change that a check has seen."""
+LEAST_FRAME_SHARE = 0.5
+"""A long frame has to come at this share of the budget's rate; the rest is for what comes beside it."""
 OVERSIZED_PAUSE_S = 15.0
 """Seconds until what was too large to be held is looked at again."""
 MAX_ANSWER_BYTES = 512 * 1024
@@ -154,6 +156,8 @@
 
     since: float
     claimant: str
+    revision: int
+    """The change seen, 0 where only the number of keys differed."""
 
 
 class ContradictionError(Exception):
@@ -196,6 +200,7 @@
         self._calls = 0
         self._retry_at = now
         self._failures = 0  # in a row
+        self._oversized_member: str | None = None  # the last one with a page too long to be read
         self._check = Check()
         self._lag: Lag | None = None
         self._frame_bytes = 0  # of the watch's frame under way
@@ -280,7 +285,7 @@
 
     def _lag_ends_at(self, lag: Lag) -> float:
         """A long frame is given the time that the node's own budget makes it take."""
-        return lag.since + LAG_GRACE_S + self._frame_bytes / self._budget.bytes_per_s
+        return lag.since + LAG_GRACE_S + self._frame_bytes / (self._budget.bytes_per_s * LEAST_FRAME_SHARE)
 
     def _within(self, base: float, failures: int) -> float:
         """A time from now, drawn at random from a range that doubles with each failure."""
@@ -297,8 +302,7 @@
         call = self._main = self._new_call(self._members.pick(self._now))
         if self._items is not None:
             self._state = State.OPENING
-            start = max(self._revision, self._seen_revision) + 1
-            request = WatchRequest(self._prefix, self._range_end, start)
+            request = WatchRequest(self._prefix, self._range_end, self._watch_start())
             self._actions.append(OpenWatch(call.number, call.member, request))
             return
         self._state = State.FETCHING
@@ -308,6 +312,9 @@
             self._snapshot.asked_at = self._now
         self._actions.append(AskRange(call.number, call.member, self._snapshot.request()))
 
+    def _watch_start(self) -> int:
+        return max(self._revision, self._seen_revision) + 1
+
     def _end_main(self) -> None:
         """Give up the main call, if one is under way, and with it the check."""
         if self._main is not None:
@@ -345,7 +352,7 @@
             self._log(LogLevel.INFO, "settings_history_too_long", member=call.member)
             self._fetch_again(call)
         elif kind is FailureKind.TOO_LARGE:
-            self._on_oversized(self._revision, reason)
+            self._on_oversized_page(call, reason)
         else:
             self._main_failed(call.member, kind.name.lower(), reason)
 
@@ -365,7 +372,7 @@
             self._snapshot = None
             self._main_failed(call.member, "malformed", str(error), LIED_FOR_S)
         except TooLarge as error:
-            self._on_oversized(snapshot.revision, str(error))
+            self._on_oversized(call, snapshot.revision, str(error))
         else:
             self._members.works(call.member)
             if complete:
@@ -399,14 +406,22 @@
         else:
             self._retry()
 
-    def _on_oversized(self, revision: int, reason: str) -> None:
-        """More lies below the prefix than is held: look again later whether that still is so."""
+    def _on_oversized(self, call: Call, revision: int, reason: str) -> None:
+        """More lies below the prefix than is held: look again later, at another member."""
         if reason != self._refusal[1]:
             self._on_refused(revision, reason)
         self._items = None
         self._snapshot = None
+        self._members.failed(call.member, self._now)
         self._retry(OVERSIZED_PAUSE_S)
 
+    def _on_oversized_page(self, call: Call, reason: str) -> None:
+        """A page is longer than is read. That is said of the document once two members have shown it."""
+        if self._oversized_member not in (None, call.member) and reason != self._refusal[1]:
+            self._on_refused(self._revision, reason)
+        self._oversized_member = call.member
+        self._main_failed(call.member, "too_large", reason)
+
     # ---- the watch ----
 
     def _on_watch_answer(self, call: Call, answer: WatchAnswer) -> None:
@@ -418,7 +433,7 @@
             if self._state is State.OPENING:
                 self._on_opened(call)
             if answer.events:
-                self._on_changes(answer)
+                self._on_changes(call, answer)
         except ContradictionError as error:
             self._main_failed(call.member, str(error), self._seen(answer.header), LIED_FOR_S)
         except GatewayError as error:
@@ -431,12 +446,12 @@
         self._check = Check(due_at=self._now + self._random.uniform(0.0, FIRST_CHECK_S))
 
     def _on_canceled(self, call: Call, answer: WatchAnswer) -> None:
-        if answer.compact_revision > self._revision + 1:
+        if answer.compact_revision > self._watch_start():
             self._on_compacted(call, answer.compact_revision)
         else:
             self._main_failed(call.member, "canceled", answer.cancel_reason)
 
-    def _on_changes(self, answer: WatchAnswer) -> None:
+    def _on_changes(self, call: Call, answer: WatchAnswer) -> None:
         """Take in the changes revision by revision, each as a whole."""
         revisions = [
             (revision, list(events))
@@ -449,9 +464,17 @@
         if skipped:
             self._log(LogLevel.INFO, "settings_superseded", count=skipped, before=revisions[skipped][0])
         for place, (revision, events) in enumerate(revisions):
-            if not self._change(revision, events, propose=place >= skipped):
+            if not self._change(call, revision, events, propose=place >= skipped):
                 return
-        if self._lag is not None:
+        self._on_progress()
+
+    def _on_progress(self) -> None:
+        """The watch has brought something: it has caught up, or has time for more."""
+        if self._lag is None:
+            return
+        if self._revision >= self._lag.revision:
+            self._lag = None
+        else:
             self._lag.since = self._now
 
     def _check_changes(self, answer: WatchAnswer, revisions: list[int]) -> None:
@@ -466,7 +489,7 @@
         if not all(event.item.key.startswith(self._prefix) for event in answer.events):
             raise GatewayError(ErrorKind.MALFORMED, "a change of a key that was not asked for")
 
-    def _change(self, revision: int, events: list[WatchEvent], propose: bool) -> bool:
+    def _change(self, call: Call, revision: int, events: list[WatchEvent], propose: bool) -> bool:
         """Take in one revision; returns whether the watch still goes on."""
         items = self._items
         if items is None:
@@ -476,7 +499,7 @@
         try:
             items.change(events)
         except TooLarge as error:
-            self._on_oversized(revision, str(error))
+            self._on_oversized(call, revision, str(error))
             return False
         if propose:
             self._propose(revision)
@@ -515,19 +538,22 @@
         self._check.due_at = self._now + self._random.uniform(CHECK_MIN_S, CHECK_MAX_S)
         self._members.works(call.member)
         self._forget_said(call.member)
-        if self._shows_later_change(answer):
-            if self._lag is None:
-                self._lag = Lag(self._now, call.member)
-        else:
+        lag = self._lag_shown_by(call, answer)
+        if lag is None:
             self._on_confirmed(call, answer)
+        elif self._lag is None:
+            self._lag = lag
         self._settle_doubt(call)
 
-    def _shows_later_change(self, answer: RangeAnswer) -> bool:
+    def _lag_shown_by(self, call: Call, answer: RangeAnswer) -> Lag | None:
         """Whether the answer shows a change that the watch has not brought."""
-        if answer.items and answer.items[0].mod_revision > self._revision:
-            return True
+        newest = answer.items[0].mod_revision if answer.items else 0
+        if newest > self._revision:
+            return Lag(self._now, call.member, newest)
         held = len(self._items) if self._items is not None else 0
-        return answer.header.revision >= self._revision and answer.count != held
+        if answer.header.revision >= self._revision and answer.count != held:
+            return Lag(self._now, call.member, 0)
+        return None
 
     def _on_confirmed(self, call: Call, answer: RangeAnswer) -> None:
         """What is held was the newest when the check was made."""
--- a/tests/dynamic_settings/support.py
+++ b/tests/dynamic_settings/support.py
@@ -143,8 +143,11 @@
     return json.dumps({"result": {"header": header(revision, cluster), "created": True}}).encode()
 
 
-def compacted_frame(revision: int, compact_revision: int) -> bytes:
-    result = {"header": header(revision), "canceled": True, "compact_revision": str(compact_revision)}
+def compacted_frame(compact_revision: int) -> bytes:
+    """The end of a watch whose history is gone; its header tells no revision, as in etcd."""
+    told = header(0)
+    del told["revision"]
+    result = {"header": told, "canceled": True, "compact_revision": str(compact_revision)}
     return json.dumps({"result": result}).encode()
 
 
@@ -275,7 +278,7 @@
         cluster = 99 if mode is Mode.OTHER_CLUSTER else CLUSTER
         node.frame(call.call, created_frame(self.store.revision, cluster))
         if start < self.store.compact_revision:
-            node.frame(call.call, compacted_frame(self.store.revision, self.store.compact_revision))
+            node.frame(call.call, compacted_frame(self.store.compact_revision))
             return
         self.watchers[call.member].append(Watcher(node, call.call, start))
         self._serve(call.member)
@@ -353,16 +356,16 @@
     def watch_member(self) -> str:
         return next(call.member for call in self._calls.values() if call.is_watch)
 
+    @property
+    def pages(self) -> list[etcd.RangeRequest]:
+        """The pages that were asked for."""
+        ranges = [action.request for action in self.asked if isinstance(action, AskRange)]
+        return [request for request in ranges if not request.newest_first]
+
     @property
     def snapshots(self) -> int:
         """How many first pages were asked for."""
-        return sum(
-            isinstance(a, AskRange)
-            and a.request.key == PREFIX
-            and not a.request.newest_first
-            and not a.request.revision
-            for a in self.asked
-        )
+        return sum(not page.revision for page in self.pages)
 
     @property
     def watches(self) -> list[OpenWatch]:
