--- a/irisstack/dynamic_settings/snapshot.py
+++ b/irisstack/dynamic_settings/snapshot.py
@@ -13,7 +13,7 @@
 import os
 import zlib
 from collections.abc import Mapping
-from dataclasses import asdict, dataclass, field
+from dataclasses import dataclass, field, fields
 from pathlib import Path
 from typing import Any
 
@@ -103,7 +103,8 @@
 
 
 def _encode(settings: SavedSettings) -> bytes:
-    body = _canonical(asdict(settings))
+    # Not `asdict`: it copies each value of the document, which takes longer than all the rest.
+    body = _canonical({each.name: getattr(settings, each.name) for each in fields(settings)})
     head = {"version": VERSION, "crc32": zlib.crc32(body)}
     data = _canonical(head)[:-1] + b',"settings":' + body + b"}\n"
     if len(data) > MAX_FILE_BYTES:
