--- a/irisstack/interface.py
+++ b/irisstack/interface.py
@@ -98,7 +98,7 @@
 
 @dataclass(slots=True, frozen=True)
 class Settings:
-    """What a sender is told at start."""
+    """What a sender is told at start, and with `SettingsChanged`."""
 
     classes: tuple[MessageClass, ...]
     kinds: tuple[DestinationKind, ...]
--- a/tests/dynamic_settings/test_merge.py
+++ b/tests/dynamic_settings/test_merge.py
@@ -1,6 +1,8 @@
 """Proposed settings under the positions of those in force."""
 
+import re
 from dataclasses import fields, replace
+from pathlib import Path
 from typing import Any
 
 import pytest
@@ -125,6 +127,13 @@
         assert getattr(merge(IN_FORCE, replace(IN_FORCE, **{field: changed})), field) == changed
 
 
+def test_the_operators_page_names_what_needs_a_restart() -> None:
+    page = (Path(__file__).resolve().parents[2] / "docs" / "operate" / "dynamic-settings.md").read_text()
+    (line,) = [line for line in page.splitlines() if "they need a restart" in line]
+    paths = {rule.path for rule in RULES.values() if rule.change is Change.RESTART}
+    assert set(re.findall(r"`([^`]+)`", line)) == paths
+
+
 def test_own_zone_that_the_list_no_longer_names_is_refused() -> None:
     assert refused(zones=("there",)).startswith("az: ")
     assert refused(zones=()).startswith("az: ")
--- a/tests/test_settings_event.py
+++ b/tests/test_settings_event.py
@@ -125,6 +125,19 @@
     assert 1 in driver.refused
 
 
+def test_a_message_that_waits_for_another_attempt_as_the_cap_falls_still_has_it() -> None:
+    driver = Driver()
+    driver.message(1, 0.0)
+    for at in (0.1, 0.2, 0.3):  # the third opens the breaker
+        driver.end(1, Outcome.ERROR, at)
+    made = len(driver.sent(1))
+    changed(driver, driver.now, replace(SETTINGS, max_attempts=1))
+    driver.wait_for(1, attempts=made + 1)
+    assert len(driver.sent(1)) == made + 1
+    driver.end(1, Outcome.ERROR, driver.now + 0.1)
+    assert 1 in driver.refused
+
+
 def test_a_destinations_kind_follows_by_its_name() -> None:
     driver = Driver(endpoint(1, kind=1), max_calls=1)
     shared = replace(SETTINGS.kinds[1], max_batch=2)
