The stand-in and the hollow nodes: names that say what a thing does

notify, on_cluster_change, reported_revision, send_connect in place of tell, heed, told_revision, knock; doc comments on what had none.

--- a/benchmarks/settings_loopback.py
+++ b/benchmarks/settings_loopback.py
@@ -199,8 +199,8 @@
         line = self._process.stdout.readline()
         if not line:
             raise RuntimeError("a process ended early")
-        told: dict[str, Any] = json.loads(line)
-        return told
+        answer: dict[str, Any] = json.loads(line)
+        return answer
 
     def __enter__(self) -> "Worker":
         return self
@@ -253,7 +253,7 @@
 
 @dataclass(slots=True, frozen=True)
 class Sample:
-    """What members and nodes tell at one moment."""
+    """The counts of members and nodes at one moment."""
 
     members: dict[str, Any]
     nodes: list[dict[str, Any]]
@@ -302,8 +302,8 @@
 
 
 def _sample(members: Worker, workers: Sequence[Worker], changes_every: float) -> Sample:
-    told = members.ask(f"{changes_every:g}")
-    return Sample(told, [worker.ask("") for worker in workers])
+    answer = members.ask(f"{changes_every:g}")
+    return Sample(answer, [worker.ask("") for worker in workers])
 
 
 def _run(nodes: int, document_bytes: int, samples: tuple[Sample, Sample, Sample]) -> Run:
--- a/irisstack/lab/scale/settings_client.py
+++ b/irisstack/lab/scale/settings_client.py
@@ -61,7 +61,7 @@
     def begin(self, now: float) -> None:
         """Ask for a connection."""
         client = self._client
-        client.network.knock(self.place, self.member.place, self.member.connect, self)
+        client.network.send_connect(self.place, self.member.place, self.member.connect, self)
         client.clock.after(CONNECT_TIMEOUT_S, self._connect_timed_out)
 
     def connected(self, now: float) -> None:
--- a/irisstack/lab/scale/settings_fleet.py
+++ b/irisstack/lab/scale/settings_fleet.py
@@ -117,7 +117,7 @@
         for _ in range(size.nodes):
             self.add_node()
         self._write_all()
-        self.cluster.listeners.append(self._heed)
+        self.cluster.listeners.append(self._on_cluster_change)
 
     # ---- nodes ----
 
@@ -201,9 +201,9 @@
         self.cluster.heal()
         self.reachable_again(now, self.in_region(1))
 
-    def _heed(self) -> None:
+    def _on_cluster_change(self) -> None:
         for member in self.members:
-            member.heed(self.clock.now)
+            member.on_cluster_change(self.clock.now)
 
     # ---- the play ----
 
--- a/irisstack/lab/scale/settings_member.py
+++ b/irisstack/lab/scale/settings_member.py
@@ -86,14 +86,14 @@
 
     # ---- what becomes of the member ----
 
-    def heed(self, now: float) -> None:
-        """Something changed in the cluster: tell the watches, or end them if the member is down."""
+    def on_cluster_change(self, now: float) -> None:
+        """Send new changes to the watches, or end all connections if the member is down."""
         if self.member.reach is Reach.DOWN:
             self._end_all()
         elif self._powered and self.member.reach is not Reach.SILENT:
             for stream in list(self._connections.values()):
                 if stream is not None:
-                    self._tell(now, stream)
+                    self._send_changes(now, stream)
 
     def lose_power(self) -> None:
         """The machine is gone without a word; its connections are gone with it."""
@@ -122,9 +122,9 @@
         created = etcd_http.chunk(self.member.encode_watch(response))
         stream = self._connections[client] = Stream(client, watch)
         self._send(now, client, etcd_http.STREAM_HEAD + created)
-        self._tell(now, stream)
+        self._send_changes(now, stream)
 
-    def _tell(self, now: float, stream: Stream) -> None:
+    def _send_changes(self, now: float, stream: Stream) -> None:
         while (response := stream.watch.read(self.member.store)) is not None:
             self._send(now, stream.client, etcd_http.chunk(self.member.encode_watch(response)))
 
--- a/irisstack/lab/scale/settings_network.py
+++ b/irisstack/lab/scale/settings_network.py
@@ -51,7 +51,7 @@
         else:
             self._clock.after(delay, act, *arguments)
 
-    def knock(self, source: Place, target: Place, act: Act, *arguments: object) -> None:
+    def send_connect(self, source: Place, target: Place, act: Act, *arguments: object) -> None:
         """As `send`, for the first packet of a connection: what does not arrive is not sent again.
 
         Clients give a connection up before the operating system's second try.
--- a/irisstack/lab/scale/settings_node.py
+++ b/irisstack/lab/scale/settings_node.py
@@ -153,7 +153,7 @@
             events = answers
 
     def _carry_out(self, now: float, action: Action) -> Event | None:
-        """Do one thing; returns what the decisions are to be told of it at once."""
+        """Carry out one action; returns the event that answers it at once, if any."""
         client = self._client
         assert client is not None
         match action:
--- a/irisstack/lab/standins/etcd.py
+++ b/irisstack/lab/standins/etcd.py
@@ -496,7 +496,7 @@
         return None
 
     def progress(self, store: Store) -> WatchResponse | None:
-        """The message without events that says up to which revision all is told; `None` if the watch lags."""
+        """A progress notification: all changes up to its revision were sent; `None` if the watch lags."""
         if self.canceled or self.next_revision <= store.revision:
             return None
         return WatchResponse(store.revision)
--- a/irisstack/lab/standins/etcd_cluster.py
+++ b/irisstack/lab/standins/etcd_cluster.py
@@ -36,9 +36,9 @@
     watches_silent: bool = False
     """Watches are taken and never say anything."""
     cluster_id: int | None = None
-    """Another cluster's id, which this member tells."""
-    told_revision: int | None = None
-    """A revision that the headers tell in place of the store's."""
+    """The id that the headers report in place of the cluster's."""
+    reported_revision: int | None = None
+    """A revision that the headers report in place of the store's."""
     _copy: etcd.Store | None = field(default=None)
     _encoded: tuple[tuple[etcd.WatchResponse, bool, etcd_json.Header], bytes] | None = field(default=None)
     _read: dict[bytes, bytes] = field(default_factory=dict)
@@ -46,6 +46,7 @@
 
     @property
     def has_quorum(self) -> bool:
+        """Whether this member reaches a majority of the cluster."""
         return self._copy is None
 
     @property
@@ -54,11 +55,12 @@
         return self.cluster.store if self._copy is None else self._copy
 
     def header(self, revision: int) -> etcd_json.Header:
+        """The header of an answer at that revision of the store."""
         cluster = self.cluster
         return etcd_json.Header(
             cluster.cluster_id if self.cluster_id is None else self.cluster_id,
             (self.number + 1) * MEMBER_ID_STEP,
-            revision if self.told_revision is None else self.told_revision,
+            revision if self.reported_revision is None else self.reported_revision,
             cluster.term,
         )
 
@@ -70,7 +72,7 @@
         before = self.store.revision
         response = self.store.execute(request)
         if self.store.revision != before or isinstance(request, etcd.CompactionRequest):
-            self.cluster.tell()
+            self.cluster.notify()
         return response
 
     def answer(self, path: str, body: bytes) -> tuple[int, bytes]:
@@ -99,17 +101,19 @@
         return self._read
 
     def encode_watch(self, response: etcd.WatchResponse, *, previous: bool = False) -> bytes:
-        """One object of a watch's stream; kept, since many watches are told the same in turn."""
+        """One object of a watch's stream; cached, since many watches send the same."""
         key = response, previous, self.header(response.revision)
         if self._encoded is None or self._encoded[0] != key:
             self._encoded = key, etcd_json.encode_watch(key[2], response, previous=previous)
         return self._encoded[1]
 
     def lose_quorum(self) -> None:
+        """Go on with a copy of the store as it is now."""
         if self._copy is None:
             self._copy = self.cluster.store.copy()
 
     def regain_quorum(self) -> None:
+        """Share the cluster's store again."""
         self._copy = None
 
 
@@ -125,7 +129,8 @@
         """Called after every change of the store or of what members can reach."""
         self._groups: tuple[frozenset[int], ...] = (frozenset(range(size)),)
 
-    def tell(self) -> None:
+    def notify(self) -> None:
+        """Call all listeners."""
         for listener in self.listeners:
             listener()
 
@@ -196,4 +201,4 @@
                 else:
                     self.members[number].lose_quorum()
         self.term += 1
-        self.tell()
+        self.notify()
--- a/irisstack/lab/standins/etcd_json.py
+++ b/irisstack/lab/standins/etcd_json.py
@@ -46,7 +46,7 @@
 
 @dataclass(slots=True, frozen=True)
 class WatchProgressRequest:
-    """Asks for a message that says up to which revision all is told."""
+    """Asks for a progress notification."""
 
 
 WatchStreamRequest = etcd.WatchRequest | WatchCancelRequest | WatchProgressRequest
--- a/irisstack/lab/standins/etcd_server.py
+++ b/irisstack/lab/standins/etcd_server.py
@@ -22,7 +22,7 @@
 HOST = "127.0.0.1"
 BACKLOG = 1024
 PROGRESS_INTERVAL = 600.0
-"""Seconds of silence after which a watch that asked for it is told the revision, etcd's default."""
+"""Seconds of silence until a progress notification, where one was asked for; etcd's default."""
 TRICKLE_BYTES = 16
 TRICKLE_INTERVAL = 0.1
 """A member that trickles sends so many bytes at a time, so many seconds apart."""
@@ -122,7 +122,7 @@
         self.reset()
 
     def _send(self, data: bytes) -> None:
-        """Write bytes, in pieces if the member is told to cut or trickles."""
+        """Write bytes, in pieces if `piece_size` is set or the member trickles."""
         server = self._server
         size, pause = server.piece_size or len(data), 0.0
         if server.member.reach is Reach.TRICKLING:
@@ -168,7 +168,7 @@
         while self.member.reach is Reach.SILENT:
             self.changed.wait()
 
-    def heed(self) -> None:
+    def on_cluster_change(self) -> None:
         """Something changed in the cluster: listen or refuse, and wake the watches."""
         if self.member.reach is Reach.DOWN:
             self.stop()
@@ -222,7 +222,7 @@
     def __init__(self, size: int = 1, progress_interval: float = PROGRESS_INTERVAL) -> None:
         self.cluster = Cluster(size)
         self.members = tuple(MemberServer(member, progress_interval) for member in self.cluster.members)
-        self.cluster.listeners.append(self._heed)
+        self.cluster.listeners.append(self._on_cluster_change)
 
     @property
     def addresses(self) -> list[str]:
@@ -239,9 +239,9 @@
         for member in self.members:
             member.stop()
 
-    def _heed(self) -> None:
+    def _on_cluster_change(self) -> None:
         for member in self.members:
-            member.heed()
+            member.on_cluster_change()
 
     def __enter__(self) -> "EtcdServer":
         return self
--- a/tests/lab/standins/test_etcd_server.py
+++ b/tests/lab/standins/test_etcd_server.py
@@ -298,7 +298,7 @@
 
 def test_a_member_may_tell_another_cluster_or_revision(server: EtcdServer) -> None:
     server.cluster.members[0].cluster_id = 9
-    server.cluster.members[0].told_revision = 1_000_000
+    server.cluster.members[0].reported_revision = 1_000_000
     _, answer = client(server).ask("/v3/kv/range", {"key": text(b"a")})
     assert (answer["header"]["cluster_id"], answer["header"]["revision"]) == ("9", "1000000")
 
