--- a/benchmarks/settings_loopback.py
+++ b/benchmarks/settings_loopback.py
@@ -15,7 +15,7 @@
 import sys
 import tempfile
 import time
-from collections.abc import Iterator, Mapping, Sequence
+from collections.abc import Callable, Iterator, Mapping, Sequence
 from dataclasses import asdict, dataclass, field
 from pathlib import Path
 from types import TracebackType
@@ -355,36 +355,56 @@
     )
 
 
-def _slopes(runs: Sequence[Run], by: str, arguments: argparse.Namespace) -> Iterator[Slope]:
-    """The figures against the nodes or against the document."""
-    prefix = "settings-loopback" if by == "nodes" else "settings-loopback-document"
+@dataclass(slots=True, frozen=True)
+class Figure:
+    """One figure of a run, as a slope."""
+
+    name: str
+    title: str
+    unit: str
+    value: Callable[[Run], float]
+
+
+FIGURES = (
+    Figure(
+        "node-processor-share-quiet",
+        "part of a core for a node while nothing changes",
+        "cores",
+        lambda run: run.quiet.node_share,
+    ),
+    Figure("node-processor-share", "part of a core for a node", "cores", lambda run: run.changing.node_share),
+    Figure(
+        "member-processor-share",
+        "part of a core for a member of the stand-in",
+        "cores",
+        lambda run: run.changing.member_share,
+    ),
+    Figure("node-resident-bytes", "resident memory for a node", "bytes", lambda run: run.resident_bytes),
+    Figure(
+        "in-force-seconds",
+        "time until a change is in force at the last node",
+        "s",
+        lambda run: run.last_s,
+    ),
+)
+
+
+def _slopes(runs: Sequence[Run], arguments: argparse.Namespace) -> Iterator[Slope]:
+    """The figures against the nodes, or against the document if just that varies."""
+    by_document = len(arguments.nodes) == 1
+    prefix = "settings-loopback-document" if by_document else "settings-loopback"
+    fixed = f"{arguments.nodes[0]} nodes" if by_document else f"a document of {arguments.document_kib[0]} KiB"
     notes = (
-        f"loopback, the node's actor with {arguments.processes} process(es) of nodes, members in another; "
+        f"loopback, {fixed}; the node's actor, {arguments.processes} process(es) of nodes, members in another; "
         f"{arguments.seconds:g} s quiet, {arguments.seconds:g} s with a change every "
         f"{arguments.changes_every:g} s; items of {arguments.item_bytes} bytes"
     )
-    figures = (
-        ("node-processor-share-quiet", "part of a core for a node that waits", "cores", "quiet.node_share"),
-        ("node-processor-share", "part of a core for a node", "cores", "changing.node_share"),
-        (
-            "member-processor-share",
-            "part of a core for a stand-in's member",
-            "cores",
-            "changing.member_share",
-        ),
-        ("node-resident-bytes", "resident memory for a node", "bytes", "resident_bytes"),
-        ("in-force-seconds", "time until a change is in force at the last node", "s", "last_s"),
-    )
-    for name, title, unit, path in figures:
-        points = []
-        for run in runs:
-            value: Any = run
-            for part in path.split("."):
-                value = getattr(value, part)
-            size = run.nodes if by == "nodes" else run.document_bytes
-            points.append(Point(size, mean([value])))
-        variable = by if by == "nodes" else "document bytes"
-        yield Slope(f"{prefix}-{name}", title, variable, unit, tuple(points), notes)
+    for figure in FIGURES:
+        points = (
+            Point(run.document_bytes if by_document else run.nodes, mean([figure.value(run)])) for run in runs
+        )
+        variable = "document bytes" if by_document else "nodes"
+        yield Slope(f"{prefix}-{figure.name}", figure.title, variable, figure.unit, tuple(points), notes)
 
 
 def _whole_numbers(text: str) -> list[int]:
@@ -423,8 +443,7 @@
             runs.append(measure(nodes, kib * KIB, arguments))
             print(json.dumps(asdict(runs[-1])), flush=True)
     if arguments.out is not None:
-        by = "nodes" if len(arguments.nodes) > 1 else "document"
-        for slope in _slopes(runs, by, arguments):
+        for slope in _slopes(runs, arguments):
             write(arguments.out, slope, "python benchmarks/settings_loopback.py " + " ".join(sys.argv[1:]))
     return 0
 
