--- a/benchmarks/settings_loopback.py
+++ b/benchmarks/settings_loopback.py
@@ -395,7 +395,7 @@
     prefix = "settings-loopback-document" if by_document else "settings-loopback"
     fixed = f"{arguments.nodes[0]} nodes" if by_document else f"a document of {arguments.document_kib[0]} KiB"
     notes = (
-        f"loopback, {fixed}; the node's actor, {arguments.processes} process(es) of nodes, members in another; "
+        f"loopback, {fixed}; the node's actor, {arguments.processes} process(es) of nodes, one of members; "
         f"{arguments.seconds:g} s quiet, {arguments.seconds:g} s with a change every "
         f"{arguments.changes_every:g} s; items of {arguments.item_bytes} bytes"
     )
