--- a/irisstack/cli/lab.py
+++ b/irisstack/cli/lab.py
@@ -1,5 +1,6 @@
 """`irisstack lab`: play scenarios, sweep experiments, compare and report."""
 
+import copy
 from collections.abc import Callable, Iterator
 from contextlib import contextmanager
 from pathlib import Path
@@ -42,6 +43,13 @@
     """Play described worlds in virtual time or on real sockets, audit and compare them."""
 
 
+def _hidden_alias(command: click.Command, name: str) -> click.Command:
+    """A command under a former name: it works as before and is not listed."""
+    alias = copy.copy(command)
+    alias.name, alias.hidden = name, True
+    return alias
+
+
 @contextmanager
 def _bar(what: str) -> Iterator[Callable[[float], None]]:
     """A progress bar on standard error, from 0.0 to 1.0; nothing where that is no terminal."""
@@ -195,10 +203,10 @@
     world = build(found, seed)
     with _bar(found.scenario.name) as progress:
         played = play(world, POLICIES[policy], progress)
-    run, worth, breaches = results.audited(
+    run, score, breaches = results.audited(
         world, played.ledger, way="model", policy=policy, seed=seed, cpu_s=played.cpu_s, events=played.events
     )
-    _keep(out / f"{found.scenario.name}-model-{policy}-{seed}", world, run, worth, breaches, played.ledger)
+    _keep(out / f"{found.scenario.name}-model-{policy}-{seed}", world, run, score, breaches, played.ledger)
     _show(run, as_json)
     if not run.rules_kept:
         raise SystemExit(output.FAILED)
@@ -233,7 +241,7 @@
 def _run(found: "Scenario", seed: int | None, out: Path, as_json: bool) -> None:
     from irisstack.lab import results
     from irisstack.lab.sockets.play import play
-    from irisstack.lab.sockets.stage import StageError
+    from irisstack.lab.sockets.run_context import RunError
     from irisstack.lab.world import build
 
     seed = found.scenario.seed if seed is None else seed
@@ -242,13 +250,13 @@
     try:
         with _bar(found.scenario.name) as progress:
             played = play(world, folder / "nodes", progress)
-    except (StageError, OSError) as error:
+    except (RunError, OSError) as error:
         output.fail(str(error))
-    run, worth, breaches = results.audited(
+    run, score, breaches = results.audited(
         world, played.ledger, way="sockets", policy="module", seed=seed, cpu_s=played.cpu_s
     )
     run.partial, run.not_a_result = played.partial, played.not_a_result
-    _keep(folder, world, run, worth, breaches, played.ledger)
+    _keep(folder, world, run, score, breaches, played.ledger)
     _show(run, as_json)
     if not run.rules_kept or run.partial or run.not_a_result:
         raise SystemExit(output.FAILED)
@@ -270,7 +278,7 @@
 @set_option
 @out_option
 @output.json_option
-def knee(
+def capacity_search(
     scenario: str,
     first: float,
     steps: int,
@@ -279,31 +287,34 @@
     out: Path,
     as_json: bool,
 ) -> None:
-    """Raise the rate step by step on one real node, without SCENARIO's troubles, until it turns."""
-    from irisstack.lab import knee as climbing
-    from irisstack.lab.sockets.stage import StageError
+    """Raise the rate step by step on one real node, without SCENARIO's troubles, until it is saturated."""
+    from irisstack.lab import capacity_search as search
+    from irisstack.lab.sockets.run_context import RunError
 
     found = _scenario(scenario, changes)
-    folder = out / f"{found.scenario.name}-knee"
-    seen: list[climbing.Step] = []
+    folder = out / f"{found.scenario.name}-capacity-search"
+    steps_played: list[search.LoadStep] = []
     try:
-        with _bar("knee") as progress:
-            seen.extend(climbing.climb(found, first, steps, seconds, progress))
+        with _bar("capacity search") as progress:
+            steps_played.extend(search.search(found, first, steps, seconds, progress))
         folder.mkdir(parents=True, exist_ok=True)
-        climbing.write_page(folder / "report.html", found.scenario.name, seen)
-    except (StageError, OSError) as error:
+        search.write_page(folder / "report.html", found.scenario.name, steps_played)
+    except (RunError, OSError) as error:
         output.fail(str(error))
-    output.table(climbing.COLUMNS, climbing.rows(seen), as_json)
-    click.echo(climbing.verdict(seen), err=True)
+    output.table(search.COLUMNS, search.rows(steps_played), as_json)
+    click.echo(search.summary(steps_played), err=True)
+
+
+lab.add_command(_hidden_alias(capacity_search, "knee"))
 
 
-def _keep(folder: Path, world: Any, run: Any, worth: Any, breaches: Any, entries: Any) -> None:
+def _keep(folder: Path, world: Any, run: Any, score: Any, breaches: Any, entries: Any) -> None:
     """Save a run with its page."""
     from irisstack.lab import report, results
 
     try:
         results.save(folder, world.scenario, run, entries)
-        report.write(folder / "report.html", report.of_run(world, run, worth, breaches, entries))
+        report.write(folder / "report.html", report.of_run(world, run, score, breaches, entries))
     except OSError as error:
         output.fail(f"{folder}: cannot be written: {error.strerror}")
     click.echo(f"kept in {folder}, report in {folder / 'report.html'}", err=True)
@@ -439,7 +450,7 @@
     except (OSError, ValueError, EOFError, DocumentError) as error:
         output.fail(str(error))
     world = build(scenario, kept.seed)
-    run, worth, breaches = results.audited(world, entries, way=kept.way, policy=kept.policy, seed=kept.seed)
+    run, score, breaches = results.audited(world, entries, way=kept.way, policy=kept.policy, seed=kept.seed)
     run.versions, run.partial, run.not_a_result = kept.versions, kept.partial, kept.not_a_result
-    report.write(folder / "report.html", report.of_run(world, run, worth, breaches, entries))
+    report.write(folder / "report.html", report.of_run(world, run, score, breaches, entries))
     click.echo(f"report in {folder / 'report.html'}", err=True)
--- a/irisstack/lab/sockets/partner_process.py
+++ b/irisstack/lab/sockets/partner_process.py
@@ -1,6 +1,7 @@
-"""A process that holds some of a run's partners; told what to do, and telling, by lines of JSON.
+"""A worker process that serves some of a run's partners.
 
-It draws the same world from the same scenario and seed. What it must know of a message is in the request id.
+It reads commands from standard input and reports on standard output, one JSON object a line. It generates the
+same world from the same scenario and seed; a message is recognised by its request id.
 """
 
 import json
@@ -14,81 +15,83 @@
 from irisstack.lab import ledger as book
 from irisstack.lab.lateness import Lateness
 from irisstack.lab.scenario import Scenario
+from irisstack.lab.sockets.fault_injection import FaultInjector
 from irisstack.lab.sockets.partners import Partners
-from irisstack.lab.sockets.stage import Handing, Stage, parse
-from irisstack.lab.sockets.strikes import Strikes
+from irisstack.lab.sockets.run_context import RunContext, Submission, parse_request_id
 from irisstack.lab.world import build
 
-NEWS_EVERY = 0.05
-"""Seconds between two lines on what was called and delivered."""
-NUMBERS_APART = 100_000
-"""Between the numbers of new endpoints of one process and the next."""
+REPORT_INTERVAL = 0.05
+"""Seconds between two reports on what was called and delivered."""
+NUMBER_RANGE = 100_000
+"""Numbers of new endpoints that each process has to itself."""
 
 
-class RemoteStage(Stage):
-    """A stage that learns of a message from its request id."""
+class RemoteRunContext(RunContext):
+    """The run as a worker process knows it: submissions are recovered from their request ids."""
 
-    def find(self, id_: str) -> Handing | None:
-        found = self.handings.get(id_)
-        if found is None and (parts := parse(id_)) is not None:
+    def find(self, id_: str) -> Submission | None:
+        found = self.submissions.get(id_)
+        if found is None and (parts := parse_request_id(id_)) is not None:
             number, chain, node = parts
             if 0 < chain <= len(self.world.messages):
                 message = self.world.messages[chain - 1]
                 kind = self.world.scenario.classes[message.message_class]
-                found = self.handings[id_] = Handing(number, message, node, message.at + kind.deadline_s, 1)
+                found = self.submissions[id_] = Submission(
+                    number, message, node, message.at + kind.deadline_s, 1
+                )
         return found
 
 
 def main() -> int:
-    """Serve until told to stop or the other end is gone."""
+    """Serve until asked to stop or until the parent process has ended; returns the exit code."""
     lines = FileObject(sys.stdin.fileno(), "rb", closefd=False)
-    told = json.loads(lines.readline())
-    world = build(Scenario.model_validate(told["scenario"]), told["seed"])
-    world.next_endpoint += told["process"] * NUMBERS_APART
-    stage = RemoteStage(world)
-    partners = Partners(stage, told["destinations"])
-
-    def say(**news: Any) -> None:
-        sys.stdout.write(json.dumps(news) + "\n")
+    job = json.loads(lines.readline())
+    world = build(Scenario.model_validate(job["scenario"]), job["seed"])
+    world.next_endpoint += job["process"] * NUMBER_RANGE
+    context = RemoteRunContext(world)
+    partners = Partners(context, job["destinations"])
+
+    def send(**report: Any) -> None:
+        sys.stdout.write(json.dumps(report) + "\n")
         sys.stdout.flush()
 
-    strikes = Strikes(
-        stage,
+    injector = FaultInjector(
+        context,
         partners,
-        lambda endpoint, destination, phase, address: say(listed=[endpoint, destination, phase, *address]),
+        lambda endpoint, destination, phase, address: send(listed=[endpoint, destination, phase, *address]),
     )
-    say(ready={number: server.address for number, server in partners.servers.items()})
-    begun = json.loads(lines.readline() or b"{}")
-    if "began" not in begun:
+    send(ready={number: server.address for number, server in partners.servers.items()})
+    start = json.loads(lines.readline() or b"{}")
+    if "began" not in start:
         return 1
-    stage.began = begun["began"]
-    strikes.plan()
+    context.started_at = start["began"]
+    injector.schedule()
     lateness = Lateness()
     helpers: list[gevent.Greenlet[..., None]] = [
         gevent.spawn(lateness.watch),
-        gevent.spawn(_tell_news, stage, say),
+        gevent.spawn(_report_progress, context, send),
     ]
-    lines.readline()  # "stop", or the end of the other process
+    lines.readline()  # "stop", or the end of the parent process
     gevent.killall(helpers)
     partners.stop()
-    book.write(Path(told["ledger"]), stage.ledger)
-    say(done=[lateness.at(0.99), lateness.most], faults=stage.faults)
+    book.write(Path(job["ledger"]), context.ledger)
+    send(done=[lateness.at(0.99), lateness.most], faults=context.invalid_reasons)
     return 0
 
 
-def _tell_news(stage: Stage, say: Any) -> None:
-    """Which messages were called or delivered since the last line."""
+def _report_progress(context: RunContext, send: Any) -> None:
+    """Report for ever which messages were called or delivered since the last report."""
     known: dict[int, tuple[bool, bool]] = {}
     while True:
-        gevent.sleep(NEWS_EVERY)
-        news = []
-        for handing in stage.take_touched():
-            state = handing.called, handing.over
-            if known.get(handing.number) != state:
-                known[handing.number] = state
-                news.append([handing.number, handing.over])
-        if news:
-            say(news=news)
+        gevent.sleep(REPORT_INTERVAL)
+        changes = []
+        for submission in context.take_changed():
+            state = submission.called, submission.over
+            if known.get(submission.number) != state:
+                known[submission.number] = state
+                changes.append([submission.number, submission.over])
+        if changes:
+            send(news=changes)
 
 
 if __name__ == "__main__":
