Capacity: targets, result files, fits, and the module's memory for each destination

Need: the page on capacity has to come from measured slopes, so that a changed slope changes the page. Change: irisstack/lab/capacity (targets, result, fit, extrapolation, runner) and 'irisstack lab capacity measure NAME'.

--- /dev/null
+++ b/irisstack/cli/capacity.py
@@ -0,0 +1,55 @@
+"""`irisstack lab capacity`: measure slopes, write the page's tables from them, check that they agree."""
+
+from pathlib import Path
+
+import click
+
+from irisstack.cli import output
+
+RESULTS = Path("docs/measurements/capacity")
+PAGE = Path("docs/CAPACITY.md")
+
+results_option = click.option(
+    "--results",
+    type=click.Path(path_type=Path),
+    default=RESULTS,
+    show_default=True,
+    help="the folder of the result files",
+)
+page_option = click.option(
+    "--page",
+    type=click.Path(path_type=Path),
+    default=PAGE,
+    show_default=True,
+    help="the page with the tables",
+)
+
+
+@click.group()
+def capacity() -> None:
+    """Measure how state and cost grow, and hold them against the size to plan for."""
+
+
+@capacity.command()
+@click.argument("name")
+@results_option
+def measure(name: str, results: Path) -> None:
+    """Run the measurement NAME, or `all`, and keep its slopes."""
+    from irisstack.lab.capacity import result, runner
+    from irisstack.lab.capacity.measurements import MEASUREMENTS
+
+    if name != "all" and name not in MEASUREMENTS:
+        known = ", ".join(MEASUREMENTS)
+        output.fail(f"{name}: one of {known} or all is due", output.ASKED_WRONGLY)
+    wanted = list(MEASUREMENTS.values()) if name == "all" else [MEASUREMENTS[name]]
+    for measurement in wanted:
+        label = measurement.name
+
+        def progress(size: int, run: int, label: str = label) -> None:
+            click.echo(f"{label}: size {size:,}, run {run}", err=True)
+
+        try:
+            for slope in runner.run(measurement, progress):
+                click.echo(result.save(results, slope))
+        except OSError as error:
+            output.fail(f"{label}: {error}")
--- a/irisstack/cli/lab.py
+++ b/irisstack/cli/lab.py
@@ -9,6 +9,7 @@
 from rich.progress import BarColumn, Progress, TextColumn, TimeRemainingColumn
 
 from irisstack.cli import output
+from irisstack.cli.capacity import capacity
 from irisstack.configuration.document import DocumentError
 
 if TYPE_CHECKING:
@@ -42,6 +43,9 @@
     """Play described worlds in virtual time or on real sockets, audit and compare them."""
 
 
+lab.add_command(capacity)
+
+
 @contextmanager
 def _bar(what: str) -> Iterator[Callable[[float], None]]:
     """A progress bar on standard error, from 0.0 to 1.0; nothing where that is no terminal."""
--- /dev/null
+++ b/tests/lab/capacity/test_fit.py
@@ -0,0 +1,103 @@
+"""Fits and what is worked out from them, on points whose answer is known."""
+
+import math
+
+import pytest
+
+from irisstack.lab.capacity import targets
+from irisstack.lab.capacity.extrapolation import extrapolate, percent
+from irisstack.lab.capacity.fit import Fit, FitError, Form, fit
+from irisstack.lab.capacity.result import Point, SlopeResult
+from irisstack.node import http
+
+SIZES = (100.0, 1_000.0, 10_000.0, 100_000.0)
+
+
+def points(*values: float) -> tuple[Point, ...]:
+    return tuple(Point(size, value, 1) for size, value in zip(SIZES, values, strict=True))
+
+
+def result(*values: float) -> SlopeResult:
+    return SlopeResult(
+        slope="a-slope",
+        title="",
+        variable="things",
+        unit="bytes",
+        command="",
+        commit="",
+        measured_at="",
+        machine="",
+        points=points(*values),
+    )
+
+
+def test_a_line_is_found_again() -> None:
+    found = fit(points(*(50.0 + 3.0 * size for size in SIZES)))
+    assert found.form is Form.LINE
+    assert found.constant == pytest.approx(50.0)
+    assert found.factor == pytest.approx(3.0)
+    assert found.residual == pytest.approx(0.0, abs=1e-9)
+    assert found.at(1e6) == pytest.approx(3_000_050.0)
+    assert found.size_at(3_000_050.0) == pytest.approx(1e6)
+
+
+def test_a_square_is_no_line() -> None:
+    found = fit(points(*(2.0 * size**2 for size in SIZES)))
+    assert found.form is Form.POWER
+    assert found.exponent == pytest.approx(2.0)
+    assert found.size_at(200.0) == pytest.approx(10.0)
+
+
+def test_the_residual_is_the_mean_relative_deviation() -> None:
+    found = fit(points(90.0, 1_100.0, 9_000.0, 110_000.0))
+    assert found.residual == pytest.approx(0.1, rel=0.05)
+
+
+@pytest.mark.parametrize("values", [(23.0, 24.0, 22.0, 23.0), (26.0, 25.0, 24.0, 20.0)])
+def test_a_cost_that_does_not_grow_never_reaches_a_budget_above_it(values: tuple[float, ...]) -> None:
+    found = fit(points(*values))
+    assert found.factor >= 0.0
+    assert found.at(1e7) == pytest.approx(23.0, rel=0.2)
+    assert found.size_at(1e6) > 1e9
+
+
+def test_no_part_of_a_line_is_below_nothing() -> None:
+    found = fit(points(50.0, 990.0, 10_500.0, 105_000.0))
+    assert found.constant >= 0.0
+    assert found.at(1.0) >= 0.0
+
+
+def test_a_budget_below_the_constant_part_is_broken_from_the_first() -> None:
+    assert Fit(Form.LINE, 10.0, 1.0, 1.0, 0.0).size_at(9.0) == 0.0
+
+
+def test_too_few_sizes_and_values_of_nothing_are_refused() -> None:
+    with pytest.raises(FitError, match="4 sizes"):
+        fit(points(1.0, 2.0, 3.0, 4.0)[:3])
+    with pytest.raises(FitError, match="above 0"):
+        fit(points(0.0, 1.0, 2.0, 3.0))
+
+
+def test_an_extrapolation_tells_its_factor_and_where_the_budget_is_reached() -> None:
+    found = extrapolate(result(*(10.0 * size for size in SIZES)), 1e6, 5e6)
+    assert found.factor == pytest.approx(10.0)
+    assert found.value == pytest.approx(1e7)
+    assert found.breaking_fraction == pytest.approx(0.5)
+    assert found.over_budget
+    assert extrapolate(result(*(10.0 * size for size in SIZES)), 1e6, None).breaking_fraction is None
+
+
+def test_fractions_as_read() -> None:
+    assert [percent(f) for f in (0.0123, 0.5, 1.02, math.inf)] == ["1.23%", "50%", "102%", "does not break"]
+
+
+def test_the_limit_of_a_list_is_the_nodes_own() -> None:
+    assert targets.LIST_BYTES_LIMIT == http.MAX_LIST
+
+
+def test_what_follows_from_the_targets() -> None:
+    assert targets.ZONE_NODES == 105
+    assert targets.REGION_NODES == 420
+    assert targets.DESTINATIONS_DOWN == 1_900
+    assert targets.NODE_BACKLOG_EVENTS == 10_119_047
+    assert targets.SETTINGS_CHANGE_INTERVAL_S == 36.0
