--- a/irisstack/lab/capacity/fit.py
+++ b/irisstack/lab/capacity/fit.py
@@ -64,7 +64,8 @@
     if any(point.value <= 0.0 for point in points):
         raise FitError("values above 0 are due")
     line, power = fit_line(points), fit_power(points)
-    return power if power.residual < CLEARLY_CLOSER * line.residual else line
+    grows = power.exponent > 0.0
+    return power if grows and power.residual < CLEARLY_CLOSER * line.residual else line
 
 
 def fit_line(points: Sequence[Point]) -> Fit:
