Capacity: expected slopes with budgets, and the ranking by where each budget is reached

Need: one order of the parts that break first on the way to the size to plan for. Change: registry (slope, target size, budgets and their source), outlook (joins results and registry), units.

--- /dev/null
+++ b/irisstack/lab/capacity/outlook.py
@@ -0,0 +1,115 @@
+"""Results joined with the registry: every expected slope with what was measured, and the ranking. Pure."""
+
+import math
+from collections.abc import Iterator, Mapping, Sequence
+from dataclasses import dataclass
+from fnmatch import fnmatchcase
+
+from irisstack.lab.capacity.fit import Fit, FitError, fit
+from irisstack.lab.capacity.registry import Budget, ExpectedSlope
+from irisstack.lab.capacity.result import SlopeResult
+
+
+@dataclass(slots=True, frozen=True)
+class MeasuredOutlook:
+    """A result with its fit and, where the registry knows it, what it is expected for."""
+
+    result: SlopeResult
+    fit: Fit | None
+    """`None` where nothing can be fitted, for `problem`."""
+    problem: str
+    expected: ExpectedSlope | None
+
+    @property
+    def largest_size(self) -> float:
+        return max(point.size for point in self.result.points)
+
+    @property
+    def factor(self) -> float | None:
+        """Target size over the largest size measured."""
+        if self.expected is None or self.expected.target_size is None:
+            return None
+        return self.expected.target_size / self.largest_size
+
+    @property
+    def at_target(self) -> float | None:
+        """The fitted value at the target size."""
+        if self.fit is None or self.expected is None or self.expected.target_size is None:
+            return None
+        return self.fit.at(self.expected.target_size)
+
+
+@dataclass(slots=True, frozen=True)
+class Row:
+    """One measured slope held against one budget, for the ranking."""
+
+    outlook: MeasuredOutlook
+    budget: Budget
+    breaking_size: float
+    breaking_fraction: float | None
+    """Of the target size; `None` where there is no target size."""
+
+    @property
+    def over_budget(self) -> bool:
+        return self.breaking_fraction is not None and self.breaking_fraction < 1.0
+
+
+@dataclass(slots=True, frozen=True)
+class Outlook:
+    """All that the page shows."""
+
+    measured: tuple[MeasuredOutlook, ...]
+    """In the registry's order; results that it does not know come last."""
+    missing: tuple[ExpectedSlope, ...]
+    rows: tuple[Row, ...]
+    """Those with a breaking fraction, smallest first; then those without a target size."""
+
+    def find(self, name: str) -> MeasuredOutlook | None:
+        """The measured slope of that name."""
+        return next((outlook for outlook in self.measured if outlook.result.slope == name), None)
+
+
+def join(results: Mapping[str, SlopeResult], registry: Sequence[ExpectedSlope]) -> Outlook:
+    """Match results to the registry, fit them, and rank them by where their budgets are reached."""
+    left = dict(results)
+    measured: list[MeasuredOutlook] = []
+    missing: list[ExpectedSlope] = []
+    for expected in registry:
+        names = [name for name in left if fnmatchcase(name, expected.name)]
+        if not names:
+            missing.append(expected)
+        measured.extend(_measured(left.pop(name), expected) for name in names)
+    measured.extend(_measured(result, None) for result in left.values())
+    rows = [row for outlook in measured for row in _rows(outlook)]
+    rows.sort(key=lambda row: (row.breaking_fraction is None, row.breaking_fraction or 0.0, _name(row)))
+    return Outlook(tuple(measured), tuple(missing), tuple(rows))
+
+
+def _name(row: Row) -> str:
+    return row.outlook.result.slope
+
+
+def _measured(result: SlopeResult, expected: ExpectedSlope | None) -> MeasuredOutlook:
+    try:
+        return MeasuredOutlook(result, fit(result.points), "", expected)
+    except FitError as error:
+        return MeasuredOutlook(result, None, str(error), expected)
+
+
+def _rows(outlook: MeasuredOutlook) -> Iterator[Row]:
+    expected, fitted = outlook.expected, outlook.fit
+    if expected is None or fitted is None:
+        return
+    for budget in expected.budgets:
+        size = fitted.size_at(budget.limit)
+        fraction = None if expected.target_size is None else size / expected.target_size
+        yield Row(outlook, budget, size, fraction)
+
+
+def percent(fraction: float) -> str:
+    """A part of the target size as a person reads it."""
+    if math.isinf(fraction):
+        return "does not break"
+    if fraction > 100.0:
+        return "over 100 times"
+    return f"{fraction:.2%}" if fraction < 0.1 else f"{fraction:.0%}"
--- a/irisstack/lab/capacity/targets.py
+++ b/irisstack/lab/capacity/targets.py
@@ -32,8 +32,17 @@
 SETTINGS_CHANGE_INTERVAL_S = DAY_S / SETTINGS_CHANGES_PER_DAY
 
 LIST_BYTES_LIMIT = 16 * 1024 * 1024
-"""`MAX_LIST` of `irisstack/node/http.py`: a whole list above it is refused. A test compares the two."""
+"""`MAX_LIST` of `irisstack/node/http.py`: a whole list above it is refused. Tests compare such copies."""
 
+LIST_SILENCE_S = 3.5
+"""`SILENCE` of `irisstack/node/discovery.py`: a call for the list that has no whole object by then ends."""
+LIST_NEWS_WITHIN_S = 6.0
+"""News of the list is due at a node by then (docs/design.md, 12)."""
+REQUEST_WHOLE_BY_S = 2.5
+"""`WHOLE_BY` of `irisstack/node/intake.py`."""
+
+ASSUMED_LIST_CHANGES_PER_S = 1.0
+"""The operators gave no rate of changes of the endpoint list: this one is ours."""
 ASSUMED_NODE_MEMORY_BYTES = 4_000_000_000
 """What one node may hold in all. The operators gave no figure: this one is ours."""
 ASSUMED_NODE_DISK_BYTES = 64_000_000_000
