The page on capacity: tables written from the results, and a check that they agree

Need: docs/CAPACITY.md must follow the measured slopes, mark what is over its budget and say what was not measured.

--- /dev/null
+++ b/benchmarks/owed_messages.py
@@ -0,0 +1,144 @@
+"""What messages owed cost a real node: memory, the lasting folder, and the time until it serves again.
+
+    python benchmarks/owed_messages.py
+
+writes a lasting folder with so many messages owed, in a process of its own, and starts a real node on it,
+as after a kill. The folder's format is the node's own, so that this stands outside of the laboratory, which
+knows a node by its start and its sockets alone.
+"""
+
+import sys
+import tempfile
+import time
+from collections.abc import Mapping
+from concurrent.futures import ProcessPoolExecutor
+from multiprocessing import get_context
+from pathlib import Path
+from typing import Any
+
+from irisstack.lab.capacity import result, runner
+from irisstack.lab.capacity.measurements.measured_node import (
+    PEAK_RESIDENT,
+    RESIDENT,
+    MeasuredNode,
+    MeasuredNodeError,
+)
+from irisstack.lab.capacity.measurements.measurement import MeasuredSlope, Measurement
+from irisstack.lab.capacity.measurements.node_list import node_settings, world_of
+from irisstack.node.store import Entry, Store
+
+RESULTS = Path(__file__).resolve().parents[1] / "docs" / "measurements" / "capacity"
+MESSAGES = (1_000, 10_000, 100_000, 1_000_000)
+MESSAGE_CLASS = "warning-notice"
+DESTINATIONS = 1_000
+BODY = b"x" * 200
+AIM_S, DEADLINE_S = 1e5, 1e6
+NO_LIMIT = 100_000_000
+ROOM_A_MESSAGE = 2_000
+"""Bytes of the folder's limit for each message: five twelfths of it are kept free."""
+LEAST_DISK_BYTES = 16_000_000
+RECORDS_A_WRITE = 1_000
+NOWHERE = "127.0.0.1:9"
+
+
+def disk_bytes(messages: int) -> int:
+    """A limit of the folder in which so many messages find room."""
+    return max(LEAST_DISK_BYTES, messages * ROOM_A_MESSAGE)
+
+
+def fill(folder: Path, messages: int) -> None:
+    """Put so many messages owed on record, as a node does that takes them on."""
+    now = time.time()
+    store = Store(folder, disk_bytes(messages), now)
+    for start in range(1, messages + 1, RECORDS_A_WRITE):
+        numbers = range(start, min(start + RECORDS_A_WRITE, messages + 1))
+        for number in numbers:
+            store.take(_entry(number, now + DEADLINE_S))
+        store.write([store.taken(number) for number in numbers], now)
+    store.close()
+
+
+def _entry(number: int, due: float) -> Entry:
+    return Entry(
+        number=number,
+        id=f"{number:020x}",
+        key=f"{number:032x}",
+        message_class=MESSAGE_CLASS,
+        tenant=0,
+        destination=1 + number % DESTINATIONS,
+        due=due,
+        is_retry=False,
+        from_dead_sender=False,
+        body=BODY,
+    )
+
+
+def settings() -> dict[str, Any]:
+    """Settings under which nothing expires and nothing is refused for want of room."""
+    found = node_settings(world_of(1))
+    found["allowed"]["mostHeld"] = NO_LIMIT
+    for lane in found["lanes"]:
+        lane.update(slo=AIM_S, hardLimit=DEADLINE_S)
+    return found
+
+
+def measure(messages: int) -> Mapping[str, float]:
+    """Start a node that owes so many messages; no list names their destinations, so that none is sent."""
+    with (
+        tempfile.TemporaryDirectory(prefix="irisstack-owed-") as folder,
+        MeasuredNode(Path(folder), NOWHERE, {}, settings(), disk_bytes(messages) / 1e6) as node,
+    ):
+        with ProcessPoolExecutor(max_workers=1, mp_context=get_context("spawn")) as pool:
+            pool.submit(fill, node.state, messages).result()
+        on_disk = sum(path.stat().st_size for path in node.state.iterdir())
+        ready = node.start()
+        began = time.monotonic()
+        if (status := node.ask("POST", f"/{MESSAGE_CLASS}", _headers())) != 202:
+            raise MeasuredNodeError(f"a message was answered {status}")
+        answered = ready + time.monotonic() - began
+        node.settle()
+        return {
+            "owed-ready": answered,
+            "owed-memory": node.memory_bytes(RESIDENT),
+            "owed-peak": node.memory_bytes(PEAK_RESIDENT),
+            "owed-disk": on_disk,
+        }
+
+
+def _headers() -> Mapping[str, str]:
+    return {
+        "X-Request-ID": "probe",
+        "X-Timeout": "100",
+        "X-Consignee": "dest=1",
+        "Idempotency-Key": "probe",
+    }
+
+
+MEASUREMENT = Measurement(
+    "owed-messages",
+    "messages owed",
+    (
+        MeasuredSlope("owed-ready", "from a start until the first message is answered", "seconds"),
+        MeasuredSlope("owed-memory", "memory of a node that owes messages", "bytes"),
+        MeasuredSlope("owed-peak", "most memory of a node that starts with messages owed", "bytes"),
+        MeasuredSlope("owed-disk", "lasting folder with messages owed", "bytes"),
+    ),
+    MESSAGES,
+    1,
+    measure,
+    f"a real process; bodies of {len(BODY)} bytes; messages taken on and not yet sent; no list",
+    "python benchmarks/owed_messages.py",
+)
+
+
+def main() -> int:
+    """Measure at every size and write the result files."""
+    for slope in runner.run(
+        MEASUREMENT, lambda size, run: print(f"size {size:,}, run {run}", file=sys.stderr)
+    ):
+        print(result.save(RESULTS, slope))
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- a/irisstack/cli/capacity.py
+++ b/irisstack/cli/capacity.py
@@ -1,11 +1,15 @@
 """`irisstack lab capacity`: measure slopes, write the page's tables from them, check that they agree."""
 
 from pathlib import Path
+from typing import TYPE_CHECKING
 
 import click
 
 from irisstack.cli import output
 
+if TYPE_CHECKING:
+    from irisstack.lab.capacity.outlook import Outlook
+
 RESULTS = Path("docs/measurements/capacity")
 PAGE = Path("docs/CAPACITY.md")
 
@@ -53,3 +57,47 @@
                 click.echo(result.save(results, slope))
         except OSError as error:
             output.fail(f"{label}: {error}")
+
+
+@capacity.command()
+@results_option
+@page_option
+def write(results: Path, page: Path) -> None:
+    """Write the page's tables anew from the result files; its prose stays."""
+    from irisstack.lab.capacity.page import PageError, written
+
+    try:
+        text = page.read_text()
+        page.write_text(written(text, _outlook(results)))
+    except OSError as error:
+        output.fail(f"{page}: {error.strerror}")
+    except PageError as error:
+        output.fail(f"{page}: {error}")
+    click.echo(page)
+
+
+@capacity.command()
+@results_option
+@page_option
+def check(results: Path, page: Path) -> None:
+    """Fail if the page's tables are not what the result files give."""
+    from irisstack.lab.capacity.page import PageError, differing
+
+    try:
+        names = differing(page.read_text(), _outlook(results))
+    except OSError as error:
+        output.fail(f"{page}: {error.strerror}")
+    except PageError as error:
+        output.fail(f"{page}: {error}")
+    if names:
+        output.fail(f"{page}: not what the results give: {', '.join(names)}; irisstack lab capacity write")
+
+
+def _outlook(folder: Path) -> "Outlook":
+    """The results of a folder joined with what is expected; a bad file ends the command."""
+    from irisstack.lab.capacity import outlook, registry, result
+
+    try:
+        return outlook.join(result.load_all(folder), registry.EXPECTED)
+    except result.ResultError as error:
+        output.fail(str(error))
--- a/irisstack/lab/capacity/measurements/measurement.py
+++ b/irisstack/lab/capacity/measurements/measurement.py
@@ -25,3 +25,5 @@
     runs: int
     measure: Callable[[int], Mapping[str, float]]
     notes: str = ""
+    command: str = ""
+    """What gives it, where that is not `irisstack lab capacity measure NAME`."""
--- a/irisstack/lab/capacity/outlook.py
+++ b/irisstack/lab/capacity/outlook.py
@@ -9,6 +9,9 @@
 from irisstack.lab.capacity.registry import Budget, ExpectedSlope
 from irisstack.lab.capacity.result import SlopeResult
 
+FAR_BEYOND = 100.0
+"""Times the target size beyond which a breaking point is no figure any more."""
+
 
 @dataclass(slots=True, frozen=True)
 class MeasuredOutlook:
@@ -110,6 +113,6 @@
     """A part of the target size as a person reads it."""
     if math.isinf(fraction):
         return "does not break"
-    if fraction > 100.0:
-        return "over 100 times"
+    if fraction > FAR_BEYOND:
+        return f"over {FAR_BEYOND:.0f} times"
     return f"{fraction:.2%}" if fraction < 0.1 else f"{fraction:.0%}"
--- a/irisstack/lab/capacity/registry.py
+++ b/irisstack/lab/capacity/registry.py
@@ -61,6 +61,11 @@
 ONE_EVENT = Budget(
     targets.EVENT_PROCESSOR_S, Source.OPERATORS, "one core over a node's even part of the events"
 )
+ONE_TURN_EACH = Budget(
+    targets.EVENT_PROCESSOR_S,
+    Source.OPERATORS,
+    "one core over a node's even part of the events, each in turns of its own",
+)
 LIST_LIMIT = Budget(targets.LIST_BYTES_LIMIT, Source.CODE, "MAX_LIST of node/http.py")
 LIST_AT_CONTROL_BANDWIDTH = Budget(
     targets.CONTROL_BYTES_PER_S * targets.LIST_SILENCE_S,
@@ -129,7 +134,7 @@
         "decisions on one message, shut destinations with messages in line",
         float(targets.DESTINATIONS_DOWN),
         "destinations down, each with a message in line, as in a backlog",
-        (ONE_EVENT,),
+        (ONE_TURN_EACH,),
         "choice",
     ),
     ExpectedSlope(
--- a/irisstack/lab/capacity/runner.py
+++ b/irisstack/lab/capacity/runner.py
@@ -36,7 +36,7 @@
             title=slope.title,
             variable=measurement.variable,
             unit=slope.unit,
-            command=f"irisstack lab capacity measure {measurement.name}",
+            command=measurement.command or f"irisstack lab capacity measure {measurement.name}",
             commit=commit,
             measured_at=today,
             machine=machine,
--- a/irisstack/lab/capacity/targets.py
+++ b/irisstack/lab/capacity/targets.py
@@ -26,6 +26,10 @@
 NODE_BACKLOG_EVENTS = BACKLOG_EVENTS // NODES
 EVENT_PROCESSOR_S = 1.0 / NODE_EVENTS_PER_S
 """Seconds of one core that an event may cost a node, which is one process on one core, at its even part."""
+ASSUMED_DEADLINE_S = 20.0
+"""How long a message may wait, as in the example's classes. Ours: the operators gave none."""
+SHUT_IN_LINE_WITHOUT_BACKLOG = round(NODE_EVENTS_PER_S * DESTINATIONS_DOWN_SHARE * ASSUMED_DEADLINE_S)
+"""Shut destinations with a message in line at one node, where no message waits beyond its deadline."""
 EVENTS_PER_S_WITHOUT_ZONE = EVENTS_PER_S / (NODES - ZONE_NODES)
 EVENTS_PER_S_WITHOUT_REGION = EVENTS_PER_S / REGION_NODES
 DAY_S = 86_400.0
