Capacity: within the sizes measured the points count, beyond them the fit

Change: curve.py interpolates between points, and the ranking tells the factor by which a row is extrapolated.

--- a/irisstack/lab/capacity/outlook.py
+++ b/irisstack/lab/capacity/outlook.py
@@ -5,7 +5,8 @@
 from dataclasses import dataclass
 from fnmatch import fnmatchcase
 
-from irisstack.lab.capacity.fit import Fit, FitError, fit
+from irisstack.lab.capacity.curve import Curve, curve
+from irisstack.lab.capacity.fit import FitError
 from irisstack.lab.capacity.registry import Budget, ExpectedSlope
 from irisstack.lab.capacity.result import SlopeResult
 
@@ -15,31 +16,31 @@
 
 @dataclass(slots=True, frozen=True)
 class MeasuredOutlook:
-    """A result with its fit and, where the registry knows it, what it is expected for."""
+    """A result with its curve and, where the registry knows it, what it is expected for."""
 
     result: SlopeResult
-    fit: Fit | None
+    curve: Curve | None
     """`None` where nothing can be fitted, for `problem`."""
     problem: str
     expected: ExpectedSlope | None
 
     @property
-    def largest_size(self) -> float:
-        return max(point.size for point in self.result.points)
+    def target_size(self) -> float | None:
+        return None if self.expected is None else self.expected.target_size
 
     @property
     def factor(self) -> float | None:
-        """Target size over the largest size measured."""
-        if self.expected is None or self.expected.target_size is None:
+        """Target size over the largest size measured; up to 1 the target lies within what was measured."""
+        if self.curve is None or self.target_size is None:
             return None
-        return self.expected.target_size / self.largest_size
+        return self.target_size / self.curve.largest_size
 
     @property
     def at_target(self) -> float | None:
-        """The fitted value at the target size."""
-        if self.fit is None or self.expected is None or self.expected.target_size is None:
+        """The value at the target size."""
+        if self.curve is None or self.target_size is None:
             return None
-        return self.fit.at(self.expected.target_size)
+        return self.curve.at(self.target_size)
 
 
 @dataclass(slots=True, frozen=True)
@@ -94,17 +95,17 @@
 
 def _measured(result: SlopeResult, expected: ExpectedSlope | None) -> MeasuredOutlook:
     try:
-        return MeasuredOutlook(result, fit(result.points), "", expected)
+        return MeasuredOutlook(result, curve(result.points), "", expected)
     except FitError as error:
         return MeasuredOutlook(result, None, str(error), expected)
 
 
 def _rows(outlook: MeasuredOutlook) -> Iterator[Row]:
-    expected, fitted = outlook.expected, outlook.fit
-    if expected is None or fitted is None:
+    expected, found = outlook.expected, outlook.curve
+    if expected is None or found is None:
         return
     for budget in expected.budgets:
-        size = fitted.size_at(budget.limit)
+        size = found.size_at(budget.limit)
         fraction = None if expected.target_size is None else size / expected.target_size
         yield Row(outlook, budget, size, fraction)
 
--- a/irisstack/lab/capacity/tables.py
+++ b/irisstack/lab/capacity/tables.py
@@ -47,7 +47,7 @@
 
 def ranking_table(outlook: Outlook) -> str:
     """Every budget and the part of the target size at which it is reached, smallest first."""
-    columns = ["breaks at", "of the target", "part", "at the target", "budget", "from", "slope"]
+    columns = ["breaks at", "of the target", "part", "at the target", "factor", "budget", "from", "slope"]
     missing = [_missing_rank(slope) for slope in outlook.missing if slope.budgets]
     return markdown(columns, [*(_rank(row) for row in outlook.rows), *missing])
 
@@ -63,6 +63,7 @@
         marked(fraction) if row.over_budget else fraction,
         expected.subject,
         marked(at_target) if row.over_budget else at_target,
+        factor(row.outlook),
         f"{units.quantity(row.budget.limit, result.unit)}: {row.budget.reason}",
         row.budget.source.value,
         result.slope,
@@ -78,7 +79,9 @@
 
 
 def _missing_rank(slope: ExpectedSlope) -> list[str]:
-    return [NOT_MEASURED, EMPTY, slope.subject, NOT_MEASURED, slope.budgets[0].reason, EMPTY, slope.name]
+    budget = slope.budgets[0]
+    reason, source = budget.reason, budget.source.value
+    return [NOT_MEASURED, EMPTY, slope.subject, NOT_MEASURED, EMPTY, reason, source, slope.name]
 
 
 def slope_table(outlook: Outlook) -> str:
@@ -102,20 +105,27 @@
 
 
 def _slope(measured: MeasuredOutlook) -> list[str]:
-    result, expected = measured.result, measured.expected
+    result, expected, curve = measured.result, measured.expected, measured.curve
     value = measured.at_target
     return [
         result.slope,
         EMPTY if expected is None else expected.role.value,
         result.title,
-        measured.problem if measured.fit is None else formula(measured.fit, result.variable, result.unit),
-        EMPTY if measured.fit is None else f"{measured.fit.residual:.1%}",
-        EMPTY if measured.factor is None else units.number(measured.factor),
+        measured.problem if curve is None else formula(curve.fit, result.variable, result.unit),
+        EMPTY if curve is None else f"{curve.fit.residual:.1%}",
+        factor(measured),
         EMPTY if value is None else fill(f"{{{result.slope}}}", Outlook((measured,), (), ())),
         "no budget set" if expected is None else expected.mechanism,
     ]
 
 
+def factor(measured: MeasuredOutlook) -> str:
+    """How far a slope is carried to the target size."""
+    if measured.factor is None:
+        return EMPTY
+    return "measured" if measured.factor <= 1.0 else units.number(measured.factor)
+
+
 def formula(fit: Fit, variable: str, unit: str) -> str:
     """A fitted function in words."""
     factor = units.quantity(fit.factor, unit)
--- a/irisstack/lab/capacity/template.py
+++ b/irisstack/lab/capacity/template.py
@@ -46,12 +46,12 @@
 
 def _slope_value(found: "re.Match[str]", outlook: Outlook) -> str:
     measured = outlook.find(found["name"])
-    if measured is None or measured.fit is None or measured.expected is None:
+    if measured is None or measured.curve is None or measured.expected is None:
         return NOT_MEASURED
     size = _number(found["size"]) if found["size"] else measured.expected.target_size
     if size is None:
         return NOT_MEASURED
-    value, unit = measured.fit.at(size), measured.result.unit
+    value, unit = measured.curve.at(size), measured.result.unit
     if found["times"]:
         return units.quantity(value * _number(found["times"]), unit)
     over = any(value > budget.limit for budget in measured.expected.budgets)
--- a/tests/lab/capacity/test_outlook.py
+++ b/tests/lab/capacity/test_outlook.py
@@ -58,7 +58,7 @@
 
 def test_too_few_sizes_are_no_slope() -> None:
     found = join({"a": result("a", lambda size: size, sizes=(1.0, 2.0, 3.0))}, [expected("a", 1.0)])
-    assert found.measured[0].fit is None
+    assert found.measured[0].curve is None
     assert "4 sizes" in found.measured[0].problem
     assert not found.rows
 
