Capacity: messages owed, through a real node that starts on a folder filled beforehand

Need: memory, folder and time to be ready again for a node's part of a backlog. Change: benchmarks/owed_messages.py (it writes the node's own format, so it stands outside of the laboratory), node-messages.

--- /dev/null
+++ b/benchmarks/__init__.py
@@ -0,0 +1,1 @@
+"""Measurements that reach into a node's insides, which the laboratory may not."""
--- a/benchmarks/owed_messages.py
+++ b/benchmarks/owed_messages.py
@@ -108,7 +108,7 @@
 def _headers() -> Mapping[str, str]:
     return {
         "X-Request-ID": "probe",
-        "X-Timeout": "100",
+        "X-Timeout": f"{DEADLINE_S - 1.0:.0f}",
         "X-Consignee": "dest=1",
         "Idempotency-Key": "probe",
     }
--- a/irisstack/lab/capacity/runner.py
+++ b/irisstack/lab/capacity/runner.py
@@ -4,7 +4,7 @@
 import platform
 import statistics
 import subprocess
-from collections.abc import Callable, Mapping
+from collections.abc import Callable, Mapping, Sequence
 from concurrent.futures import ProcessPoolExecutor
 from datetime import UTC, datetime
 from multiprocessing import get_context
@@ -26,7 +26,7 @@
     return results(measurement, taken)
 
 
-def results(measurement: Measurement, taken: Mapping[int, list[Values]]) -> list[SlopeResult]:
+def results(measurement: Measurement, taken: Mapping[int, Sequence[Values]]) -> list[SlopeResult]:
     """A result for each of the measurement's slopes from the values that its runs gave."""
     commit, machine = commit_now(), machine_now()
     today = datetime.now(UTC).date().isoformat()
