Capacity: breaking points with their bound; the platform's stand-in reads a long list in linear time

Need: a budget that the smallest size is over, or that only the fit would have reached, is no exact breaking point. A list of 10,000 lines took the stand-in a minute: it counted all endpoints anew for each line. Change: Crossing with a bound; the count stands before the loop. tests/lab/capacity and tests/lab/sockets pass.

--- a/irisstack/lab/capacity/curve.py
+++ b/irisstack/lab/capacity/curve.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Sequence
 from dataclasses import dataclass
+from enum import Enum, auto
 from itertools import pairwise
 
 import numpy as np
@@ -10,6 +11,24 @@
 from irisstack.lab.capacity.result import Point
 
 
+class Bound(Enum):
+    """What a size at which a value is reached is known to be."""
+
+    EXACT = auto()
+    AT_MOST = auto()
+    """The smallest size measured has reached it already."""
+    MORE_THAN = auto()
+    """No size measured has reached it, although the fit would have it so."""
+
+
+@dataclass(slots=True, frozen=True)
+class Crossing:
+    """The size at which a curve reaches a value; infinite if it never does."""
+
+    size: float
+    bound: Bound = Bound.EXACT
+
+
 @dataclass(slots=True, frozen=True)
 class Curve:
     """Measured points in order of size, and what was fitted to them."""
@@ -28,15 +47,18 @@
         sizes, values = [p.size for p in self.points], [p.value for p in self.points]
         return float(np.interp(size, sizes, values))
 
-    def size_at(self, value: float) -> float:
-        """The smallest size at which the value is reached; infinite if it never is."""
+    def crossing(self, value: float) -> Crossing:
+        """The smallest size at which a value is reached."""
         if self.points[0].value >= value:
-            return min(self.fit.size_at(value), self.points[0].size)
+            return Crossing(self.points[0].size, Bound.AT_MOST)
         for before, after in pairwise(self.points):
             if after.value >= value:
                 part = (value - before.value) / (after.value - before.value)
-                return before.size + part * (after.size - before.size)
-        return max(self.fit.size_at(value), self.largest_size)
+                return Crossing(before.size + part * (after.size - before.size))
+        fitted = self.fit.size_at(value)
+        if fitted <= self.largest_size:
+            return Crossing(self.largest_size, Bound.MORE_THAN)
+        return Crossing(fitted)
 
 
 def curve(points: Sequence[Point]) -> Curve:
--- a/irisstack/lab/capacity/outlook.py
+++ b/irisstack/lab/capacity/outlook.py
@@ -5,7 +5,7 @@
 from dataclasses import dataclass
 from fnmatch import fnmatchcase
 
-from irisstack.lab.capacity.curve import Curve, curve
+from irisstack.lab.capacity.curve import Bound, Crossing, Curve, curve
 from irisstack.lab.capacity.fit import FitError
 from irisstack.lab.capacity.registry import Budget, ExpectedSlope
 from irisstack.lab.capacity.result import SlopeResult
@@ -49,13 +49,25 @@
 
     outlook: MeasuredOutlook
     budget: Budget
-    breaking_size: float
-    breaking_fraction: float | None
-    """Of the target size; `None` where there is no target size."""
+    crossing: Crossing
+    """Where the budget is reached."""
 
     @property
-    def over_budget(self) -> bool:
-        return self.breaking_fraction is not None and self.breaking_fraction < 1.0
+    def breaking_fraction(self) -> float | None:
+        """The crossing as a part of the target size; `None` where there is no target size."""
+        target = self.outlook.target_size
+        return None if target is None else self.crossing.size / target
+
+    @property
+    def breaks_before_target(self) -> bool:
+        fraction = self.breaking_fraction
+        return fraction is not None and fraction < 1.0
+
+    @property
+    def over_at_target(self) -> bool:
+        """Whether the value at the target size is over; a curve that falls again may break before it only."""
+        value = self.outlook.at_target
+        return value is not None and value > self.budget.limit
 
 
 @dataclass(slots=True, frozen=True)
@@ -105,15 +117,20 @@
     if expected is None or found is None:
         return
     for budget in expected.budgets:
-        size = found.size_at(budget.limit)
-        fraction = None if expected.target_size is None else size / expected.target_size
-        yield Row(outlook, budget, size, fraction)
+        yield Row(outlook, budget, found.crossing(budget.limit))
 
 
-def percent(fraction: float) -> str:
+def percent(fraction: float, bound: Bound = Bound.EXACT) -> str:
     """A part of the target size as a person reads it."""
     if math.isinf(fraction):
         return "does not break"
     if fraction > FAR_BEYOND:
         return f"over {FAR_BEYOND:.0f} times"
-    return f"{fraction:.2%}" if fraction < 0.1 else f"{fraction:.0%}"
+    text = f"{fraction:.2%}" if fraction < 0.1 else f"{fraction:.0%}"
+    return bounded(text, bound)
+
+
+def bounded(text: str, bound: Bound) -> str:
+    """A figure with what it is known to be."""
+    words = {Bound.EXACT: "", Bound.AT_MOST: "at most ", Bound.MORE_THAN: "more than "}
+    return words[bound] + text
--- a/irisstack/lab/capacity/tables.py
+++ b/irisstack/lab/capacity/tables.py
@@ -4,7 +4,7 @@
 
 from irisstack.lab.capacity import rows, targets, units
 from irisstack.lab.capacity.fit import Fit, Form
-from irisstack.lab.capacity.outlook import FAR_BEYOND, MeasuredOutlook, Outlook, Row, percent
+from irisstack.lab.capacity.outlook import FAR_BEYOND, MeasuredOutlook, Outlook, Row, bounded, percent
 from irisstack.lab.capacity.registry import ExpectedSlope
 from irisstack.lab.capacity.template import NOT_MEASURED, fill, marked
 
@@ -53,16 +53,15 @@
 
 
 def _rank(row: Row) -> list[str]:
-    result, expected = row.outlook.result, row.outlook.expected
-    assert expected is not None, "a row has a budget, which the registry gave it"
-    value = row.outlook.at_target
+    result = row.outlook.result
+    value, fraction = row.outlook.at_target, row.breaking_fraction
     at_target = EMPTY if value is None else units.quantity(value, result.unit)
-    fraction = EMPTY if row.breaking_fraction is None else percent(row.breaking_fraction)
+    part = EMPTY if fraction is None else percent(fraction, row.crossing.bound)
     return [
         f"{breaking_size(row)} {result.variable}",
-        marked(fraction) if row.over_budget else fraction,
-        expected.subject,
-        marked(at_target) if row.over_budget else at_target,
+        marked(part) if row.breaks_before_target else part,
+        result.title,
+        marked(at_target) if row.over_at_target else at_target,
         factor(row.outlook),
         f"{units.quantity(row.budget.limit, result.unit)}: {row.budget.reason}",
         row.budget.source.value,
@@ -75,7 +74,7 @@
     fraction = row.breaking_fraction
     if fraction is not None and fraction > FAR_BEYOND:
         return "far beyond the target's"
-    return units.number(row.breaking_size)
+    return bounded(units.number(row.crossing.size), row.crossing.bound)
 
 
 def _missing_rank(slope: ExpectedSlope) -> list[str]:
--- a/irisstack/lab/sockets/platform.py
+++ b/irisstack/lab/sockets/platform.py
@@ -175,7 +175,8 @@
     def _told(self, node: int, members: list[dict[str, Any]]) -> None:
         """What is written to a node binds it from now on."""
         now = self._stage.now()
+        first_new = self._stage.world.first_new_endpoint  # it counts all endpoints, so once for a whole list
         for member in members:
             state = STATES[member["phase"]]
-            if state != "ready" or int(member["id"][2:]) >= self._stage.world.first_new_endpoint:
+            if state != "ready" or int(member["id"][2:]) >= first_new:
                 self._stage.ledger.append(book.Told(now, node, int(member["id"][2:]), state))
--- a/tests/lab/capacity/test_outlook.py
+++ b/tests/lab/capacity/test_outlook.py
@@ -5,6 +5,7 @@
 import pytest
 
 from irisstack.lab.capacity import units
+from irisstack.lab.capacity.curve import Bound
 from irisstack.lab.capacity.outlook import join, percent
 from irisstack.lab.capacity.registry import EXPECTED
 from tests.lab.capacity.support import expected, result
@@ -20,11 +21,19 @@
     )
     assert [row.outlook.result.slope for row in found.rows] == ["tight", "roomy"]
     assert [row.breaking_fraction for row in found.rows] == [pytest.approx(0.5), pytest.approx(2.0)]
-    assert [row.over_budget for row in found.rows] == [True, False]
+    assert [row.breaks_before_target for row in found.rows] == [True, False]
     assert found.rows[0].outlook.factor == pytest.approx(10.0)
     assert found.rows[0].outlook.at_target == pytest.approx(1e7)
 
 
+def test_a_curve_that_falls_again_breaks_before_the_target_but_is_not_over_at_it() -> None:
+    hump = {100.0: 1.0, 1_000.0: 9.0, 10_000.0: 4.0, 100_000.0: 3.0}
+    found = join({"a": result("a", hump.__getitem__)}, [expected("a", 5.0, target=100_000.0)])
+    assert found.rows[0].breaking_fraction == pytest.approx(0.0055)
+    assert found.rows[0].breaks_before_target
+    assert not found.rows[0].over_at_target
+
+
 def test_each_budget_of_a_slope_is_a_row() -> None:
     found = join({"a": result("a", lambda size: size)}, [expected("a", 1e5, 1e7)])
     assert [row.breaking_fraction for row in found.rows] == [pytest.approx(0.1), pytest.approx(10.0)]
@@ -70,6 +79,8 @@
 
 def test_parts_of_the_target_as_read() -> None:
     assert [percent(f) for f in (0.0123, 0.5, 1.02, math.inf)] == ["1.23%", "50%", "102%", "does not break"]
+    assert percent(0.01, Bound.AT_MOST) == "at most 1.00%"
+    assert percent(1.0, Bound.MORE_THAN) == "more than 100%"
 
 
 @pytest.mark.parametrize(
