--- a/benchmarks/owed_messages.py
+++ b/benchmarks/owed_messages.py
@@ -37,7 +37,12 @@
 ROOM_A_MESSAGE = 2_000
 """Bytes of the folder's limit for each message: five twelfths of it are kept free."""
 LEAST_DISK_BYTES = 16_000_000
+CROWDED_ROOM_A_MESSAGE = 1_000
+"""The same where the folder is to be crowded: a message's record is about half of it."""
 RECORDS_A_WRITE = 1_000
+PASSING_A_WRITE = 10
+PART_WRITTEN = 0.8
+"""Of the folder's limit that is written beside what is owed, so that several segments are freed."""
 NOWHERE = "127.0.0.1:9"
 
 
@@ -50,12 +55,16 @@
     """Put so many messages owed on record, as a node does that takes them on."""
     now = time.time()
     store = Store(folder, disk_bytes(messages), now)
+    _take_all(store, messages, now)
+    store.close()
+
+
+def _take_all(store: Store, messages: int, now: float) -> None:
     for start in range(1, messages + 1, RECORDS_A_WRITE):
         numbers = range(start, min(start + RECORDS_A_WRITE, messages + 1))
         for number in numbers:
             store.take(_entry(number, now + DEADLINE_S))
         store.write([store.taken(number) for number in numbers], now)
-    store.close()
 
 
 def _entry(number: int, due: float) -> Entry:
@@ -114,6 +123,46 @@
     }
 
 
+def measure_compaction(messages: int) -> Mapping[str, float]:
+    """The longest write of a folder that is full enough to free its oldest segment with every new one.
+
+    Messages that are delivered at once, and whose time is up, come and go beside those that stay owed.
+    """
+    with tempfile.TemporaryDirectory(prefix="irisstack-owed-") as folder:
+        now, limit = time.time(), messages * CROWDED_ROOM_A_MESSAGE
+        store = Store(Path(folder), limit, now)
+        _take_all(store, messages, now)
+        number, written, longest = messages + 1, 0, 0.0
+        while written < PART_WRITTEN * limit:
+            records = _come_and_go(store, range(number, number + PASSING_A_WRITE), now)
+            began = time.process_time()
+            store.write(records, now)
+            longest = max(longest, time.process_time() - began)
+            store.drop_ended(now)
+            number += PASSING_A_WRITE
+            written += sum(len(record) for record in records)
+        store.close()
+    return {"owed-compaction": longest}
+
+
+def _come_and_go(store: Store, numbers: range, now: float) -> list[bytes]:
+    """The records of messages that are taken on and delivered in one turn."""
+    for number in numbers:
+        store.take(_entry(number, now - 1.0))
+    return [record for number in numbers for record in (store.taken(number), store.over(number, "delivered"))]
+
+
+COMPACTION = Measurement(
+    "owed-compaction",
+    "messages owed",
+    (MeasuredSlope("owed-compaction", "standstill of a node while it frees a segment", "seconds"),),
+    MESSAGES,
+    1,
+    measure_compaction,
+    f"processor time of the longest write of the lasting folder; bodies of {len(BODY)} bytes, half of the "
+    "folder's limit owed",
+    "python benchmarks/owed_messages.py",
+)
 MEASUREMENT = Measurement(
     "owed-messages",
     "messages owed",
@@ -131,14 +180,25 @@
 )
 
 
+MEASUREMENTS = (MEASUREMENT, COMPACTION)
+
+
+MEASUREMENTS = (MEASUREMENT, COMPACTION)
+
+
 def main() -> int:
-    """Measure at every size and write the result files."""
-    for slope in runner.run(
-        MEASUREMENT, lambda size, run: print(f"size {size:,}, run {run}", file=sys.stderr)
-    ):
-        print(result.save(RESULTS, slope))
+    """Measure what the arguments name, or all, and write the result files."""
+    wanted = sys.argv[1:] or [measurement.name for measurement in MEASUREMENTS]
+    for measurement in MEASUREMENTS:
+        if measurement.name in wanted:
+            for slope in runner.run(measurement, _progress):
+                print(result.save(RESULTS, slope))
     return 0
 
 
+def _progress(size: int, run: int) -> None:
+    print(f"size {size:,}, run {run}", file=sys.stderr)
+
+
 if __name__ == "__main__":
     sys.exit(main())
--- a/irisstack/lab/capacity/registry.py
+++ b/irisstack/lab/capacity/registry.py
@@ -222,6 +222,14 @@
         (SETTINGS_IN_FORCE,),
         "node/store, node/decider, choice",
     ),
+    ExpectedSlope(
+        "owed-compaction",
+        Role.NODE,
+        "standstill while a segment of the folder is freed, messages owed",
+        *_BACKLOG,
+        (REQUEST_PATIENCE,),
+        "node/store",
+    ),
     ExpectedSlope(
         "node-start-seconds",
         Role.NODE,
--- a/tests/lab/capacity/test_measurements.py
+++ b/tests/lab/capacity/test_measurements.py
@@ -14,9 +14,9 @@
 from irisstack.lab.capacity.result import LEAST_SIZES, Point
 from irisstack.node.store import Store
 
-ALL = (*MEASUREMENTS.values(), owed_messages.MEASUREMENT)
+ALL = (*MEASUREMENTS.values(), *owed_messages.MEASUREMENTS)
 QUICK = (*module_memory.MEASUREMENTS, *module_time.MEASUREMENTS)
-REAL = (*node_list.MEASUREMENTS, owed_messages.MEASUREMENT)
+REAL = (*node_list.MEASUREMENTS, *owed_messages.MEASUREMENTS)
 DECADE = 10.0
 
 
