Capacity: the list's reader by itself, and endpoints beside destinations

Need: which part of a node's memory for the list is the reader's, and what a further endpoint costs. Change: benchmarks/list_reader.py, measurement module-memory-endpoints; a title that said nothing by itself is reworded. Measured: nothing new yet.

--- /dev/null
+++ b/benchmarks/list_reader.py
@@ -0,0 +1,79 @@
+"""What the node's reader of the endpoint list costs by itself: memory that it keeps, and processor time.
+
+    python benchmarks/list_reader.py
+
+The reader is a part of the node, which the laboratory may not import, so that this stands outside of it.
+"""
+
+import gc
+import json
+import sys
+import time
+import tracemalloc
+from collections.abc import Mapping
+from pathlib import Path
+
+from irisstack.lab.capacity import result, runner
+from irisstack.lab.capacity.measurements.measurement import MeasuredSlope, Measurement
+from irisstack.lab.capacity.measurements.node_list import addresses_of, world_of
+from irisstack.lab.sockets.platform import Platform
+from irisstack.lab.sockets.stage import Stage
+from irisstack.lab.told import settings_of
+from irisstack.node.discovery import ListReader
+
+RESULTS = Path(__file__).resolve().parents[1] / "docs" / "measurements" / "capacity"
+DESTINATIONS = (100, 1_000, 10_000, 100_000)
+
+
+def measure(destinations: int) -> Mapping[str, float]:
+    """Read a whole list twice: once for the memory that is kept of it, once for the time."""
+    world = world_of(destinations)
+    platform = Platform(Stage(world), addresses_of(world))
+    document = json.dumps(platform.known()).encode()
+    platform.stop()
+    reader = ListReader(settings_of(world, 0))
+    gc.collect()
+    tracemalloc.start()
+    reader.update(json.loads(document))
+    gc.collect()
+    kept, peak = tracemalloc.get_traced_memory()
+    tracemalloc.stop()
+    began = time.process_time()
+    reader.update(json.loads(document))
+    return {
+        "list-reader-memory": kept,
+        "list-reader-peak": peak,
+        "list-reader-processor": time.process_time() - began,
+    }
+
+
+MEASUREMENT = Measurement(
+    "list-reader",
+    "destinations",
+    (
+        MeasuredSlope("list-reader-memory", "memory that the list's reader keeps", "bytes"),
+        MeasuredSlope("list-reader-peak", "most memory while the reader reads a whole list", "bytes"),
+        MeasuredSlope("list-reader-processor", "processor time of the reader for a whole list", "seconds"),
+    ),
+    DESTINATIONS,
+    3,
+    measure,
+    "tracemalloc for memory; JSON parsing and the reader, without the stream of bytes; one endpoint a "
+    "destination",
+    "python benchmarks/list_reader.py",
+)
+
+
+def main() -> int:
+    """Measure at every size and write the result files."""
+    for slope in runner.run(MEASUREMENT, _progress):
+        print(result.save(RESULTS, slope))
+    return 0
+
+
+def _progress(size: int, run: int) -> None:
+    print(f"size {size:,}, run {run}", file=sys.stderr)
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- a/irisstack/lab/capacity/measurements/module_memory.py
+++ b/irisstack/lab/capacity/measurements/module_memory.py
@@ -14,6 +14,8 @@
 UNREACHED_DESTINATIONS = 1_000
 """Destinations without an endpoint among which held messages are spread, so that none of them is sent."""
 MESSAGES_A_TURN = 1_000
+ENDPOINTS_EACH = 4
+"""Of a destination, where endpoints are counted."""
 
 
 def _allocated_by(make: Callable[[], Sender]) -> int:
@@ -55,6 +57,16 @@
     }
 
 
+def _sender_with_shared_list(endpoints: int) -> Sender:
+    sender = Sender(world.settings(), world.SEED)
+    sender.turn(0.0, [world.shared_list(endpoints, ENDPOINTS_EACH)])
+    return sender
+
+
+def _measure_endpoints(endpoints: int) -> Mapping[str, float]:
+    return {"module-memory-endpoints": _allocated_by(lambda: _sender_with_shared_list(endpoints))}
+
+
 def _measure_messages(messages: int) -> Mapping[str, float]:
     return {"module-owed-memory": _allocated_by(lambda: _sender_holding(messages))}
 
@@ -65,13 +77,24 @@
         "destinations",
         (
             MeasuredSlope("module-memory", "memory of the decision module, destinations listed", "bytes"),
-            MeasuredSlope("module-memory-in-use", "the same once each destination had a message", "bytes"),
+            MeasuredSlope(
+                "module-memory-in-use", "memory of the decision module, each destination in use", "bytes"
+            ),
         ),
         DESTINATIONS,
         1,
         _measure_destinations,
         "tracemalloc; one endpoint a destination; the list itself is not counted",
     ),
+    Measurement(
+        "module-memory-endpoints",
+        "endpoints",
+        (MeasuredSlope("module-memory-endpoints", "memory of the decision module, endpoints", "bytes"),),
+        DESTINATIONS,
+        1,
+        _measure_endpoints,
+        f"tracemalloc; {ENDPOINTS_EACH} endpoints a destination; the list itself is not counted",
+    ),
     Measurement(
         "module-owed-memory",
         "messages held",
--- a/irisstack/lab/capacity/measurements/module_world.py
+++ b/irisstack/lab/capacity/measurements/module_world.py
@@ -1,5 +1,7 @@
 """Settings, endpoints and messages with which the decision module is measured by itself."""
 
+from dataclasses import replace
+
 from irisstack import interface as api
 from irisstack.choice import Sender
 from irisstack.lab.capacity import targets
@@ -58,6 +60,12 @@
     return bytes([10, *number.to_bytes(3, "big")]), 8000
 
 
+def shared_list(endpoints: int, of_each: int) -> api.EndpointsUpdated:
+    """A list of so many endpoints, of which each destination has so many."""
+    lines = (replace(endpoint(number), destination=1 + number // of_each) for number in range(endpoints))
+    return api.EndpointsUpdated(api.UpdateScope.FULL, 1, tuple(lines))
+
+
 def endpoint(number: int, state: api.EndpointState = api.EndpointState.READY) -> api.Endpoint:
     """The one endpoint of the destination with that number."""
     return api.Endpoint(address(number), state, 0, number, number % targets.ZONES, 50.0, None)
--- a/tests/lab/capacity/test_measurements.py
+++ b/tests/lab/capacity/test_measurements.py
@@ -6,7 +6,7 @@
 
 import pytest
 
-from benchmarks import owed_messages
+from benchmarks import list_reader, owed_messages
 from irisstack.lab.capacity import runner
 from irisstack.lab.capacity.measurements import MEASUREMENTS, module_memory, module_time, node_list
 from irisstack.lab.capacity.measurements.measurement import MeasuredSlope, Measurement
@@ -14,9 +14,9 @@
 from irisstack.lab.capacity.result import LEAST_SIZES, Point
 from irisstack.node.store import Store
 
-ALL = (*MEASUREMENTS.values(), *owed_messages.MEASUREMENTS)
+ALL = (*MEASUREMENTS.values(), *owed_messages.MEASUREMENTS, list_reader.MEASUREMENT)
 QUICK = (*module_memory.MEASUREMENTS, *module_time.MEASUREMENTS)
-REAL = (*node_list.MEASUREMENTS, *owed_messages.MEASUREMENTS)
+REAL = (*node_list.MEASUREMENTS, *owed_messages.MEASUREMENTS, list_reader.MEASUREMENT)
 DECADE = 10.0
 
 
