--- a/benchmarks/owed_messages.py
+++ b/benchmarks/owed_messages.py
@@ -172,7 +172,7 @@
         MeasuredSlope("owed-disk", "lasting folder with messages owed", "bytes"),
     ),
     MESSAGES,
-    1,
+    3,
     measure,
     f"a real process; bodies of {len(BODY)} bytes; messages taken on and not yet sent; no list",
     "python benchmarks/owed_messages.py",
--- a/irisstack/lab/capacity/measurements/node_list.py
+++ b/irisstack/lab/capacity/measurements/node_list.py
@@ -143,7 +143,7 @@
             MeasuredSlope("node-delta-processor", "processor time of a node for one change", "seconds"),
         ),
         DESTINATIONS,
-        1,
+        3,
         _measure,
         "a real process, its program included; one endpoint a destination; JSON with spaces after commas "
         "and colons, as the laboratory's platform writes it",
