--- a/irisstack/lab/capacity/registry.py
+++ b/irisstack/lab/capacity/registry.py
@@ -90,8 +90,11 @@
 
 _DESTINATIONS = (float(targets.DESTINATIONS), "destinations, one endpoint each")
 _NODES = (float(targets.NODES), "nodes")
+_DOCUMENT = (float(targets.SETTINGS_DOCUMENT_BYTES), "the largest document of dynamic settings")
 _BACKLOG = (float(targets.NODE_BACKLOG_EVENTS), "a node's even part of the backlog")
 
+DYNAMIC_SETTINGS = "dynamic_settings, being built"
+
 EXPECTED: tuple[ExpectedSlope, ...] = (
     ExpectedSlope(
         "module-memory",
@@ -288,12 +291,22 @@
         (CONTROL_BANDWIDTH,),
         "node/peers",
     ),
+    ExpectedSlope(
+        "gossip-messages-by-failing-*",
+        Role.NODE,
+        "gossip messages a second",
+        float(targets.DESTINATIONS_DOWN),
+        "destinations down",
+        (),
+        "node/peers",
+    ),
+    ExpectedSlope("gossip-log-lines-*", Role.NODE, "lines of the log", *_NODES, (), "node/decider"),
     ExpectedSlope("gossip-messages-*", Role.NODE, "gossip messages a second", *_NODES, (), "node/peers"),
     ExpectedSlope(
         "gossip-processor-time", Role.NODE, "decisions on one gossip message", *_DESTINATIONS, (), "choice"
     ),
     ExpectedSlope(
-        "gossip-processor-share-node",
+        "gossip-processor-share-*",
         Role.NODE,
         "gossip at a real node",
         None,
@@ -325,6 +338,7 @@
         (RETURN_LIMIT,),
         "choice",
     ),
+    ExpectedSlope("return-falls-*", Role.DESTINATION, "returns that fell", *_NODES, (), "choice"),
     ExpectedSlope(
         "list-*-seconds-*",
         Role.LIST,
@@ -359,12 +373,39 @@
         "node/discovery",
     ),
     ExpectedSlope(
-        "settings-stream-*",
+        "settings-stream-in-force-seconds*",
         Role.CONTROL,
-        "changes of settings by dynamic settings",
+        "a change of settings by dynamic settings",
+        *_NODES,
+        (SETTINGS_IN_FORCE,),
+        DYNAMIC_SETTINGS,
+    ),
+    ExpectedSlope(
+        "settings-stream-node-bytes",
+        Role.NODE,
+        "dynamic settings at a node",
         *_NODES,
+        (CONTROL_BANDWIDTH,),
+        DYNAMIC_SETTINGS,
+    ),
+    ExpectedSlope(
+        "settings-stream-member-*", Role.CONTROL, "load of a member", *_NODES, (), DYNAMIC_SETTINGS
+    ),
+    ExpectedSlope(
+        "settings-document-seconds-*",
+        Role.NODE,
+        "a whole document of settings",
+        *_DOCUMENT,
+        (SETTINGS_IN_FORCE,),
+        DYNAMIC_SETTINGS,
+    ),
+    ExpectedSlope(
+        "settings-document-transfer-*",
+        Role.NODE,
+        "a whole document of settings on the wire",
+        *_DOCUMENT,
         (),
-        "dynamic_settings, being built",
+        DYNAMIC_SETTINGS,
     ),
 )
 """In the order in which the page lists them."""
--- a/irisstack/lab/capacity/targets.py
+++ b/irisstack/lab/capacity/targets.py
@@ -44,6 +44,8 @@
 """News of the list is due at a node by then (docs/design.md, 12)."""
 REQUEST_WHOLE_BY_S = 2.5
 """`WHOLE_BY` of `irisstack/node/intake.py`."""
+SETTINGS_DOCUMENT_BYTES = 128 * 1024
+"""The most that a whole document of dynamic settings may hold."""
 
 ASSUMED_LIST_CHANGES_PER_S = 1.0
 """The operators gave no rate of changes of the endpoint list: this one is ours."""
