--- a/irisstack/lab/capacity/registry.py
+++ b/irisstack/lab/capacity/registry.py
@@ -306,7 +306,7 @@
         "gossip-processor-time", Role.NODE, "decisions on one gossip message", *_DESTINATIONS, (), "choice"
     ),
     ExpectedSlope(
-        "gossip-processor-share-*",
+        "gossip-processor-share-node",
         Role.NODE,
         "gossip at a real node",
         None,
@@ -314,6 +314,9 @@
         (CONTROL_CORE,),
         "node/peers, choice",
     ),
+    ExpectedSlope(
+        "gossip-processor-share-bare", Role.NODE, "reading datagrams", None, "gossip messages a second"
+    ),
     ExpectedSlope("senders-that-open-*", Role.DESTINATION, "breakers that open", *_NODES, (), "choice"),
     ExpectedSlope("wasted-calls-*", Role.DESTINATION, "calls in vain in an outage", *_NODES, (), "choice"),
     ExpectedSlope(
