--- a/irisstack/cli/lab.py
+++ b/irisstack/cli/lab.py
@@ -10,6 +10,7 @@
 from rich.progress import BarColumn, Progress, TextColumn, TimeRemainingColumn
 
 from irisstack.cli import output
+from irisstack.cli.capacity import capacity
 from irisstack.configuration.document import DocumentError
 
 if TYPE_CHECKING:
@@ -43,6 +44,9 @@
     """Play described worlds in virtual time or on real sockets, audit and compare them."""
 
 
+lab.add_command(capacity)
+
+
 def _hidden_alias(command: click.Command, name: str) -> click.Command:
     """A command under a former name: it works as before and is not listed."""
     alias = copy.copy(command)
