--- a/benchmarks/list_reader.py
+++ b/benchmarks/list_reader.py
@@ -16,9 +16,9 @@
 from irisstack.lab.capacity import result, runner
 from irisstack.lab.capacity.measurements.measurement import MeasuredSlope, Measurement
 from irisstack.lab.capacity.measurements.node_list import addresses_of, world_of
+from irisstack.lab.node_settings import decision_settings
 from irisstack.lab.sockets.platform import Platform
-from irisstack.lab.sockets.stage import Stage
-from irisstack.lab.told import settings_of
+from irisstack.lab.sockets.run_context import RunContext
 from irisstack.node.discovery import ListReader
 
 RESULTS = Path(__file__).resolve().parents[1] / "docs" / "measurements" / "capacity"
@@ -28,10 +28,10 @@
 def measure(destinations: int) -> Mapping[str, float]:
     """Read a whole list twice: once for the memory that is kept of it, once for the time."""
     world = world_of(destinations)
-    platform = Platform(Stage(world), addresses_of(world))
+    platform = Platform(RunContext(world), addresses_of(world))
     document = json.dumps(platform.known()).encode()
     platform.stop()
-    reader = ListReader(settings_of(world, 0))
+    reader = ListReader(decision_settings(world, 0))
     gc.collect()
     tracemalloc.start()
     reader.update(json.loads(document))
--- a/irisstack/lab/capacity/measurements/node_list.py
+++ b/irisstack/lab/capacity/measurements/node_list.py
@@ -21,9 +21,9 @@
     MeasuredNodeError,
 )
 from irisstack.lab.capacity.measurements.measurement import MeasuredSlope, Measurement
+from irisstack.lab.node_settings import settings_object
 from irisstack.lab.sockets.platform import Platform
-from irisstack.lab.sockets.stage import Stage
-from irisstack.lab.told import settings_object
+from irisstack.lab.sockets.run_context import RunContext
 from irisstack.lab.world import World, build
 
 DESTINATIONS = (100, 1_000, 10_000, 100_000)
@@ -66,7 +66,7 @@
 def _measure(destinations: int) -> Mapping[str, float]:
     world = world_of(destinations)
     addresses = addresses_of(world)
-    platform = Platform(Stage(world), addresses)
+    platform = Platform(RunContext(world), addresses)
     whole = platform.known()
     first = {"revision": 0, "complete": True, "members": whole["members"][:1]}
     with (
