--- a/tests/test_fleet_ramp.py
+++ b/tests/test_fleet_ramp.py
@@ -46,3 +46,8 @@
 ) -> None:
     """A refusal or two of a destination that is shut look like its limit: each of these plays once fell."""
     assert not falls_by_those_told(Scenario(senders, rate, how, seed))
+
+
+def test_nor_does_it_where_the_first_turns_of_several_senders_fall_together() -> None:
+    """Each sender's first turn after the outage is drawn by chance, here seven of them within the span."""
+    assert not falls_by_those_told(Scenario(400, 2.0, Outcome.CONNECT_FAILED, seed=2))
