The test of what SIGHUP follows knows the new key of a node's file

Change: the set has the new key; the assertion is exact as before. Measured: tests/lab/capacity/test_sighup.py passes, 2 tests.

--- a/tests/lab/capacity/test_sighup.py
+++ b/tests/lab/capacity/test_sighup.py
@@ -32,4 +32,14 @@
 
 def test_every_other_key_waits_for_a_restart() -> None:
     waiting = {field.name for field in fields(Config)} - set(service.FOLLOWED)
-    assert {"settings", "sockets", "disk_bytes", "peers", "trial", "listen", "state", "name"} == waiting
+    assert waiting == {
+        "settings",
+        "dynamic_settings",
+        "sockets",
+        "disk_bytes",
+        "peers",
+        "trial",
+        "listen",
+        "state",
+        "name",
+    }
