--- a/irisstack/lab/audit/rules.py
+++ b/irisstack/lab/audit/rules.py
@@ -8,7 +8,7 @@
 from collections.abc import Callable, Iterable, Sequence
 from dataclasses import dataclass, field
 
-from irisstack.lab import ledger as book
+from irisstack.lab import ledger as records
 from irisstack.lab.audit.figures import Figures
 
 RULES_SHARE = 2.0 / 3.0
@@ -29,63 +29,63 @@
 
 
 @dataclass(slots=True)
-class Life:
-    """One handing in of a message, with all that became of it, in order."""
+class SubmissionHistory:
+    """One submission of a message with all its later records, each kind in order of time."""
 
-    handed: book.HandedIn
-    taken: float | None = None
-    sent: list[book.Sent] = field(default_factory=list)
-    answered: list[book.Answered] = field(default_factory=list)
-    ended: list[book.Ended] = field(default_factory=list)
+    submitted: records.Submitted
+    accepted_at: float | None = None
+    sent: list[records.Sent] = field(default_factory=list)
+    answered: list[records.Answered] = field(default_factory=list)
+    ended: list[records.Ended] = field(default_factory=list)
 
 
 @dataclass(slots=True)
 class Index:
-    """A ledger sorted by what the rules ask for."""
-
-    lives: dict[int, Life]
-    by_chain: dict[int, list[Life]]
-    ran: list[book.Ran]
-    told: list[book.Told]
-    outages: list[book.Outage]
-    falls: list[book.Fell]
-    states: dict[int, list[book.NodeState]]
-    sent: list[book.Sent]
-    answered: list[book.Answered]
-    missed: list[book.Missed]
-
-
-def index(ledger: Iterable[book.Entry]) -> Index:
-    """Sort a ledger's records by their owners."""
+    """A ledger's records grouped as the rules need them."""
+
+    submissions: dict[int, SubmissionHistory]
+    by_chain: dict[int, list[SubmissionHistory]]
+    executed: list[records.Executed]
+    announced: list[records.EndpointAnnounced]
+    outages: list[records.Outage]
+    overloads: list[records.Overloaded]
+    states: dict[int, list[records.NodeState]]
+    sent: list[records.Sent]
+    answered: list[records.Answered]
+    never_submitted: list[records.NeverSubmitted]
+
+
+def index(ledger: Iterable[records.Entry]) -> Index:
+    """Group a ledger's records."""
     found = Index({}, defaultdict(list), [], [], [], [], defaultdict(list), [], [], [])
-    lives = found.lives
+    submissions = found.submissions
     for entry in ledger:
         match entry:
-            case book.HandedIn():
-                life = lives[entry.message] = Life(entry)
-                found.by_chain[entry.chain].append(life)
-            case book.TakenOn():
-                lives[entry.message].taken = entry.t
-            case book.Sent():
-                lives[entry.message].sent.append(entry)
+            case records.Submitted():
+                history = submissions[entry.message] = SubmissionHistory(entry)
+                found.by_chain[entry.chain].append(history)
+            case records.Accepted():
+                submissions[entry.message].accepted_at = entry.t
+            case records.Sent():
+                submissions[entry.message].sent.append(entry)
                 found.sent.append(entry)
-            case book.Answered():
-                lives[entry.message].answered.append(entry)
+            case records.Answered():
+                submissions[entry.message].answered.append(entry)
                 found.answered.append(entry)
-            case book.Ended():
-                lives[entry.message].ended.append(entry)
-            case book.Ran():
-                found.ran.append(entry)
-            case book.Told():
-                found.told.append(entry)
-            case book.Outage():
+            case records.Ended():
+                submissions[entry.message].ended.append(entry)
+            case records.Executed():
+                found.executed.append(entry)
+            case records.EndpointAnnounced():
+                found.announced.append(entry)
+            case records.Outage():
                 found.outages.append(entry)
-            case book.Fell():
-                found.falls.append(entry)
-            case book.NodeState():
+            case records.Overloaded():
+                found.overloads.append(entry)
+            case records.NodeState():
                 found.states[entry.node].append(entry)
-            case book.Missed():
-                found.missed.append(entry)
+            case records.NeverSubmitted():
+                found.never_submitted.append(entry)
     found.sent.sort(key=lambda entry: entry.t)
     return found
 
@@ -97,41 +97,51 @@
     """Each message handed to a running node ends once, in time, and nothing is sent for it afterwards."""
     breaches = []
 
-    def broken(t: float, life: Life, text: str) -> None:
-        breaches.append(Breach("one answer", t, life.handed.node, life.handed.message, text))
+    def broken(t: float, history: SubmissionHistory, text: str) -> None:
+        breaches.append(Breach("one answer", t, history.submitted.node, history.submitted.message, text))
 
-    for life in found.lives.values():
-        handed = life.handed
-        if any(end.result == "unheard" for end in life.ended):
+    for history in found.submissions.values():
+        submitted = history.submitted
+        if any(end.result == "unheard" for end in history.ended):
             continue  # its client left unseen: what is done under this number counts for nothing
-        states = found.states.get(handed.node, [])
-        if len(life.ended) > 1:
-            broken(life.ended[1].t, life, f"ended {len(life.ended)} times")
-        latest = _latest_end(life, states, figures)
+        states = found.states.get(submitted.node, [])
+        if len(history.ended) > 1:
+            broken(history.ended[1].t, history, f"ended {len(history.ended)} times")
+        latest = _latest_end(history, states, figures)
         if latest is not None:
-            if not life.ended:
-                broken(latest, life, "never ended")
-            elif life.ended[0].t > latest + EPSILON:
-                broken(life.ended[0].t, life, f"ended {life.ended[0].t - handed.due:.3f} s after its time")
-        if any(answer.verdict == "crossed" for answer in life.answered):
+            if not history.ended:
+                broken(latest, history, "never ended")
+            elif history.ended[0].t > latest + EPSILON:
+                broken(
+                    history.ended[0].t,
+                    history,
+                    f"ended {history.ended[0].t - submitted.due:.3f} s after its time",
+                )
+        if any(answer.verdict == "crossed" for answer in history.answered):
             continue  # delivered, but its node need not have heard so: what it sent then is for the next rule
-        if life.ended and life.sent and life.sent[-1].t > life.ended[0].t + EPSILON:
-            broken(life.sent[-1].t, life, f"sent {life.sent[-1].t - life.ended[0].t:.3f} s after its end")
+        if history.ended and history.sent and history.sent[-1].t > history.ended[0].t + EPSILON:
+            broken(
+                history.sent[-1].t,
+                history,
+                f"sent {history.sent[-1].t - history.ended[0].t:.3f} s after its end",
+            )
     return breaches
 
 
-def _latest_end(life: Life, states: Sequence[book.NodeState], figures: Figures) -> float | None:
+def _latest_end(
+    history: SubmissionHistory, states: Sequence[records.NodeState], figures: Figures
+) -> float | None:
     """When the message's end is due; `None` if its node no longer owes one."""
-    latest = life.handed.due + figures.answer_slack
+    latest = history.submitted.due + figures.answer_slack
     down: float | None = None
     for state in states:
-        if state.t < life.handed.t:
+        if state.t < history.submitted.t:
             continue
         if state.state == "lost" and state.t <= latest:
             return None
         if state.state in ("stopping", "killed") and down is None:
             down = state.t
-        if state.state == "killed" and life.taken is None and state.t <= latest:
+        if state.state == "killed" and history.accepted_at is None and state.t <= latest:
             return None  # never on record: its client hands it in once more
         if state.state == "ready" and down is not None:
             if down <= latest:
@@ -146,33 +156,33 @@
 def no_effect_twice(found: Index, figures: Figures) -> list[Breach]:
     """What may have run goes again, or is refused, only where that cannot double its effect."""
     breaches = []
-    for life in found.lives.values():
-        kind = figures.classes[life.handed.message_class]
+    for history in found.submissions.values():
+        kind = figures.classes[history.submitted.message_class]
         if kind.repeat == "safe":
             continue
         # In order of time; at one moment an attempt's end comes before the next sending.
         steps = sorted(
             [
-                *((a.t, 0, a) for a in life.answered),
-                *((s.t, 1, s) for s in life.sent),
-                *((e.t, 2, e) for e in life.ended),
+                *((a.t, 0, a) for a in history.answered),
+                *((s.t, 1, s) for s in history.sent),
+                *((e.t, 2, e) for e in history.ended),
             ],
             key=lambda step: step[:2],
         )
-        open_sends: list[book.Sent] = []
+        open_sends: list[records.Sent] = []
         maybe: float | None = None  # when the first attempt that may have run was sent
         for t, _, step in steps:
             match step:
-                case book.Answered():
+                case records.Answered():
                     sent = next((s for s in open_sends if s.endpoint == step.endpoint), None)
                     if sent is not None:
                         open_sends.remove(sent)
-                        if step.verdict not in book.KNOWN_NOT_RUN and (maybe is None or sent.t < maybe):
+                        if step.verdict not in records.KNOWN_NOT_RUN and (maybe is None or sent.t < maybe):
                             maybe = sent.t
-                case book.Sent() | book.Ended(result="refused"):
+                case records.Sent() | records.Ended(result="refused"):
                     early = [s.t for s in open_sends] + ([maybe] if maybe is not None else [])
                     first = min(early, default=None)
-                    what = "sent again" if isinstance(step, book.Sent) else "refused"
+                    what = "sent again" if isinstance(step, records.Sent) else "refused"
                     if first is not None and kind.repeat == "unsafe":
                         breaches.append(
                             Breach(
@@ -193,7 +203,7 @@
                                 f"{what} {t - first:.3f} s after one that may have run",
                             )
                         )
-                    if isinstance(step, book.Sent):
+                    if isinstance(step, records.Sent):
                         open_sends.append(step)
     return breaches
 
@@ -201,12 +211,12 @@
 def effects_twice(found: Index, figures: Figures) -> int:
     """Messages that took effect more than once, whoever is at fault (those safe to repeat aside)."""
     effects: dict[int, int] = defaultdict(int)
-    for ran in found.ran:
+    for ran in found.executed:
         effects[ran.chain] += ran.effect
     return sum(
         1
         for chain, count in effects.items()
-        if count > 1 and figures.classes[found.by_chain[chain][0].handed.message_class].repeat != "safe"
+        if count > 1 and figures.classes[found.by_chain[chain][0].submitted.message_class].repeat != "safe"
     )
 
 
@@ -216,8 +226,10 @@
 def drains_kept(found: Index, figures: Figures) -> list[Breach]:
     """Nothing new goes to an endpoint once its node knows, and the grace is over."""
     known: dict[tuple[int, int], list[tuple[float, bool]]] = defaultdict(list)
-    for told in found.told:
-        known[told.node, told.endpoint].append((told.t, told.state != "ready"))
+    for announcement in found.announced:
+        known[announcement.node, announcement.endpoint].append(
+            (announcement.t, announcement.state != "ready")
+        )
     breaches = []
     for sent in found.sent:
         history = known.get((sent.node, sent.endpoint))
@@ -246,20 +258,20 @@
 
 def not_pushed_over(found: Index, figures: Figures) -> list[Breach]:
     """No fall for which two thirds of the load came from nodes that had seen the outage."""
-    sent_to: dict[int, list[book.Sent]] = defaultdict(list)
+    sent_to: dict[int, list[records.Sent]] = defaultdict(list)
     for sent in found.sent:
         sent_to[sent.destination].append(sent)
     failures: dict[int, list[tuple[float, int]]] = defaultdict(list)
     for answer in found.answered:
         if answer.verdict != "ok":
-            life = found.lives[answer.message]
-            failures[life.handed.destination].append((answer.t, answer.node))
+            history = found.submissions[answer.message]
+            failures[history.submitted.destination].append((answer.t, answer.node))
     down: dict[int, list[float]] = defaultdict(list)
     for outage in found.outages:
         if outage.down:
             down[outage.destination].append(outage.t)
     breaches = []
-    for fall in found.falls:
+    for fall in found.overloads:
         began = max((t for t in down[fall.destination] if t < fall.t - EPSILON), default=None)
         if began is None:
             continue
@@ -287,36 +299,36 @@
 
 def order_kept(found: Index, figures: Figures) -> list[Breach]:
     """In a class that asks for it, a node's messages of one key go one at a time, in the order handed in."""
-    lines: dict[tuple[int, int], list[Life]] = defaultdict(list)
-    for life in found.lives.values():
-        if life.handed.order_key >= 0:
-            lines[life.handed.node, life.handed.order_key].append(life)
+    lines: dict[tuple[int, int], list[SubmissionHistory]] = defaultdict(list)
+    for history in found.submissions.values():
+        if history.submitted.order_key >= 0:
+            lines[history.submitted.node, history.submitted.order_key].append(history)
     breaches = []
-    for lives in lines.values():
+    for submissions in lines.values():
         free_at, blocker = 0.0, -1
-        for life in sorted(lives, key=lambda one: (one.handed.t, one.handed.message)):
-            if life.sent and life.sent[0].t < free_at - EPSILON:
+        for history in sorted(submissions, key=lambda one: (one.submitted.t, one.submitted.message)):
+            if history.sent and history.sent[0].t < free_at - EPSILON:
                 breaches.append(
                     Breach(
                         "order",
-                        life.sent[0].t,
-                        life.handed.node,
-                        life.handed.message,
+                        history.sent[0].t,
+                        history.submitted.node,
+                        history.submitted.message,
                         f"sent while message {blocker} of its key was not over",
                     )
                 )
-            until = _free_after(life, figures)
+            until = _free_after(history, figures)
             if until > free_at:
-                free_at, blocker = until, life.handed.message
+                free_at, blocker = until, history.submitted.message
     return breaches
 
 
-def _free_after(life: Life, figures: Figures) -> float:
+def _free_after(history: SubmissionHistory, figures: Figures) -> float:
     """When the next message of the key may be sent."""
-    until = life.ended[0].t if life.ended else float("inf")
-    if len(life.answered) < len(life.sent) and not life.ended:
+    until = history.ended[0].t if history.ended else float("inf")
+    if len(history.answered) < len(history.sent) and not history.ended:
         return float("inf")
-    for answer in life.answered:
+    for answer in history.answered:
         rest = figures.order_pause if answer.verdict in ("timeout", "reset", "cancelled") else 0.0
         until = max(until, answer.t + rest)
     return until
@@ -331,7 +343,7 @@
     seen: set[tuple[int, int, float, float]] = set()
     for answer in found.answered:
         if answer.wait:
-            destination = found.lives[answer.message].handed.destination
+            destination = found.submissions[answer.message].submitted.destination
             route = answer.endpoint if destination in figures.separate_routes else -1
             if (mark := (answer.node, answer.endpoint, answer.t, answer.wait)) not in seen:
                 seen.add(mark)
@@ -356,7 +368,7 @@
     return breaches
 
 
-def _restarted(states: Iterable[book.NodeState], after: float, before: float) -> bool:
+def _restarted(states: Iterable[records.NodeState], after: float, before: float) -> bool:
     return any(after <= state.t <= before for state in states if state.state in ("killed", "lost"))
 
 
--- a/irisstack/lab/audit/scoring.py
+++ b/irisstack/lab/audit/scoring.py
@@ -3,7 +3,7 @@
 from collections import Counter, defaultdict
 from dataclasses import dataclass, field
 
-from irisstack.lab import ledger as book
+from irisstack.lab import ledger as records
 from irisstack.lab.audit.figures import Figures
 from irisstack.lab.audit.rules import Index
 from irisstack.lab.scenario import MessageClass
@@ -62,7 +62,9 @@
     ends_by_class: dict[str, Counter[str]] = defaultdict(Counter)
     delays: dict[str, list[float]] = {kind.name: [] for kind in figures.classes}
 
-    def count(first: book.HandedIn | book.Missed, result: str, delivered: float | None) -> None:
+    def count(
+        first: records.Submitted | records.NeverSubmitted, result: str, delivered: float | None
+    ) -> None:
         kind = figures.classes[first.message_class]
         began = first.due - kind.deadline_s  # when it was asked for, also where no node could be reached
         worth = 0.0 if delivered is None else delivery_value(kind, delivered - began)
@@ -81,18 +83,19 @@
         destination[2] += worth
         destination[3] += kind.worth
 
-    for missed in found.missed:
+    for missed in found.never_submitted:
         count(missed, "none", None)
-    for lives in found.by_chain.values():
+    for submissions in found.by_chain.values():
         delivered = min(
-            (end.t for life in lives for end in life.ended if end.result == "delivered"), default=None
+            (end.t for history in submissions for end in history.ended if end.result == "delivered"),
+            default=None,
         )
-        last = lives[-1].ended[-1].result if lives[-1].ended else "none"
+        last = submissions[-1].ended[-1].result if submissions[-1].ended else "none"
         last = "withdrawn" if last == "unheard" else last
-        count(lives[0].handed, "delivered" if delivered is not None else last, delivered)
+        count(submissions[0].submitted, "delivered" if delivered is not None else last, delivered)
     total = sum(asked.values())
     by_class = {name: earned[name] / asked[name] for name in asked}
-    messages, attempts = len(found.by_chain) + len(found.missed), len(found.sent)
+    messages, attempts = len(found.by_chain) + len(found.never_submitted), len(found.sent)
     return RunScore(
         whole=sum(earned.values()) / total if total else 1.0,
         worst_window=_worst_window(per_second, total, figures.length),
--- a/irisstack/lab/ledger.py
+++ b/irisstack/lab/ledger.py
@@ -1,6 +1,7 @@
-"""The ledger: what was seen in a run, by whom, in order. Both ways of playing write the same records.
+"""The ledger: the records of what was observed in a run, written alike in virtual time and on sockets.
 
-One JSON array a line, the record's name first. Times are seconds from the start of the run, on one clock.
+A file holds one JSON array a line, with the record's tag first. A renamed class keeps its tag,
+so that kept runs can be read. Times are seconds from the start of the run, on one clock.
 """
 
 import gzip
@@ -13,13 +14,13 @@
 
 
 class Record(msgspec.Struct, frozen=True, array_like=True, tag=True, gc=False):
-    """What all records begin with."""
+    """Base of all records."""
 
     t: float
 
 
-class HandedIn(Record, frozen=True, array_like=True, tag=True, gc=False):
-    """A client handed a message in. `chain` is the same for every handing in of one message."""
+class Submitted(Record, frozen=True, array_like=True, tag="HandedIn", gc=False):
+    """A client submitted a message to a node; `chain` is the same for all submissions of one message."""
 
     node: int
     message: int
@@ -30,8 +31,8 @@
     order_key: int = -1
 
 
-class TakenOn(Record, frozen=True, array_like=True, tag=True, gc=False):
-    """The node owes the message its end from here on."""
+class Accepted(Record, frozen=True, array_like=True, tag="TakenOn", gc=False):
+    """The node accepted the message: from here on it owes a final result."""
 
     node: int
     message: int
@@ -46,8 +47,8 @@
     destination: int
 
 
-class Ran(Record, frozen=True, array_like=True, tag=True, gc=False):
-    """An endpoint carried the message out; `effect` is unset where it knew the key and dropped it."""
+class Executed(Record, frozen=True, array_like=True, tag="Ran", gc=False):
+    """An endpoint executed the message; `effect` is false where it knew the key and dropped it."""
 
     message: int
     chain: int
@@ -56,13 +57,13 @@
 
 
 Verdict = Literal["ok", "error", "refused", "reset", "timeout", "cancelled", "not_sent", "crossed"]
-"""`crossed`: an answer was written just as the node ended the connection; it need not have been heard."""
+"""`crossed`: the answer was written as the node closed the connection, and may not have been read."""
 KNOWN_NOT_RUN = frozenset({"refused", "not_sent"})
 """Verdicts after which a message is known not to have run."""
 
 
 class Answered(Record, frozen=True, array_like=True, tag=True, gc=False):
-    """What the node could know of one attempt's end; `wait` is a told wait in seconds, 0 for none."""
+    """What the node could know of one attempt's end; `wait` is the Retry-After in seconds, 0 for none."""
 
     node: int
     message: int
@@ -76,7 +77,7 @@
 
 
 class Ended(Record, frozen=True, array_like=True, tag=True, gc=False):
-    """The message's final answer; `wait` is the advice when to come back, 0 for none."""
+    """The message's final result; `wait` is the advised wait in seconds before a retry, 0 for none."""
 
     node: int
     message: int
@@ -84,8 +85,8 @@
     wait: float = 0.0
 
 
-class Told(Record, frozen=True, array_like=True, tag=True, gc=False):
-    """The list told a node of an endpoint."""
+class EndpointAnnounced(Record, frozen=True, array_like=True, tag="Told", gc=False):
+    """The endpoint list announced an endpoint's state to a node."""
 
     node: int
     endpoint: int
@@ -99,8 +100,8 @@
     down: bool
 
 
-class Fell(Record, frozen=True, array_like=True, tag=True, gc=False):
-    """A destination that was back from an outage was pushed over."""
+class Overloaded(Record, frozen=True, array_like=True, tag="Fell", gc=False):
+    """Load took down a destination that was still warming up after an outage."""
 
     destination: int
 
@@ -112,8 +113,8 @@
     state: Literal["ready", "stopping", "killed", "lost", "stalled", "awake"]
 
 
-class Missed(Record, frozen=True, array_like=True, tag=True, gc=False):
-    """A message that no node could be reached for in all its time."""
+class NeverSubmitted(Record, frozen=True, array_like=True, tag="Missed", gc=False):
+    """A message whose client reached no node before its deadline."""
 
     chain: int
     message_class: int
@@ -121,12 +122,24 @@
     due: float
 
 
-Entry = HandedIn | Missed | TakenOn | Sent | Ran | Answered | Ended | Told | Outage | Fell | NodeState
+Entry = (
+    Submitted
+    | NeverSubmitted
+    | Accepted
+    | Sent
+    | Executed
+    | Answered
+    | Ended
+    | EndpointAnnounced
+    | Outage
+    | Overloaded
+    | NodeState
+)
 Ledger = list[Entry]
 
 
 def write(path: Path, ledger: Iterable[Entry]) -> None:
-    """Write a ledger, packed where the name ends with `.gz`; never half of it to a reader."""
+    """Write a ledger atomically, compressed where the name ends with `.gz`; raises `OSError`."""
     partial = path.with_name(path.name + ".part")
     encoder = msgspec.json.Encoder()
     with _open(partial, "wb", packed=path.suffix == ".gz") as file:
@@ -142,7 +155,7 @@
 
 
 def read(path: Path) -> Ledger:
-    """A whole ledger; raises `OSError` or `ValueError` with the line's number."""
+    """Read a whole ledger; raises `OSError`, or `ValueError` with the number of the line at fault."""
     decoder: msgspec.json.Decoder[Entry] = msgspec.json.Decoder(Entry)
     found: Ledger = []
     with _open(path, "rb", packed=path.suffix == ".gz") as file:
--- a/irisstack/lab/report.py
+++ b/irisstack/lab/report.py
@@ -9,7 +9,7 @@
 from jinja2 import Environment, PackageLoader
 
 from irisstack.lab import charts
-from irisstack.lab import ledger as book
+from irisstack.lab import ledger as records
 from irisstack.lab.audit.rules import Breach
 from irisstack.lab.audit.scoring import RunScore
 from irisstack.lab.results import PERCENTILES, Run
@@ -76,7 +76,7 @@
 
 
 def of_run(
-    world: World, run: Run, score: RunScore, breaches: dict[str, list[Breach]], entries: book.Ledger
+    world: World, run: Run, score: RunScore, breaches: dict[str, list[Breach]], entries: records.Ledger
 ) -> str:
     """The page of one run."""
     spans = [(i.begins, i.ends, i.trouble.kind) for i in world.incidents]
@@ -153,17 +153,17 @@
     return [[f"{number}", world.destinations[number].kind.name, *figures] for number, figures in rows]
 
 
-def _under_way(entries: book.Ledger) -> dict[str, list[tuple[float, float]]]:
+def _under_way(entries: records.Ledger) -> dict[str, list[tuple[float, float]]]:
     changes: dict[str, Counter[int]] = {"owed": Counter(), "in calls": Counter()}
     for entry in entries:
         match entry:
-            case book.HandedIn():
+            case records.Submitted():
                 changes["owed"][int(entry.t * 4)] += 1
-            case book.Ended():
+            case records.Ended():
                 changes["owed"][int(entry.t * 4)] -= 1
-            case book.Sent():
+            case records.Sent():
                 changes["in calls"][int(entry.t * 4)] += 1
-            case book.Answered():
+            case records.Answered():
                 changes["in calls"][int(entry.t * 4)] -= 1
     lines = {}
     for name, steps in changes.items():
@@ -175,10 +175,10 @@
     return lines
 
 
-def _ends(entries: book.Ledger) -> dict[str, list[tuple[float, float]]]:
+def _ends(entries: records.Ledger) -> dict[str, list[tuple[float, float]]]:
     counts: dict[str, Counter[int]] = defaultdict(Counter)
     for entry in entries:
-        if isinstance(entry, book.Ended):
+        if isinstance(entry, records.Ended):
             counts[entry.result][int(entry.t)] += 1
     last = max((max(count) for count in counts.values()), default=0)
     return {
--- a/irisstack/lab/results.py
+++ b/irisstack/lab/results.py
@@ -9,7 +9,7 @@
 import msgspec
 from hdrh.histogram import HdrHistogram
 
-from irisstack.lab import ledger as book
+from irisstack.lab import ledger as records
 from irisstack.lab.audit import rules, scoring
 from irisstack.lab.audit.figures import Figures, figures_of
 from irisstack.lab.scenario import Scenario
@@ -83,7 +83,7 @@
 
 def audited(
     world: World,
-    entries: book.Ledger,
+    entries: records.Ledger,
     *,
     way: str,
     policy: str,
@@ -115,7 +115,7 @@
         got.waste,
         {name: len(broken) for name, broken in breaches.items()},
         rules.effects_twice(found, figures),
-        len(found.falls),
+        len(found.overloads),
         {name: percentiles(delays) for name, delays in got.delays.items()},
         cpu_s,
         events,
@@ -124,11 +124,11 @@
     return run, got, breaches
 
 
-def save(folder: Path, scenario: Scenario, run: Run, entries: book.Ledger) -> None:
+def save(folder: Path, scenario: Scenario, run: Run, entries: records.Ledger) -> None:
     """Keep a run: scenario, figures and ledger. Raises `OSError`."""
     folder.mkdir(parents=True, exist_ok=True)
     (folder / "scenario.json").write_bytes(_json(scenario.model_dump()))
-    book.write(folder / "ledger.jsonl.gz", entries)
+    records.write(folder / "ledger.jsonl.gz", entries)
     (folder / "run.json").write_bytes(_json(run))
 
 
--- a/irisstack/lab/sockets/clients.py
+++ b/irisstack/lab/sockets/clients.py
@@ -7,7 +7,7 @@
 import httptools
 from gevent import socket
 
-from irisstack.lab import ledger as book
+from irisstack.lab import ledger as records
 from irisstack.lab.clients import LEAST_TIME, Behaviour
 from irisstack.lab.node_settings import TENANT
 from irisstack.lab.sockets import http
@@ -59,7 +59,7 @@
         id_, submission = self._context.submit(message, node, due, tries)
         # The platform's protocol carries no key to keep order by, so that none is asked for here.
         self._context.ledger.append(
-            book.HandedIn(
+            records.Submitted(
                 now, node, submission.number, message.number, message.message_class, message.destination, due
             )
         )
@@ -82,7 +82,7 @@
         if reply is None:
             self._unheard(submission, message, tries, due)
         elif reply.status in (200, 202):
-            self._context.ledger.append(book.TakenOn(self._context.now(), node, submission.number))
+            self._context.ledger.append(records.Accepted(self._context.now(), node, submission.number))
         elif reply.status in (429, 503):
             self._context.end(submission, "refused", _seconds(reply.headers.get("retry-after", "")))
         else:
@@ -158,7 +158,7 @@
         self.waiting -= 1
         if tries == 1:
             self._context.ledger.append(
-                book.Missed(now, message.number, message.message_class, message.destination, due)
+                records.NeverSubmitted(now, message.number, message.message_class, message.destination, due)
             )
 
     def _refused(self, now: float, submission: Submission, advice: float) -> None:
--- a/irisstack/lab/sockets/fault_injection.py
+++ b/irisstack/lab/sockets/fault_injection.py
@@ -2,7 +2,7 @@
 
 from collections.abc import Callable
 
-from irisstack.lab import ledger as book
+from irisstack.lab import ledger as records
 from irisstack.lab import troubles
 from irisstack.lab.sampling import sample
 from irisstack.lab.scenario import OF_LIST, OF_NODES
@@ -76,7 +76,7 @@
         before = self._outages.get(destination, 0)
         self._outages[destination] = before + step
         if not before or not self._outages[destination]:
-            self._context.ledger.append(book.Outage(now, destination, bool(self._outages[destination])))
+            self._context.ledger.append(records.Outage(now, destination, bool(self._outages[destination])))
 
     def _begin_overload(self, now: float, number: int) -> None:
         self._count_outage(now, number, 1)
--- a/irisstack/lab/sockets/nodes.py
+++ b/irisstack/lab/sockets/nodes.py
@@ -16,7 +16,7 @@
 from gevent import socket
 from gevent import subprocess as green
 
-from irisstack.lab import ledger as book
+from irisstack.lab import ledger as records
 from irisstack.lab.node_settings import settings_object
 from irisstack.lab.sockets import http
 from irisstack.lab.sockets.partners import HOST
@@ -138,7 +138,7 @@
         self._expected, self.up = True, False
         self.cpu_s += self.cpu()
         self.signal(signal.SIGKILL)
-        self._context.ledger.append(book.NodeState(now, self.number, "lost" if disk_lost else "killed"))
+        self._context.ledger.append(records.NodeState(now, self.number, "lost" if disk_lost else "killed"))
         if self._process is not None:
             self._process.wait()
         if disk_lost:
@@ -147,26 +147,26 @@
     def stop(self, now: float) -> None:
         """SIGTERM; the node may go on for a while."""
         self._expected = True
-        self._context.ledger.append(book.NodeState(now, self.number, "stopping"))
+        self._context.ledger.append(records.NodeState(now, self.number, "stopping"))
         self.signal(signal.SIGTERM)
 
     def restart(self, now: float, known: Mapping[str, Any]) -> None:
         """Start again with nothing but the folder."""
         self.start(known)
         if self.wait_ready():
-            self._context.ledger.append(book.NodeState(self._context.now(), self.number, "ready"))
+            self._context.ledger.append(records.NodeState(self._context.now(), self.number, "ready"))
         else:
             self._context.invalidate(f"node {self.number} did not come back")
 
     def stall(self, now: float, until: float) -> None:
         """SIGSTOP, and SIGCONT at that time."""
-        self._context.ledger.append(book.NodeState(now, self.number, "stalled"))
+        self._context.ledger.append(records.NodeState(now, self.number, "stalled"))
         self.signal(signal.SIGSTOP)
         self._context.at(until, self._wake)
 
     def _wake(self, now: float) -> None:
         self.signal(signal.SIGCONT)
-        self._context.ledger.append(book.NodeState(now, self.number, "awake"))
+        self._context.ledger.append(records.NodeState(now, self.number, "awake"))
 
     def cpu(self) -> float:
         """Seconds of CPU that the present process has used."""
--- a/irisstack/lab/sockets/partner_backends.py
+++ b/irisstack/lab/sockets/partner_backends.py
@@ -10,7 +10,7 @@
 from gevent import subprocess as green
 from gevent.event import Event
 
-from irisstack.lab import ledger as book
+from irisstack.lab import ledger as records
 from irisstack.lab.sockets.fault_injection import FaultInjector, ListChangeCallback
 from irisstack.lab.sockets.partners import Partners
 from irisstack.lab.sockets.run_context import RunContext, RunError
@@ -93,7 +93,7 @@
         gevent.joinall(stopping)
         for worker in self._workers:
             if worker.ledger.exists():
-                self._context.ledger.extend(book.read(worker.ledger))
+                self._context.ledger.extend(records.read(worker.ledger))
             else:
                 self._context.invalidate("a process of partners was lost, with what it had seen")
         return (
--- a/irisstack/lab/sockets/partner_process.py
+++ b/irisstack/lab/sockets/partner_process.py
@@ -12,7 +12,7 @@
 import gevent
 from gevent.fileobject import FileObject
 
-from irisstack.lab import ledger as book
+from irisstack.lab import ledger as records
 from irisstack.lab.lateness import Lateness
 from irisstack.lab.scenario import Scenario
 from irisstack.lab.sockets.fault_injection import FaultInjector
@@ -74,7 +74,7 @@
     lines.readline()  # "stop", or the end of the parent process
     gevent.killall(helpers)
     partners.stop()
-    book.write(Path(job["ledger"]), context.ledger)
+    records.write(Path(job["ledger"]), context.ledger)
     send(done=[lateness.at(0.99), lateness.most], faults=context.invalid_reasons)
     return 0
 
--- a/irisstack/lab/sockets/partners.py
+++ b/irisstack/lab/sockets/partners.py
@@ -9,7 +9,7 @@
 from gevent import socket
 from gevent.server import StreamServer
 
-from irisstack.lab import ledger as book
+from irisstack.lab import ledger as records
 from irisstack.lab.partner import Answer, Destination, Endpoint, Item, PartnerCall
 from irisstack.lab.sockets import http
 from irisstack.lab.sockets.run_context import RunContext, Submission
@@ -21,7 +21,7 @@
 """Seconds after an answer in which a reset of its connection means that it need not have been heard."""
 SPOILT = b"HTTP/1.1 2OO spoilt\r\n\r\n"
 RESET = struct.pack("ii", 1, 0)
-VERDICTS: dict[str, book.Verdict] = {"ok": "ok", "error": "error", "refused": "refused"}
+VERDICTS: dict[str, records.Verdict] = {"ok": "ok", "error": "error", "refused": "refused"}
 
 
 @dataclass(slots=True, eq=False)
@@ -160,7 +160,7 @@
             submission.called = True
             self._context.mark_changed(submission)
             self._context.ledger.append(
-                book.Sent(
+                records.Sent(
                     now,
                     submission.node,
                     submission.number,
@@ -299,7 +299,7 @@
         )
 
     def tell(
-        self, call: SocketCall, t: float, verdict: book.Verdict, wait: float = 0.0, *, over: bool = False
+        self, call: SocketCall, t: float, verdict: records.Verdict, wait: float = 0.0, *, over: bool = False
     ) -> None:
         """A call's end goes into the ledger, once; `over`: its messages are delivered all the same."""
         if call.told:
@@ -308,7 +308,7 @@
         endpoint = call.connection.server.endpoint.spec.number if call.connection is not None else -1
         for submission in call.submissions:
             self.context.ledger.append(
-                book.Answered(t, submission.node, submission.number, endpoint, verdict, wait)
+                records.Answered(t, submission.node, submission.number, endpoint, verdict, wait)
             )
             if (verdict == "ok" or over) and not submission.over:
                 self.context.end(submission, "delivered", at=t)
@@ -331,10 +331,12 @@
         self.context.after(self._one_way[endpoint.destination.spec.number], server.cut, call)
 
     def ran(self, now: float, endpoint: Endpoint, item: Item, effect: bool) -> None:
-        self.context.ledger.append(book.Ran(now, item.message, item.chain, endpoint.spec.number, effect))
+        self.context.ledger.append(
+            records.Executed(now, item.message, item.chain, endpoint.spec.number, effect)
+        )
 
     def fell(self, now: float, destination: int) -> None:
-        self.context.ledger.append(book.Fell(now, destination))
+        self.context.ledger.append(records.Overloaded(now, destination))
         self.on_overload(now, destination)
 
 
--- a/irisstack/lab/sockets/platform.py
+++ b/irisstack/lab/sockets/platform.py
@@ -13,7 +13,7 @@
 from gevent.event import Event
 from gevent.server import StreamServer
 
-from irisstack.lab import ledger as book
+from irisstack.lab import ledger as records
 from irisstack.lab.node_settings import ZONE
 from irisstack.lab.sampling import sample
 from irisstack.lab.sockets import http
@@ -143,7 +143,7 @@
             if submission is None or result not in ("dead", "bounced"):
                 self._context.invalidate("a notice of nothing that was handed in came to the platform")
                 return HTTPStatus.BAD_REQUEST
-            end: book.Result = "failed" if result == "dead" else "refused"
+            end: records.Result = "failed" if result == "dead" else "refused"
             # A notice told again, or for a message that is over, does no harm; a contradiction does.
             if not submission.over or (
                 submission.result in ("failed", "refused") and submission.result != end
@@ -180,4 +180,6 @@
         for member in members:
             state = STATES[member["phase"]]
             if state != "ready" or int(member["id"][2:]) >= self._context.world.first_new_endpoint:
-                self._context.ledger.append(book.Told(now, node, int(member["id"][2:]), state))
+                self._context.ledger.append(
+                    records.EndpointAnnounced(now, node, int(member["id"][2:]), state)
+                )
--- a/irisstack/lab/sockets/play.py
+++ b/irisstack/lab/sockets/play.py
@@ -10,7 +10,7 @@
 
 import gevent
 
-from irisstack.lab import ledger as book
+from irisstack.lab import ledger as records
 from irisstack.lab.lateness import Lateness
 from irisstack.lab.sockets.clients import Clients
 from irisstack.lab.sockets.nodes import KILL_AFTER, NodeProcess
@@ -33,7 +33,7 @@
 class Played:
     """A run on sockets."""
 
-    ledger: book.Ledger
+    ledger: records.Ledger
     cpu_s: float
     """Of all node processes together."""
     not_a_result: str
@@ -61,19 +61,19 @@
         return _Run(world, folder, progress, processes, world.streams.seed).play()
 
 
-def _first_ends(entries: book.Ledger) -> book.Ledger:
+def _first_ends(entries: records.Ledger) -> records.Ledger:
     """In order of time; a delivered message with its first end alone.
 
     Partners and platform see ends apart from each other, and a notice may cross a delivery. Two ends of which
     neither is a delivery are the node's own, and stay for the auditor.
     """
     delivered = {
-        entry.message for entry in entries if isinstance(entry, book.Ended) and entry.result == "delivered"
+        entry.message for entry in entries if isinstance(entry, records.Ended) and entry.result == "delivered"
     }
     ended: set[int] = set()
-    kept: book.Ledger = []
+    kept: records.Ledger = []
     for entry in sorted(entries, key=lambda entry: entry.t):
-        if isinstance(entry, book.Ended):
+        if isinstance(entry, records.Ended):
             if entry.message in ended & delivered:
                 continue
             ended.add(entry.message)
@@ -124,7 +124,7 @@
                     raise RunError(f"node {node.number} did not begin to serve")
             self._context.started_at = time.monotonic()
             for node in self._nodes:
-                self._context.ledger.append(book.NodeState(0.0, node.number, "ready"))
+                self._context.ledger.append(records.NodeState(0.0, node.number, "ready"))
             for incident in self._world.incidents:
                 self._plan(incident)
             self._backend.start_schedule(self._platform.change)
--- a/irisstack/lab/sockets/run_context.py
+++ b/irisstack/lab/sockets/run_context.py
@@ -7,7 +7,7 @@
 
 import gevent
 
-from irisstack.lab import ledger as book
+from irisstack.lab import ledger as records
 from irisstack.lab.partner import Item
 from irisstack.lab.world import Message, World
 
@@ -26,7 +26,7 @@
     due: float
     tries: int
     over: bool = False
-    result: book.Result | None = None
+    result: records.Result | None = None
     """Its first final result, where this process knows it."""
     called: bool = False
     """Whether any call that carries it has reached an endpoint."""
@@ -51,7 +51,7 @@
     """Shared state of one run; times are seconds from its start."""
 
     world: World
-    ledger: book.Ledger = field(default_factory=list)
+    ledger: records.Ledger = field(default_factory=list)
     submissions: dict[str, Submission] = field(default_factory=dict)
     """By request id."""
     invalid_reasons: list[str] = field(default_factory=list)
@@ -108,14 +108,14 @@
         return id_, submission
 
     def end(
-        self, submission: Submission, result: book.Result, wait: float = 0.0, at: float | None = None
+        self, submission: Submission, result: records.Result, wait: float = 0.0, at: float | None = None
     ) -> None:
         """Record a final answer, heard now unless `at` is given; a second one too, for the auditor."""
         now = self.now() if at is None else at
         first = not submission.over
         submission.over, submission.result = True, submission.result or result
         self.mark_changed(submission)
-        self.ledger.append(book.Ended(now, submission.node, submission.number, result, wait))
+        self.ledger.append(records.Ended(now, submission.node, submission.number, result, wait))
         if first and result == "refused" and self.on_refused is not None:
             self.on_refused(now, submission, wait)
 
--- a/irisstack/lab/virtual/node.py
+++ b/irisstack/lab/virtual/node.py
@@ -9,7 +9,7 @@
 from typing import Protocol
 
 from irisstack import interface as api
-from irisstack.lab import ledger as book
+from irisstack.lab import ledger as records
 from irisstack.lab.partner import Answer, Item, PartnerCall
 from irisstack.lab.policy import Policy
 from irisstack.lab.virtual.clock import Clock
@@ -25,7 +25,7 @@
 """Seconds of advice to one that meets a stopping node."""
 NOT_RUN = frozenset((api.Outcome.FULL, api.Outcome.CONNECT_FAILED, api.Outcome.NOT_SENT))
 OUTCOMES = {"ok": api.Outcome.OK, "error": api.Outcome.ERROR, "refused": api.Outcome.FULL}
-VERDICTS: dict[api.Outcome, book.Verdict] = {
+VERDICTS: dict[api.Outcome, records.Verdict] = {
     api.Outcome.OK: "ok",
     api.Outcome.ERROR: "error",
     api.Outcome.FULL: "refused",
@@ -92,7 +92,7 @@
     def ask_list(self, now: float, node: int, *, watch: bool) -> None:
         """Ask for the list."""
 
-    def ended(self, now: float, owed: Owed, result: book.Result, wait: float) -> None:
+    def ended(self, now: float, owed: Owed, result: records.Result, wait: float) -> None:
         """Tell the client how its message ended."""
 
     def lost(self, now: float, owed: Sequence[Owed]) -> None:
@@ -109,7 +109,7 @@
         policy: Policy,
         clock: Clock,
         outside: Outside,
-        ledger: book.Ledger,
+        ledger: records.Ledger,
     ) -> None:
         self.number = number
         self.settings = settings
@@ -141,7 +141,7 @@
     def start(self, now: float, known: api.EndpointsUpdated) -> None:
         """Begin with a list as last held and whatever an earlier life owes."""
         self.alive, self.refusing, self._holding = True, False, False
-        self._ledger.append(book.NodeState(now, self.number, "ready"))
+        self._ledger.append(records.NodeState(now, self.number, "ready"))
         self.hear_list(now, known)
         for owed in self.owed.values():
             self._post(now, self._received(owed))
@@ -165,7 +165,7 @@
         """The process is gone at once; returns the list as it held it. The next life runs on `policy`."""
         self.alive = False
         self.life += 1
-        self._ledger.append(book.NodeState(now, self.number, "lost" if disk_lost else "killed"))
+        self._ledger.append(records.NodeState(now, self.number, "lost" if disk_lost else "killed"))
         for call in list(dict.fromkeys(self._out.values())):
             assert call.pending is not None
             for owed, _ in call.pending.values():
@@ -198,7 +198,7 @@
     def stop(self, now: float) -> None:
         """SIGTERM: turn away what is new, let calls end."""
         self.refusing = True
-        self._ledger.append(book.NodeState(now, self.number, "stopping"))
+        self._ledger.append(records.NodeState(now, self.number, "stopping"))
         self._clock.after(SEND_UNTIL, self._hold, self.life)
 
     def _hold(self, now: float, life: int) -> None:
@@ -208,12 +208,12 @@
     def sleep(self, now: float, until: float) -> None:
         """The process stands still; what comes waits for it."""
         self._asleep_until = until
-        self._ledger.append(book.NodeState(now, self.number, "stalled"))
+        self._ledger.append(records.NodeState(now, self.number, "stalled"))
         self._clock.at(until, self._awake, self.life)
 
     def _awake(self, now: float, life: int) -> None:
         if life == self.life and self.alive:
-            self._ledger.append(book.NodeState(now, self.number, "awake"))
+            self._ledger.append(records.NodeState(now, self.number, "awake"))
 
     # ---- what comes in ----
 
@@ -243,14 +243,16 @@
                 self._listed[number] = entry
                 if entry.state is api.EndpointState.READY:
                     if update.scope is api.UpdateScope.DELTA and before is None:
-                        self._ledger.append(book.Told(now, self.number, number, "ready"))
+                        self._ledger.append(records.EndpointAnnounced(now, self.number, number, "ready"))
                 else:
                     draining = entry.state is api.EndpointState.DRAINING
                     self._tell(now, number, "draining" if draining else "gone")
         self._post(now, update)
 
     def _tell(self, now: float, number: int, state: str) -> None:
-        self._ledger.append(book.Told(now, self.number, number, "gone" if state == "gone" else "draining"))
+        self._ledger.append(
+            records.EndpointAnnounced(now, self.number, number, "gone" if state == "gone" else "draining")
+        )
         self._close_idle(number)
 
     def _post(self, now: float, event: api.Event) -> None:
@@ -299,7 +301,7 @@
                 case _:
                     pass
         for message in self._new:
-            self._ledger.append(book.TakenOn(now, self.number, message))
+            self._ledger.append(records.Accepted(now, self.number, message))
         self._new.clear()
         for message in sorted(self._leaving):
             if message in self.owed:
@@ -315,7 +317,7 @@
         if life == self.life and self.alive:
             self._post(now, api.TimerFired(token))
 
-    def _end(self, now: float, message: int, result: book.Result, wait: float) -> None:
+    def _end(self, now: float, message: int, result: records.Result, wait: float) -> None:
         owed = self.owed.pop(message, None)
         self._new.pop(message, None)
         if owed is not None:
@@ -380,7 +382,7 @@
         call.left_at = now
         assert call.pending is not None
         for message in call.pending:
-            self._ledger.append(book.Sent(now, self.number, message, call.endpoint, call.destination))
+            self._ledger.append(records.Sent(now, self.number, message, call.endpoint, call.destination))
         self._outside.carry(now, call)
 
     def _waits_for(self, call: OutCall) -> object:
@@ -456,7 +458,7 @@
         wait = answer.wait if answer is not None else 0.0
         if call.left_at is not None:
             self._ledger.append(
-                book.Answered(now, self.number, owed.id, call.endpoint, VERDICTS[outcome], wait)
+                records.Answered(now, self.number, owed.id, call.endpoint, VERDICTS[outcome], wait)
             )
         del self._out[owed.id]
         owed.call = None
--- a/irisstack/lab/virtual/play.py
+++ b/irisstack/lab/virtual/play.py
@@ -7,7 +7,7 @@
 from dataclasses import dataclass
 
 from irisstack import interface as api
-from irisstack.lab import ledger as book
+from irisstack.lab import ledger as records
 from irisstack.lab import troubles
 from irisstack.lab.clients import LEAST_TIME, Behaviour
 from irisstack.lab.node_settings import decision_settings
@@ -32,7 +32,7 @@
 class Played:
     """A run: its ledger, and what it cost to play."""
 
-    ledger: book.Ledger
+    ledger: records.Ledger
     events: int
     """Events handed to the nodes' policies."""
     acts: int
@@ -54,7 +54,7 @@
         self._make = make
         self._progress = progress
         self._clock = Clock()
-        self._ledger: book.Ledger = []
+        self._ledger: records.Ledger = []
         self._destinations = {n: Destination(spec, world, self) for n, spec in world.destinations.items()}
         self._endpoints: dict[int, Endpoint] = {
             number: endpoint for d in self._destinations.values() for number, endpoint in d.endpoints.items()
@@ -145,7 +145,9 @@
                     self._waiting -= 1
                     if tries == 1 and not from_dead:
                         self._ledger.append(
-                            book.Missed(now, message.number, message.message_class, message.destination, due)
+                            records.NeverSubmitted(
+                                now, message.number, message.message_class, message.destination, due
+                            )
                         )
                 return
             node = up[message.number % len(up)]
@@ -153,7 +155,7 @@
         number, self._next_id = self._next_id, self._next_id + 1
         self._handed[number] = message, tries
         self._ledger.append(
-            book.HandedIn(
+            records.Submitted(
                 now,
                 node.number,
                 number,
@@ -170,9 +172,9 @@
         )
         node.hand_in(now, owed, leaves=self._behaviour.leaves())
 
-    def ended(self, now: float, owed: Owed, result: book.Result, wait: float) -> None:
+    def ended(self, now: float, owed: Owed, result: records.Result, wait: float) -> None:
         message, tries = self._handed.pop(owed.id)
-        self._ledger.append(book.Ended(now, owed.node, owed.id, result, wait))
+        self._ledger.append(records.Ended(now, owed.node, owed.id, result, wait))
         if result == "refused":
             pause = self._behaviour.comes_again(tries, wait, owed.due - now)
             if pause is not None:
@@ -251,10 +253,10 @@
         self._clock.after(self._one_way[call.destination], call.sender.broken, call)
 
     def ran(self, now: float, endpoint: Endpoint, item: Item, effect: bool) -> None:
-        self._ledger.append(book.Ran(now, item.message, item.chain, endpoint.spec.number, effect))
+        self._ledger.append(records.Executed(now, item.message, item.chain, endpoint.spec.number, effect))
 
     def fell(self, now: float, destination: int) -> None:
-        self._ledger.append(book.Fell(now, destination))
+        self._ledger.append(records.Overloaded(now, destination))
         self._go_down(now, destination)
         self._clock.at(self._destinations[destination].fallen_until, self._come_back, destination)
 
@@ -306,12 +308,12 @@
     def _go_down(self, now: float, destination: int) -> None:
         self._down[destination] = self._down.get(destination, 0) + 1
         if self._down[destination] == 1:
-            self._ledger.append(book.Outage(now, destination, True))
+            self._ledger.append(records.Outage(now, destination, True))
 
     def _come_back(self, now: float, destination: int) -> None:
         self._down[destination] -= 1
         if not self._down[destination]:
-            self._ledger.append(book.Outage(now, destination, False))
+            self._ledger.append(records.Outage(now, destination, False))
 
     def _replace(self, now: float, number: int) -> None:
         old = self._endpoints[number]
--- a/tests/lab/sockets/test_play.py
+++ b/tests/lab/sockets/test_play.py
@@ -15,7 +15,7 @@
 import pytest
 from gevent import socket
 
-from irisstack.lab import ledger as book
+from irisstack.lab import ledger as records
 from irisstack.lab.audit import figures, rules
 from irisstack.lab.partner import Destination
 from irisstack.lab.sockets import http, partners
@@ -47,14 +47,14 @@
     found = rules.index(played.ledger)
     checked = rules.check(found, figures.figures_of(world))
     assert {name: breaches for name, breaches in checked.items() if breaches} == {}
-    assert len(found.by_chain) + len(found.missed) == len(world.messages)
+    assert len(found.by_chain) + len(found.never_submitted) == len(world.messages)
     delivered = {
-        life.handed.chain
-        for life in found.lives.values()
-        if any(end.result == "delivered" for end in life.ended)
+        history.submitted.chain
+        for history in found.submissions.values()
+        if any(end.result == "delivered" for end in history.ended)
     }
     assert len(delivered) > 0.7 * len(world.messages)
-    assert {told.state for told in found.told} >= {"draining", "ready"}
+    assert {announcement.state for announcement in found.announced} >= {"draining", "ready"}
     assert any(len(group) > 1 for group in found.by_chain.values())  # refused ones came again
     states = [state.state for group in found.states.values() for state in group]
     assert {"killed", "stalled", "awake"} <= set(states)
@@ -129,7 +129,7 @@
     assert not [pid for pid in children if Path(f"/proc/{pid}").exists()]
     kept = tmp_path / "out" / "small-sockets-1"
     assert {"run.json", "ledger.jsonl.gz", "report.html", "scenario.json"} <= set(os.listdir(kept))
-    assert any(isinstance(entry, book.NodeState) for entry in book.read(kept / "ledger.jsonl.gz"))
+    assert any(isinstance(entry, records.NodeState) for entry in records.read(kept / "ledger.jsonl.gz"))
 
 
 def _children(parent: int) -> list[int]:
@@ -162,11 +162,11 @@
             gevent.sleep(0.01)  # the answer lies in the socket, unread
         if reads:
             assert sock.recv(4096).startswith(b"HTTP/1.1 200")
-    while not any(isinstance(entry, book.Answered) for entry in context.ledger):
+    while not any(isinstance(entry, records.Answered) for entry in context.ledger):
         gevent.sleep(0.01)
     served.stop()
-    assert [entry.verdict for entry in context.ledger if isinstance(entry, book.Answered)] == [verdict]
-    assert [entry.result for entry in context.ledger if isinstance(entry, book.Ended)] == ["delivered"]
+    assert [entry.verdict for entry in context.ledger if isinstance(entry, records.Answered)] == [verdict]
+    assert [entry.result for entry in context.ledger if isinstance(entry, records.Ended)] == ["delivered"]
 
 
 def test_two_notices_that_contradict_each_other_stay_for_the_auditor(tmp_path: Path) -> None:
@@ -184,7 +184,7 @@
         assert sock.recv(4096).startswith(b"HTTP/1.1 204")
     platform.stop()
     served.stop()
-    ends = [entry for entry in _first_ends(context.ledger) if isinstance(entry, book.Ended)]
+    ends = [entry for entry in _first_ends(context.ledger) if isinstance(entry, records.Ended)]
     assert sorted((entry.message, entry.result) for entry in ends) == [
         (1, "failed"),
         (2, "failed"),
--- a/tests/lab/test_audit.py
+++ b/tests/lab/test_audit.py
@@ -8,7 +8,7 @@
 
 from irisstack import interface as api
 from irisstack.choice import Sender
-from irisstack.lab import ledger as book
+from irisstack.lab import ledger as records
 from irisstack.lab.audit import figures, rules, scoring
 from irisstack.lab.policy import Policy, Truth, module
 from irisstack.lab.virtual.listing import address
@@ -184,63 +184,71 @@
     assert rule in broken(tmp_path, wrong, extra)
 
 
-HANDED = book.HandedIn(0.0, 0, 1, 1, 1, 1, 8.0)
+HANDED = records.Submitted(0.0, 0, 1, 1, 1, 1, 8.0)
 
 
 @pytest.mark.parametrize(
-    ("rule", "records"),
+    ("rule", "planted"),
     [
-        ("one answer", [book.Ended(1.0, 0, 1, "refused"), book.Ended(2.0, 0, 1, "failed")]),
-        ("one answer", [book.Ended(9.0, 0, 1, "failed")]),
+        ("one answer", [records.Ended(1.0, 0, 1, "refused"), records.Ended(2.0, 0, 1, "failed")]),
+        ("one answer", [records.Ended(9.0, 0, 1, "failed")]),
         (
             "one answer",
-            [book.Ended(1.0, 0, 1, "failed"), book.Sent(2.0, 0, 1, 1, 1), book.Answered(3.0, 0, 1, 1, "ok")],
+            [
+                records.Ended(1.0, 0, 1, "failed"),
+                records.Sent(2.0, 0, 1, 1, 1),
+                records.Answered(3.0, 0, 1, 1, "ok"),
+            ],
         ),
         (
             "one answer",
-            [book.TakenOn(0.0, 0, 1), book.NodeState(1.0, 0, "killed"), book.NodeState(2.0, 0, "ready")],
+            [
+                records.Accepted(0.0, 0, 1),
+                records.NodeState(1.0, 0, "killed"),
+                records.NodeState(2.0, 0, "ready"),
+            ],
         ),
-        ("no effect twice", [book.Sent(1.0, 0, 1, 1, 1), book.Ended(2.0, 0, 1, "refused")]),
+        ("no effect twice", [records.Sent(1.0, 0, 1, 1, 1), records.Ended(2.0, 0, 1, "refused")]),
         (
             "waits",
             [
-                book.Sent(1.0, 0, 1, 1, 1),
-                book.Answered(1.1, 0, 1, 1, "refused", 2.0),
-                book.Sent(2.0, 0, 1, 2, 1),
-                book.Answered(2.1, 0, 1, 2, "ok"),
-                book.Ended(2.1, 0, 1, "delivered"),
+                records.Sent(1.0, 0, 1, 1, 1),
+                records.Answered(1.1, 0, 1, 1, "refused", 2.0),
+                records.Sent(2.0, 0, 1, 2, 1),
+                records.Answered(2.1, 0, 1, 2, "ok"),
+                records.Ended(2.1, 0, 1, "delivered"),
             ],
         ),
     ],
 )
-def test_planted_records(tmp_path: Path, rule: str, records: list[book.Entry]) -> None:
-    found = rules.check(rules.index([HANDED, *records]), figures.figures_of(small_world(tmp_path)))
+def test_planted_records(tmp_path: Path, rule: str, planted: list[records.Entry]) -> None:
+    found = rules.check(rules.index([HANDED, *planted]), figures.figures_of(small_world(tmp_path)))
     assert {name for name, breaches in found.items() if breaches} == {rule}
 
 
 @pytest.mark.parametrize(
-    "records",
+    "planted",
     [
         [
-            book.TakenOn(0.0, 0, 1),
-            book.NodeState(7.0, 0, "killed"),
-            book.NodeState(9.0, 0, "ready"),
-            book.Ended(10.0, 0, 1, "failed"),
+            records.Accepted(0.0, 0, 1),
+            records.NodeState(7.0, 0, "killed"),
+            records.NodeState(9.0, 0, "ready"),
+            records.Ended(10.0, 0, 1, "failed"),
         ],
-        [book.NodeState(1.0, 0, "lost"), book.NodeState(2.0, 0, "ready")],
+        [records.NodeState(1.0, 0, "lost"), records.NodeState(2.0, 0, "ready")],
         [
-            book.Sent(1.0, 0, 1, 1, 1),
-            book.Answered(1.2, 0, 1, 1, "refused", 1.0),
-            book.NodeState(1.3, 0, "killed"),
-            book.NodeState(1.4, 0, "ready"),
-            book.Sent(1.5, 0, 1, 1, 1),
-            book.Answered(1.6, 0, 1, 1, "ok"),
-            book.Ended(1.6, 0, 1, "delivered"),
+            records.Sent(1.0, 0, 1, 1, 1),
+            records.Answered(1.2, 0, 1, 1, "refused", 1.0),
+            records.NodeState(1.3, 0, "killed"),
+            records.NodeState(1.4, 0, "ready"),
+            records.Sent(1.5, 0, 1, 1, 1),
+            records.Answered(1.6, 0, 1, 1, "ok"),
+            records.Ended(1.6, 0, 1, "delivered"),
         ],
     ],
 )
-def test_a_restart_excuses_what_it_must(tmp_path: Path, records: list[book.Entry]) -> None:
-    found = rules.check(rules.index([HANDED, *records]), figures.figures_of(small_world(tmp_path)))
+def test_a_restart_excuses_what_it_must(tmp_path: Path, planted: list[records.Entry]) -> None:
+    found = rules.check(rules.index([HANDED, *planted]), figures.figures_of(small_world(tmp_path)))
     assert not any(found.values())
 
 
@@ -249,17 +257,17 @@
     [(0, "ok", {"one answer"}), (0, "crossed", set()), (1, "crossed", {"no effect twice"})],
 )
 def test_an_answer_that_crosses_a_giving_up_need_not_have_been_heard(
-    tmp_path: Path, message_class: int, verdict: book.Verdict, broken: set[str]
+    tmp_path: Path, message_class: int, verdict: records.Verdict, broken: set[str]
 ) -> None:
     found = rules.check(
         rules.index(
             [
-                book.HandedIn(0.0, 0, 1, 1, message_class, 1, 8.0),
-                book.Sent(1.0, 0, 1, 1, 1),
-                book.Answered(1.2, 0, 1, 1, verdict),
-                book.Ended(1.2, 0, 1, "delivered"),
-                book.Sent(1.5, 0, 1, 1, 1),
-                book.Answered(1.6, 0, 1, 1, "ok"),
+                records.Submitted(0.0, 0, 1, 1, message_class, 1, 8.0),
+                records.Sent(1.0, 0, 1, 1, 1),
+                records.Answered(1.2, 0, 1, 1, verdict),
+                records.Ended(1.2, 0, 1, "delivered"),
+                records.Sent(1.5, 0, 1, 1, 1),
+                records.Answered(1.6, 0, 1, 1, "ok"),
             ]
         ),
         figures.figures_of(small_world(tmp_path)),
@@ -279,15 +287,15 @@
 
 
 def test_a_retry_belongs_to_its_first_try_and_an_unreached_node_counts(tmp_path: Path) -> None:
-    again = book.HandedIn(1.0, 0, 2, 1, 1, 1, 8.0)
+    again = records.Submitted(1.0, 0, 2, 1, 1, 1, 8.0)
     got = scoring.score(
         rules.index(
             [
                 HANDED,
-                book.Ended(0.5, 0, 1, "refused"),
+                records.Ended(0.5, 0, 1, "refused"),
                 again,
-                book.Ended(1.5, 0, 2, "delivered"),
-                book.Missed(8.0, 3, 1, 1, 8.0),
+                records.Ended(1.5, 0, 2, "delivered"),
+                records.NeverSubmitted(8.0, 3, 1, 1, 8.0),
             ]
         ),
         figures.figures_of(small_world(tmp_path)),
--- a/tests/lab/test_virtual.py
+++ b/tests/lab/test_virtual.py
@@ -82,7 +82,7 @@
     found = rules.index(played.ledger)
     breaches = rules.check(found, figures.figures_of(struck))
     assert {name for name, broken in breaches.items() if broken} == set()
-    assert {len(life.ended) for life in found.lives.values()} == {1}
+    assert {len(history.ended) for history in found.submissions.values()} == {1}
 
 
 @pytest.mark.parametrize("name", sorted(set(baselines.POLICIES) - {baselines.MODULE}))
@@ -105,8 +105,12 @@
             "killed", at_s=4.0, for_s=0.5, share=1.0, **({"disk_lost": True} if lost else {})
         )
         found = rules.index(play(small_world(tmp_path, extra), module).ledger)
-        open_ones = sum(not life.ended for life in found.lives.values())
-        kept = sum(life.handed.t < 4.0 < 4.5 < life.ended[0].t for life in found.lives.values() if life.ended)
+        open_ones = sum(not history.ended for history in found.submissions.values())
+        kept = sum(
+            history.submitted.t < 4.0 < 4.5 < history.ended[0].t
+            for history in found.submissions.values()
+            if history.ended
+        )
         # What was lost is handed in anew, under another number.
         assert (open_ones > 0, kept > 0) == (lost, not lost)
 
