Plain docstrings in benchlink and common

Cause: several docstrings read as riddles. Change: wording of docstrings; a local name in the codec.

--- a/irisstack/benchlink/__init__.py
+++ b/irisstack/benchlink/__init__.py
@@ -1,1 +1,1 @@
-"""The bench's wire: frames to interface types and back, and the loop that hosts the instances."""
+"""Adapter to the bench: its binary protocol, and the loop that hosts instances of the decision module."""
--- a/irisstack/benchlink/codec.py
+++ b/irisstack/benchlink/codec.py
@@ -1,4 +1,4 @@
-"""The willow-f519 wire: bytes to interface types and back. Translation only."""
+"""Codec of the bench's binary protocol, willow-f519: bytes to interface types and back. No decisions."""
 
 import json
 import struct
@@ -38,7 +38,7 @@
 
 
 class WireError(Exception):
-    """The input is not what the wire allows."""
+    """The input violates the protocol."""
 
 
 @dataclass(slots=True, frozen=True)
@@ -51,12 +51,12 @@
 
 @dataclass(slots=True, frozen=True)
 class PowerOff:
-    """An instance dies without warning."""
+    """An instance is killed without notice."""
 
 
 @dataclass(slots=True, frozen=True)
 class Batch:
-    """One decoded batch: the clock, its number and the records as (instance, event), in order."""
+    """One decoded batch: the clock in seconds, its number, and its records as (instance, event) in order."""
 
     clock: float
     number: int
@@ -93,14 +93,14 @@
 
 
 def _take(form: struct.Struct, body: memoryview, exact: bool = True) -> tuple[Any, ...]:
-    """Unpack a record's fixed fields; `exact` says that nothing may follow them."""
+    """Unpack a record's fixed fields; with `exact` nothing may follow them. Raises `WireError`."""
     if len(body) < form.size or (exact and len(body) != form.size):
         raise WireError(f"a record's fields take {len(body)} bytes where {form.size} are due")
     return form.unpack_from(body)
 
 
 def _tail(form: struct.Struct, body: memoryview, length: int) -> memoryview:
-    """The content behind a record's count, which must fill the record."""
+    """The variable-length content after a record's fixed fields; raises `WireError` if its length differs."""
     if len(body) != form.size + length:
         raise WireError(f"a record's content takes {len(body) - form.size} bytes where {length} are due")
     return body[form.size :]
@@ -118,13 +118,13 @@
 
 
 class Decoder:
-    """Decodes batches; keeps the numbered endpoint lists, which belong to the whole process."""
+    """Decodes batches; keeps the numbered endpoint lists, which all instances of the process share."""
 
     def __init__(self) -> None:
         self._lists: dict[int, tuple[Endpoint, ...]] = {}
 
     def batch(self, payload: bytes) -> Batch:
-        """Decode what follows a batch's length field."""
+        """Decode a batch without its length field; raises `WireError`."""
         if len(payload) < HEADER.size - 4:
             raise WireError("a batch is shorter than its header")
         clock, count, number = struct.unpack_from(">dII", payload)
@@ -180,7 +180,7 @@
                 fields = _take(REPLY, body, exact=False)
                 instance, rid, host, port, attempt, elapsed, final, note, result, n = fields
                 outcome = _one_of(OUTCOMES, result, "outcome")
-                told = note / 1000.0 if outcome is Outcome.FULL and note else None
+                retry_after = note / 1000.0 if outcome is Outcome.FULL and note else None
                 no_slot = outcome is Outcome.NOT_SENT and note == 1
                 return instance, AttemptEnded(
                     rid,
@@ -189,7 +189,7 @@
                     elapsed,
                     bool(final),
                     outcome,
-                    told,
+                    retry_after,
                     no_slot,
                     _floats(REPLY, body, n),
                 )
@@ -224,7 +224,7 @@
 
 
 def settings(text: bytes) -> Settings:
-    """The settings from their JSON text."""
+    """Read the settings from their JSON text; raises `WireError`."""
     try:
         return read(Reader(json.loads(text)))
     except (ValueError, SettingsError) as error:
@@ -241,12 +241,12 @@
 
 
 def fault(instance: int, text: str) -> bytes:
-    """The record that says that the decision code has failed."""
+    """Encode the report that the decision module has failed."""
     return _text(67, instance, text)
 
 
 def action(instance: int, act: Action) -> bytes:
-    """One action as a record."""
+    """Encode one action."""
     match act:
         case Send(message, endpoint, give_up_at):
             host, port = endpoint
@@ -276,6 +276,6 @@
 
 
 def reply(number: int, records: list[bytes]) -> bytes:
-    """A whole reply frame."""
+    """Encode a reply frame."""
     body = b"".join(records)
     return REPLY_HEADER.pack(8 + len(body), len(records), number) + body
--- a/irisstack/benchlink/host.py
+++ b/irisstack/benchlink/host.py
@@ -1,4 +1,4 @@
-"""Hosts instances of the decision module on a pair of byte streams. Translation only."""
+"""Hosts instances of the decision module on a pair of byte streams. No decisions."""
 
 from typing import BinaryIO, TextIO
 
@@ -7,10 +7,11 @@
 from irisstack.interface import Event
 
 MAX_FRAME = 1 << 30
-"""A length above this is taken for a broken frame, not for a batch."""
+"""Bytes; a frame that claims more is refused as malformed."""
 
 
 def _read(stream: BinaryIO, size: int) -> bytes:
+    """Read exactly `size` bytes, or fewer at the end of the stream."""
     data = stream.read(size)
     while data and len(data) < size:
         more = stream.read(size - len(data))
@@ -21,14 +22,14 @@
 
 
 class Host:
-    """The instances of one process. They share nothing but this loop."""
+    """The instances of one process, which are independent of each other."""
 
     def __init__(self) -> None:
         self._decoder = codec.Decoder()
         self._senders: dict[int, Sender | None] = {}
 
     def answer(self, payload: bytes) -> bytes:
-        """The reply to one batch (without its length field)."""
+        """Process one batch (without its length field) and return the reply; raises `codec.WireError`."""
         batch = self._decoder.batch(payload)
         events: dict[int, list[Event]] = {}
         records: list[bytes] = []
@@ -50,13 +51,13 @@
             assert sender is not None
             try:
                 records.extend(codec.action(instance, act) for act in sender.turn(batch.clock, own))
-            except Exception as error:  # the day must end with the cause, whatever it is
+            except Exception as error:  # whatever it is, the bench must learn the cause
                 records.append(codec.fault(instance, f"{type(error).__name__}: {error}"))
         return codec.reply(batch.number, records)
 
 
 def main(source: BinaryIO, sink: BinaryIO, complaints: TextIO) -> int:
-    """Answer batches until the input ends; a malformed one ends the run with one plain line."""
+    """Answer batches until the input ends; returns the exit code: 0, or 2 for malformed input."""
     host = Host()
     try:
         while head := _read(source, 4):
--- a/irisstack/common/logs.py
+++ b/irisstack/common/logs.py
@@ -10,7 +10,7 @@
 
 
 def configure(form: Format = "json", level: str = "info", stream: TextIO | None = None) -> None:
-    """Set up all loggers of the process; `stream` is standard output unless told.
+    """Set up all loggers of the process; they write to `stream`, standard output by default.
 
     `json` is one object a line for machines, `console` aligned text for people (coloured on a terminal only).
     """
