Plain names and docstrings in the node's network modules

Cause: names such as REST, PATIENCE, MOST, ENDS, _looked, _fed and their docstrings read as riddles. Change: ANSWER_TIMEOUT, REQUEST_TIMEOUT, RETRY_PAUSE, MAX_BATCH, MAX_DATAGRAM, READS_PER_TURN, ERROR_PAUSE, INITIAL_SIZE, OUTCOME_OF_SENT, OUTCOME_BY_WORD, private fields and docstrings of buffer, counters, endpoint, http, notices, objects, peers, results, sockets. Counters, log events and wire keys are unchanged.

--- a/irisstack/node/counters.py
+++ b/irisstack/node/counters.py
@@ -1,16 +1,18 @@
-"""What the node has taken in, sent and answered since its start."""
+"""Counters of what the node has received, sent and answered since its start."""
 
 from collections import Counter
 
 
 class Counters:
-    """Named counts; printed on request and at exit."""
+    """Named counters, served at `/counters` and logged at exit."""
 
     def __init__(self) -> None:
         self._counts: Counter[str] = Counter()
 
     def add(self, name: str, count: int = 1) -> None:
+        """Increase a counter, which begins at 0."""
         self._counts[name] += count
 
     def snapshot(self) -> dict[str, int]:
+        """All counters so far, sorted by name."""
         return dict(sorted(self._counts.items()))
--- a/irisstack/node/endpoint.py
+++ b/irisstack/node/endpoint.py
@@ -1,4 +1,4 @@
-"""An actor for each endpoint: its connections, and the calls on them."""
+"""The actor of one endpoint: its connection pool and the calls on these connections."""
 
 import math
 import time
@@ -23,17 +23,17 @@
 LONG = 3600.0
 """Seconds an idle connection is kept where the settings name no limit."""
 IDLE_MARGIN = 0.05
-"""Part of the endpoint's idle limit in which a connection is no longer trusted."""
+"""Last part of the endpoint's idle limit, in which a kept connection is closed instead of used."""
 
-REST = 2.0
-"""Seconds from the first byte of an answer until it must be whole."""
+ANSWER_TIMEOUT = 2.0
+"""Seconds from the first byte of an answer to its last."""
 
 log = structlog.get_logger()
 
 
 @dataclass(slots=True, frozen=True)
 class Outgoing:
-    """One message of a call."""
+    """One message of a call; times are seconds of the monotonic clock."""
 
     number: int
     attempt: int
@@ -47,7 +47,7 @@
 
 @dataclass(slots=True, eq=False)
 class Call:
-    """The messages that go to one endpoint together, with one fate."""
+    """One request to the endpoint; its messages are sent together and end together."""
 
     messages: Sequence[Outgoing]
     sent_at: float  # Unix time, for the record
@@ -58,10 +58,9 @@
 
     @property
     def until(self) -> float:
-        """When it is given up: once no message waits for it, or the first is out of time.
+        """The call's deadline: when no message waits for it any more, or the first one's time is over.
 
-        An attempt that has ended has no call out any more, and a call is ended for all of its messages or for
-        none: whose own time is up must be told its end, so that the others' attempts end with it.
+        A call ends for all of its messages or for none, since an attempt that has ended may have no call out.
         """
         return min(
             max(message.give_up for message in self.messages), min(message.due for message in self.messages)
@@ -69,13 +68,13 @@
 
     @property
     def leave_by(self) -> float:
-        """When its last byte must have left, if it leaves."""
+        """The time by which the last byte must have been sent; a call that is later is withheld."""
         return min(message.leave_by for message in self.messages)
 
 
 @dataclass(slots=True, frozen=True)
 class CallOff:
-    """Stop waiting for the call that carries this attempt."""
+    """Cancel the call that carries this attempt."""
 
     number: int
     attempt: int
@@ -88,14 +87,14 @@
 
 @dataclass(slots=True, frozen=True)
 class Hold:
-    """The destination told to wait: a call that has not left yet must not leave before this time."""
+    """The destination asked to wait: calls not sent yet are withheld until this time."""
 
     until: float
 
 
 @dataclass(slots=True, frozen=True)
 class Retire:
-    """The list no longer offers the endpoint: it gets nothing more, and the actor ends with its last call."""
+    """The endpoint left the list: no call is sent any more, and the actor ends with its last call."""
 
 
 Command = Call | CallOff | CloseIdle | Hold | Retire
@@ -103,7 +102,7 @@
 
 @dataclass(slots=True, frozen=True)
 class _Back:
-    """A call has ended; its connection comes back, if it can be used again."""
+    """A call has ended; its connection returns to the pool if it can be used again."""
 
     call: Call
     connection: "Connection | None"
@@ -111,7 +110,7 @@
 
 @dataclass(slots=True, frozen=True)
 class Ended:
-    """The end of one attempt, for the decider."""
+    """The result of one attempt, for the decider."""
 
     number: int
     attempt: int
@@ -120,15 +119,15 @@
 
 
 class _CalledOff(Exception):
-    """Raised inside a call's greenlet."""
+    """The call was cancelled; raised inside its greenlet."""
 
 
 class _Withheld(Exception):
-    """Nothing may go to the endpoint, or not yet."""
+    """The call may not be sent, or not yet."""
 
 
 class Connection:
-    """One connection: a call at a time. Its exceptions stop here."""
+    """One connection; it carries one call at a time. Errors become results: no exception leaves `carry`."""
 
     def __init__(self, peer: HostPort, connect_timeout: float, report_fields: Sequence[str]) -> None:
         self._peer = peer
@@ -140,7 +139,7 @@
         self.idle_since = 0.0
 
     def usable(self) -> bool:
-        """Whether nothing, not even an end, waits to be read on an idle connection."""
+        """Whether the connection is open and nothing, not even its end, waits to be read."""
         return self._socket is not None and sockets.quiet(self._socket)
 
     def close(self) -> None:
@@ -151,7 +150,7 @@
     def carry(
         self, call: Call, leaving: Callable[[Call], bool], end: Callable[[Outgoing, Result], None]
     ) -> bool:
-        """Carry one call to its end and tell each message's; returns whether the connection can be kept."""
+        """Carry one call and report each message's result; returns whether the connection can be kept."""
         ids = [message.id for message in call.messages]
         reached, ending = Reached.NOTHING, Ending.BROKEN
         keep = False
@@ -160,7 +159,7 @@
             if call.over:
                 raise _CalledOff
             call.begun = True
-            if not self.usable():  # also if something came since the endpoint's actor looked
+            if not self.usable():  # something may have come since the pool was checked
                 self.close()
             self._open(call.until)
             reached = Reached.CONNECTED
@@ -175,7 +174,7 @@
             ending = Ending.BROKEN if answer is not None else Ending.GIVEN_UP
         except _CalledOff:
             ending = Ending.CALLED_OFF
-            answer = self._come_already() if reached is Reached.WRITTEN else None
+            answer = self._received_answer() if reached is Reached.WRITTEN else None
         except _Withheld:
             ending = Ending.WITHHELD
         except TimeoutError:
@@ -226,8 +225,8 @@
         self._socket.settimeout(min(left, max(0.001, call.leave_by - time.monotonic())))
         self._socket.sendall(http.request("POST", path, name_of(self._peer), headers, body))
 
-    def _come_already(self) -> http.Message | None:
-        """The answer of a call that is called off, if it lies there unread."""
+    def _received_answer(self) -> http.Message | None:
+        """The answer of a cancelled call, if all of it has been received."""
         assert self._socket is not None
         try:
             if not sockets.quiet(self._socket):
@@ -236,17 +235,17 @@
         except (OSError, http.BadMessage):
             return None
 
-    def _read(self, until: float) -> http.Message | None:
-        """The answer, or nothing once nobody waits for it."""
+    def _read(self, deadline: float) -> http.Message | None:
+        """The answer; `None` if it is not whole by the deadline. Raises `OSError` or `http.BadMessage`."""
         assert self._socket is not None
         begun = False
         while (answer := self._reader.advance(self._buffer)) is None:
             if not begun and (begun := self._reader.started or len(self._buffer) > 0):
-                until = min(until, time.monotonic() + REST)
+                deadline = min(deadline, time.monotonic() + ANSWER_TIMEOUT)
             if begun:
                 gevent.sleep(0)  # an answer that keeps coming must not keep the others from their turn
             try:
-                received = sockets.receive_before(self._socket, self._buffer, until)
+                received = sockets.receive_before(self._socket, self._buffer, deadline)
             except TimeoutError:
                 return None
             if not received:
@@ -258,7 +257,7 @@
 
 
 class Endpoint:
-    """The actor of one endpoint."""
+    """Takes commands for one endpoint and runs its calls, each in a greenlet of its own."""
 
     def __init__(
         self,
@@ -292,7 +291,7 @@
         self.worker: gevent.Greenlet[..., None] = gevent.Greenlet(self.run)
 
     def run(self) -> None:
-        """Take what is in the mailbox until the endpoint is retired and nothing is left to do."""
+        """Handle commands until the endpoint is retired and its last call has ended."""
         while not (self._retired and not self._calls and self.mailbox.empty()):
             wait = None
             if self._idle:
@@ -334,7 +333,7 @@
             self._idle.pop().close()
 
     def _connection(self) -> Connection:
-        """The connection used last, or a new one."""
+        """The most recently used idle connection that is usable, or a new one."""
         while self._idle:
             connection = self._idle.pop()
             if time.monotonic() - connection.idle_since < self._trusted and connection.usable():
@@ -348,10 +347,10 @@
         self.mailbox.put(_Back(call, connection if keep else None))
 
     def _leaving(self, call: Call) -> bool:
-        """On record before the last byte leaves: from here on the call may have run.
+        """Put the call on record before it is sent: from here on it may have run.
 
-        A call that was still connecting when the endpoint began to drain, the destination told to wait, or
-        the window ended in which its repeat is dropped, does not leave.
+        Returns false for a call that must not be sent: while it was connecting the endpoint began to drain,
+        the destination asked to wait, or the window ended in which a repeat of it is recognised.
         """
         now = time.monotonic()
         if self._retired or now < self._held_until or now >= call.leave_by:
--- a/irisstack/node/http.py
+++ b/irisstack/node/http.py
@@ -1,4 +1,4 @@
-"""HTTP/1.1 without sockets: messages out of a connection's buffer, heads into bytes."""
+"""HTTP/1.1 without I/O: parses messages from a connection's buffer and serialises messages to bytes."""
 
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass, field
@@ -10,16 +10,17 @@
 from irisstack.node.buffer import Buffer
 
 MAX_HEAD = 16 * 1024
+"""Bytes of a message's first line and headers."""
 MAX_BODY = 64 * 1024
-"""A body's limit on this protocol, either way."""
+"""Bytes of a message's body, in requests and answers."""
 MAX_INTERIM = 16
-"""Interim answers ahead of one that counts."""
+"""Interim (1xx) answers before the final one."""
 MAX_LIST = 16 * 1024 * 1024
-"""The limit for an endpoint list, which grows with the fleet."""
+"""Bytes of an endpoint list, which grows with the fleet."""
 
 
 class BadMessage(Exception):
-    """What came is no HTTP message that can be taken; carries the status to answer it with."""
+    """The bytes are no acceptable HTTP message; `status` is the answer to send."""
 
     def __init__(self, status: HTTPStatus, reason: str) -> None:
         super().__init__(reason)
@@ -42,19 +43,19 @@
 
 
 class _Reader(Generic[P]):
-    """Feeds httptools from the buffer piece by piece, so that nothing beyond one message is taken."""
+    """Incremental parser that consumes from the buffer no more than the present message."""
 
     def __init__(self, make_parser: Callable[["_Reader[P]"], P], max_body: int) -> None:
         self._make_parser: Callable[[_Reader[P]], P] = make_parser
         self.max_body = max_body
-        self._fresh()
+        self._reset()
 
-    def _fresh(self) -> None:
+    def _reset(self) -> None:
         self.message = Message()
         self.head_done = self._complete = False
         self._head_size = 0
-        self._fed = False  # a first line was read
-        self._left: int | None = None  # of a body whose length was told
+        self._first_line_read = False
+        self._body_left: int | None = None  # bytes still to come; None without a Content-Length
         self._chunked = False
         self._parser: P = self._make_parser(self)
 
@@ -64,15 +65,18 @@
         return self._head_size > 0
 
     def advance(self, buffer: Buffer) -> Message | None:
-        """Take what the buffer holds of the present message; returns it once it is whole."""
-        while not self._complete and (size := self._piece(buffer)):
+        """Consume what the buffer holds of the present message; returns it once it is complete.
+
+        Raises `BadMessage`.
+        """
+        while not self._complete and (size := self._feedable(buffer)):
             if not self.head_done:
                 self._head_size += size
                 if self._head_size > MAX_HEAD:
                     raise BadMessage(HTTPStatus.REQUEST_HEADER_FIELDS_TOO_LARGE, "the head is too long")
             try:
                 self._parser.feed_data(buffer.take(size))
-                self._fed = True
+                self._first_line_read = True
             except httptools.HttpParserUpgrade:
                 raise BadMessage(HTTPStatus.BAD_REQUEST, "no other protocol is spoken here") from None
             except httptools.HttpParserCallbackError as error:
@@ -84,27 +88,27 @@
         if not self._complete:
             return None
         whole = self.message
-        self._fresh()
+        self._reset()
         return whole
 
-    def _piece(self, buffer: Buffer) -> int:
-        """How much may be fed without running past the end of the message."""
+    def _feedable(self, buffer: Buffer) -> int:
+        """Bytes of the buffer that can be fed without running past the end of the message."""
         if self.head_done and not self._chunked:
-            return len(buffer) if self._left is None else min(len(buffer), self._left)
+            return len(buffer) if self._body_left is None else min(len(buffer), self._body_left)
         size = buffer.line()
         if not size and len(buffer) > (self.max_body if self.head_done else 0) + MAX_HEAD:
             status = HTTPStatus.BAD_REQUEST if self.head_done else HTTPStatus.REQUEST_HEADER_FIELDS_TOO_LARGE
             raise BadMessage(status, "a line is too long")
         return size
 
-    # What httptools calls:
+    # Callbacks of httptools:
 
     def on_header(self, name: bytes, value: bytes) -> None:
-        """A header that comes twice is one with both values; what follows a body says nothing anew."""
+        """Join repeated headers with commas; trailers after a chunked body are ignored."""
         if not self.head_done:
             key, text = name.decode("latin-1").lower(), value.decode("latin-1")
-            told = self.message.headers.get(key)
-            self.message.headers[key] = text if told is None else f"{told}, {text}"
+            earlier = self.message.headers.get(key)
+            self.message.headers[key] = text if earlier is None else f"{earlier}, {text}"
 
     def on_headers_complete(self) -> None:
         self.head_done = True
@@ -113,14 +117,14 @@
         self.message.keep_alive = self._parser.should_keep_alive()
         length = headers.get("content-length")
         if length is not None and not self._chunked:
-            self._left = int(length)
-            if self._left > self.max_body:
+            self._body_left = int(length)
+            if self._body_left > self.max_body:
                 raise BadMessage(HTTPStatus.REQUEST_ENTITY_TOO_LARGE, "the body is too long")
 
     def on_body(self, body: bytes) -> None:
         self.message.body += body
-        if self._left is not None:
-            self._left -= len(body)
+        if self._body_left is not None:
+            self._body_left -= len(body)
         if len(self.message.body) > self.max_body:
             raise BadMessage(HTTPStatus.REQUEST_ENTITY_TOO_LARGE, "the body is too long")
 
@@ -129,7 +133,7 @@
 
 
 class RequestReader(_Reader[httptools.HttpRequestParser]):
-    """Requests from a client."""
+    """Parses requests of a client."""
 
     def __init__(self) -> None:
         super().__init__(httptools.HttpRequestParser, MAX_BODY)
@@ -143,18 +147,18 @@
 
 
 class AnswerReader(_Reader[httptools.HttpResponseParser]):
-    """Answers from an endpoint or the platform."""
+    """Parses answers of an endpoint or the platform."""
 
     def __init__(self, max_body: int = MAX_BODY) -> None:
         super().__init__(httptools.HttpResponseParser, max_body)
-        self._interim = 0  # answers ahead of the one that counts
+        self._interim = 0  # interim answers so far
 
     def on_headers_complete(self) -> None:
         self.message.status = self._parser.get_status_code()
         super().on_headers_complete()
 
     def advance(self, buffer: Buffer) -> Message | None:
-        """As for any message; an interim answer is passed over."""
+        """As for any message; interim (1xx) answers are skipped."""
         while (message := super().advance(buffer)) is not None:
             if message.status >= HTTPStatus.OK:
                 self._interim = 0
@@ -165,18 +169,18 @@
         return None
 
     def ended(self) -> Message | None:
-        """The connection ended: that is the end of a body whose length was not told."""
-        if self.head_done and self._left is None and not self._chunked:
+        """The answer that ends with the connection, having neither length nor chunks; else `None`."""
+        if self.head_done and self._body_left is None and not self._chunked:
             return self.message
         return None
 
     @property
     def says_ok(self) -> bool:
-        """Whether the first line of an answer under way says 200: true, whatever becomes of the rest."""
-        return self._fed and self._parser.get_status_code() == HTTPStatus.OK
+        """Whether the status line of an unfinished answer says 200, which stands whatever follows."""
+        return self._first_line_read and self._parser.get_status_code() == HTTPStatus.OK
 
     def take_body(self) -> bytes:
-        """What has come so far of a body that is used as it comes."""
+        """Remove and return the part of a streamed body that has been received."""
         taken = bytes(self.message.body)
         self.message.body.clear()
         return taken
@@ -185,7 +189,7 @@
 def request(
     method: str, path: str, host: str, headers: Iterable[tuple[str, str]] = (), body: bytes = b""
 ) -> bytes:
-    """A whole request."""
+    """Serialise a request."""
     lines = [f"{method} {path} HTTP/1.1", f"Host: {host}", *(f"{name}: {value}" for name, value in headers)]
     if body or method == "POST":
         lines.append(f"Content-Length: {len(body)}")
@@ -195,7 +199,7 @@
 def answer(
     status: HTTPStatus, headers: Iterable[tuple[str, str]] = (), body: bytes = b"", close: bool = False
 ) -> bytes:
-    """A whole answer."""
+    """Serialise an answer; `close` announces that the connection ends after it."""
     lines = [f"HTTP/1.1 {status.value} {status.phrase}", *(f"{name}: {value}" for name, value in headers)]
     if close:
         lines.append("Connection: close")
--- a/irisstack/node/notices.py
+++ b/irisstack/node/notices.py
@@ -1,4 +1,4 @@
-"""The platform's ear: ends of messages that were taken on and not delivered, told until they are heard."""
+"""Notices to the platform about accepted messages that were not delivered, posted until acknowledged."""
 
 import json
 import time
@@ -15,86 +15,89 @@
 from irisstack.node.counters import Counters
 from irisstack.node.store import Entry, Store
 
-PATIENCE = 1.0
-"""Seconds for one try, connect and whole answer included."""
-PAUSE = 0.1
-"""Seconds between one try that failed and the next."""
-MOST = 200
+REQUEST_TIMEOUT = 1.0
+"""Seconds for one request, from the connect to the end of its answer."""
+RETRY_PAUSE = 0.1
+"""Seconds from a failed request to the next."""
+MAX_BATCH = 200
 """Notices in one request; a body holds 64 KiB at most."""
 
 log = structlog.get_logger()
 
 
 class Notices:
-    """One request at a time; what is owed meanwhile goes with the next one."""
+    """Posts notices with one request at a time; those that come meanwhile go with the next request."""
 
     def __init__(self, peer: HostPort, store: Store, counters: Counters) -> None:
         self._peer = peer
         self._store = store
         self._counters = counters
-        self._owed: dict[int, Entry] = {}
-        self._news = Event()
+        self._pending: dict[int, Entry] = {}
+        self._wake = Event()
         self._socket: socket.socket | None = None
 
     def owe(self, entry: Entry) -> None:
-        self._owed[entry.number] = entry
-        self._news.set()
+        """Post a notice of this message."""
+        self._pending[entry.number] = entry
+        self._wake.set()
 
     def move(self, peer: HostPort) -> None:
-        """Tell another address from now on; a request under way is broken off and goes there instead.
+        """Post to another address from now on; a request under way is aborted and sent there instead.
 
-        Should the old address have taken it, hearing of the same ends once more does no harm.
+        Notices are idempotent: it does no harm if the old address has taken the request.
         """
         self._peer = peer
         self._close()
 
     @property
     def idle(self) -> bool:
-        return not self._owed
+        """Whether every notice has been acknowledged."""
+        return not self._pending
 
     def run(self) -> None:
+        """Post for ever."""
         while True:
-            self._news.wait()
-            self._news.clear()
-            while self._owed:
-                batch = list(self._owed.values())[:MOST]
-                if not self._tell(batch):
-                    gevent.sleep(PAUSE)
-
-    def _tell(self, batch: list[Entry]) -> bool:
-        """Post some notices; returns whether they are settled."""
+            self._wake.wait()
+            self._wake.clear()
+            while self._pending:
+                batch = list(self._pending.values())[:MAX_BATCH]
+                if not self._post_batch(batch):
+                    gevent.sleep(RETRY_PAUSE)
+
+    def _post_batch(self, batch: list[Entry]) -> bool:
+        """Post some notices; returns whether all are settled: acknowledged, or refused as unreadable."""
         status = self._post("".join(json.dumps(_line(entry)) + "\n" for entry in batch).encode())
         if status == 400 and len(batch) > 1:  # one of them cannot be read, and must not hold up the rest
-            settled = [self._tell([entry]) for entry in batch]
-            return all(settled)
+            acknowledged = [self._post_batch([entry]) for entry in batch]
+            return all(acknowledged)
         if status == 400:
             log.error("notice_not_read", notice=_line(batch[0]))
         elif status != 204:
             log.info("notices_not_taken", count=len(batch), status=status)
             return False
         for entry in batch:
-            del self._owed[entry.number]
+            del self._pending[entry.number]
         self._counters.add("notices_taken", len(batch))
         self._store.told([entry.number for entry in batch], time.time())
         return True
 
     def _post(self, body: bytes) -> int:
-        """The status of one POST; 0 if there was none."""
+        """The status of one POST; 0 if no whole answer came."""
         buffer, reader = Buffer(), http.AnswerReader()
-        until = time.monotonic() + PATIENCE
+        deadline = time.monotonic() + REQUEST_TIMEOUT
         try:
             if self._socket is not None and not sockets.quiet(self._socket):
                 self._close()
             peer = self._peer
-            connection = self._socket = self._socket or sockets.connect(peer, PATIENCE)
+            connection = self._socket = self._socket or sockets.connect(peer, REQUEST_TIMEOUT)
             if peer != self._peer:
                 raise ConnectionAbortedError("the platform has moved")
-            connection.settimeout(max(0.001, until - time.monotonic()))
+            connection.settimeout(max(0.001, deadline - time.monotonic()))
             connection.sendall(
                 http.request("POST", "/reports", name_of(peer), [("Content-Type", "application/json")], body)
             )
             while (answer := reader.advance(buffer)) is None:
-                if not sockets.receive_before(connection, buffer, until):
+                if not sockets.receive_before(connection, buffer, deadline):
                     raise ConnectionResetError("the answer ended early")
         except (OSError, http.BadMessage) as error:
             log.info("notice_connection_lost", error=repr(error))
--- a/irisstack/node/peers.py
+++ b/irisstack/node/peers.py
@@ -1,4 +1,4 @@
-"""Short notes between nodes: datagrams to the places that the configuration names, and from them alone."""
+"""Gossip between nodes: datagrams to and from the peers that the configuration names."""
 
 from collections.abc import Callable, Sequence
 
@@ -10,18 +10,18 @@
 from irisstack.node.config import HostPort, name_of
 from irisstack.node.counters import Counters
 
-MOST = 256
-"""Bytes in a note."""
-AT_ONCE = 200
-"""Notes read before others get their turn; what the socket's buffer cannot hold meanwhile is lost."""
-PAUSE = 0.01
-"""Seconds after an error until the next note is read."""
+MAX_DATAGRAM = 256
+"""Bytes of a datagram at most; a longer one is dropped."""
+READS_PER_TURN = 200
+"""Datagrams read before other greenlets run; what the socket's buffer cannot hold meanwhile is lost."""
+ERROR_PAUSE = 0.01
+"""Seconds from a read error to the next read."""
 
 log = structlog.get_logger()
 
 
 class Peers:
-    """One datagram socket at the node's own address. Notes may be lost, late or doubled; none is answered."""
+    """One UDP socket at the node's own address. Datagrams may be lost, late or doubled; none is answered."""
 
     def __init__(
         self,
@@ -38,32 +38,33 @@
         self._listen = listen
 
     def start(self) -> None:
-        """Bind; raises `OSError` where the address cannot be had."""
+        """Bind the socket; raises `OSError` if the address cannot be bound."""
         self._socket.bind(self._listen)
 
     def run(self) -> None:
+        """Hand on each datagram of a known peer until the socket is closed."""
         read = 0
         while True:
             try:
-                data, sender = self._socket.recvfrom(MOST + 1)
-            except OSError as error:  # what a peer that is down sends back; the socket itself goes on
+                data, sender = self._socket.recvfrom(MAX_DATAGRAM + 1)
+            except OSError as error:  # as from a peer that is down; the socket stays usable
                 if self._socket.fileno() < 0:
                     return
                 log.debug("note_unread", error=error.strerror)
-                gevent.sleep(PAUSE)
+                gevent.sleep(ERROR_PAUSE)
                 continue
             number = self._numbers.get((sender[0], sender[1]))
-            if number is None or not 0 < len(data) <= MOST:
+            if number is None or not 0 < len(data) <= MAX_DATAGRAM:
                 self._counters.add("notes_strange")
             else:
                 taken = self._post(api.PeerMessage(number, data))
                 self._counters.add("notes_heard" if taken else "notes_dropped")
             read += 1
-            if read % AT_ONCE == 0:
+            if read % READS_PER_TURN == 0:
                 gevent.sleep(0)
 
     def tell(self, peer: int | None, data: bytes) -> None:
-        """Send to one peer or to all; one that cannot be reached costs a count."""
+        """Send to one peer, or to all for `None`; a failed send is counted and not repeated."""
         for to in self._peers if peer is None else self._peers[peer : peer + 1]:
             try:
                 self._socket.sendto(data, to)
--- a/irisstack/node/results.py
+++ b/irisstack/node/results.py
@@ -1,4 +1,4 @@
-"""How an attempt ended, as a value that carries how far it had come. Nothing here decides anything."""
+"""Results of attempts: the outcome of an answer, or of an attempt that ended without one. No decisions."""
 
 import math
 from collections.abc import Sequence
@@ -10,7 +10,7 @@
 
 
 class Reached(IntEnum):
-    """How far an attempt came: only once the last byte is written may it have run."""
+    """How far an attempt came. It may have run only once its last byte was written."""
 
     NOTHING = auto()
     CONNECTED = auto()
@@ -19,17 +19,17 @@
 
 
 class Ending(IntEnum):
-    """What ended an attempt that got no answer."""
+    """Why an attempt ended without an answer."""
 
     BROKEN = auto()
     GIVEN_UP = auto()
     CALLED_OFF = auto()
-    WITHHELD = auto()  # held back before its last byte, since nothing may go there any more
+    WITHHELD = auto()  # not sent: nothing may go to the endpoint any more, or not yet
 
 
 @dataclass(slots=True, frozen=True)
 class Result:
-    """The end of one attempt."""
+    """The result of one attempt; `over` says that the message is final, `retry_after` is in seconds."""
 
     outcome: Outcome
     reached: Reached
@@ -40,30 +40,33 @@
 
 
 DELIVERED = Result(Outcome.OK, Reached.ANSWERED, over=True)
-MAY_HAVE_RUN = {
+OUTCOME_OF_SENT = {
     Ending.BROKEN: Outcome.RESET,
     Ending.GIVEN_UP: Outcome.TIMEOUT,
     Ending.CALLED_OFF: Outcome.CANCELLED,
 }
-ENDS = {
+"""The outcome of an attempt that was sent in full and got no answer: it may have run."""
+OUTCOME_BY_WORD = {
     "accepted": (Outcome.OK, True),
     "fault": (Outcome.ERROR, False),
     "deferred": (Outcome.FULL, False),
     "expired": (Outcome.NOT_SENT, True),
     "no_more": (Outcome.NOT_SENT, False),
 }
+"""Outcome and finality by the word for one message in the answer to a shared call."""
 
 
 def unanswered(reached: Reached, ending: Ending) -> Result:
-    """An attempt that ended without an answer."""
+    """The result of an attempt that ended without an answer."""
     if ending is Ending.WITHHELD:
         return Result(Outcome.NOT_SENT, reached)
     if reached < Reached.WRITTEN:
         return Result(Outcome.CONNECT_FAILED, reached)
-    return Result(MAY_HAVE_RUN[ending], reached)
+    return Result(OUTCOME_OF_SENT[ending], reached)
 
 
-def _number(text: str | None) -> float | None:
+def _positive_number(text: str | None) -> float | None:
+    """A header's positive finite number; `None` if it has none."""
     try:
         value = float(text) if text is not None else 0.0
     except ValueError:
@@ -72,12 +75,13 @@
 
 
 def _report(message: Message, fields: Sequence[str]) -> tuple[float, ...]:
-    """The load report in the order of the settings' fields; one that cannot be read is none."""
-    told = message.headers.get("x-server-load")
-    if told is None or not fields:
+    """The load report, in the order of the settings' fields; empty if there is none or it cannot be read."""
+    header = message.headers.get("x-server-load")
+    if header is None or not fields:
         return ()
     try:
-        values = {name.strip(): float(value) for name, value in (item.split("=") for item in told.split(","))}
+        pairs = (item.split("=") for item in header.split(","))
+        values = {name.strip(): float(value) for name, value in pairs}
     except ValueError:
         return ()
     if not all(math.isfinite(value) for value in values.values()):
@@ -86,8 +90,8 @@
 
 
 def answered(message: Message, fields: Sequence[str]) -> Result:
-    """What an answer says of all messages of its call alike."""
-    wait = _number(message.headers.get("retry-after"))
+    """The result that an answer gives to every message of its call."""
+    wait = _positive_number(message.headers.get("retry-after"))
     report = _report(message, fields)
     busy = message.headers.get("x-line-busy") == "1"
     match message.status:
@@ -107,18 +111,18 @@
 
 
 def answered_each(message: Message, ids: Sequence[str], fields: Sequence[str]) -> dict[str, Result]:
-    """What the answer to a shared call says of each message; one that it does not name may have run."""
+    """The result of each message of a shared call, by id; one that the answer does not name may have run."""
     alike = answered(message, fields)
     if message.status in (400, 413):
         return dict.fromkeys(ids, Result(Outcome.NOT_SENT, Reached.ANSWERED))
     if message.status != 200:
         return dict.fromkeys(ids, alike)
-    told: dict[str, str] = {}
+    words: dict[str, str] = {}
     for line in bytes(message.body).decode("latin-1").splitlines():
-        id_, _, end = line.strip().partition(" ")
-        told[id_] = end
+        id_, _, word = line.strip().partition(" ")
+        words[id_] = word
     results = {}
     for id_ in ids:
-        outcome, over = ENDS.get(told.get(id_, ""), (Outcome.RESET, False))
+        outcome, over = OUTCOME_BY_WORD.get(words.get(id_, ""), (Outcome.RESET, False))
         results[id_] = Result(outcome, Reached.ANSWERED, over, alike.retry_after, report=alike.report)
     return results
--- a/irisstack/node/sockets.py
+++ b/irisstack/node/sockets.py
@@ -1,4 +1,4 @@
-"""What connections to endpoints, clients and the platform have in common."""
+"""Helpers for the sockets to endpoints, clients and the platform."""
 
 import select
 import time
@@ -15,20 +15,20 @@
 
 
 def connect(peer: HostPort, timeout: float) -> socket.socket:
-    """A new connection; small messages leave at once."""
+    """Open a TCP connection with TCP_NODELAY; raises `OSError`, `TimeoutError` after `timeout` seconds."""
     connection = socket.create_connection(peer, timeout=timeout)
     connection.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
     return connection
 
 
 def quiet(connection: socket.socket) -> bool:
-    """Whether nothing, not even an end, waits to be read: such a connection may be used again."""
-    return not _shows(connection, select.POLLIN | BROKEN)
+    """Whether nothing, not even the end of the stream, waits to be read: the connection can be used again."""
+    return not _polls(connection, select.POLLIN | BROKEN)
 
 
 def left(connection: socket.socket) -> bool:
-    """Whether the other side has ended its sending."""
-    return _shows(connection, select.POLLRDHUP | BROKEN)
+    """Whether the peer has shut down its sending side, or the connection is broken."""
+    return _polls(connection, select.POLLRDHUP | BROKEN)
 
 
 def receive_before(connection: socket.socket, buffer: Buffer, deadline: float) -> int:
@@ -46,7 +46,7 @@
             return buffer.receive(connection)
 
 
-def _shows(connection: socket.socket, events: int) -> bool:
+def _polls(connection: socket.socket, events: int) -> bool:
     poll = select.poll()
     poll.register(connection.fileno(), events)
     return bool(poll.poll(0))
--- a/tests/test_node_parts.py
+++ b/tests/test_node_parts.py
@@ -16,7 +16,7 @@
 
 from irisstack import interface as api
 from irisstack.node import http
-from irisstack.node.buffer import INITIAL, Buffer
+from irisstack.node.buffer import INITIAL_SIZE, Buffer
 from irisstack.node.config import ConfigError, load
 from irisstack.node.counters import Counters
 from irisstack.node.decider import Decider
@@ -159,10 +159,10 @@
 
 
 def test_a_buffer_grows_and_hands_out_what_came_in_order() -> None:
-    data = bytes(i % 251 for i in range(5 * INITIAL))
+    data = bytes(i % 251 for i in range(5 * INITIAL_SIZE))
     source, buffer, taken = Source(data, 1000), Buffer(), b""
     while buffer.receive(source):
-        if len(buffer) > INITIAL:
+        if len(buffer) > INITIAL_SIZE:
             taken += buffer.take(700)
     assert taken + buffer.take(len(buffer)) == data
 
