Rename the breaker and its fields in choice after the field's standard words

Cause: _Row, strikes, dark, spent, told, served, moved, _heard and _tell read as riddles. Change: _CircuitBreaker, slowdown_steps, unreachable_since, warmup_budget_used and _at, reported_limit, successes, changed, _on_gossip, _broadcast; DARK is SHUT_AFTER, _weight is _warmup_gate, row is breaker, told of a report is report.

--- a/irisstack/choice.py
+++ b/irisstack/choice.py
@@ -1,8 +1,7 @@
 """All decisions of irisstack. The interface (settings, events, actions) is in `irisstack/interface.py`.
 
-One row for each destination counts failures in a window and holds one open-until time that lapses by itself;
-while open, messages wait for the close or are refused with it. Its spacing answers refusals as full, and
-carries the return from an outage. `docs/design.md` tells the source and each change.
+A circuit breaker for each destination counts failures in a window and stays open until a time that lapses by
+itself; its spacing answers refusals and paces the return from an outage. `docs/design.md` has each rule.
 """
 
 from collections import Counter, deque
@@ -18,8 +17,8 @@
 THRESHOLD = 3  # the failure that opens
 SHARED = 6  # and the one of those that all senders are told of
 TOLERATED = 0.25  # failures for each success in the window that do not open yet
-OPEN_FOR = 2.0  # seconds an opened row stays open: longer parks fill the holding room of a small sender
-DARK = 3.0  # seconds of refusals with no call taken after which a destination counts as shut
+OPEN_FOR = 2.0  # seconds an opened breaker stays open: longer parks fill the holding room of a small sender
+SHUT_AFTER = 3.0  # seconds of refusals with no call taken after which a destination counts as shut
 UNEVEN = 1.5  # times the even part of a told rate that one sender may take of a destination not back yet
 SPENT = 0.75  # a share left under this explains a refusal: it is the limit, and the destination is not shut
 SCARCE = 1.0 - SPENT  # a share left under this has calls spaced before any is refused
@@ -53,30 +52,30 @@
 
 
 @dataclass(slots=True, eq=False)
-class _Row:
-    """The breaker's row of one destination (or route): the design's whole memory of its trouble."""
+class _CircuitBreaker:
+    """The circuit breaker of one destination (or route): everything that is known of its trouble."""
 
     count: int = 0
     shared: int = 0  # of these, the ones that all senders were told of
-    served: int = 0  # calls that succeeded in the same window
+    successes: int = 0  # calls that succeeded in the same window
     window_end: float = 0.0
     open_until: float = 0.0
-    strikes: float = 0.0  # refusals as full not yet made good by successes: how far calls are slowed
+    slowdown_steps: float = 0.0  # refusals as full not yet made good by successes: how far calls are slowed
     next_at: float = 0.0  # while spaced: the earliest time of the next call
-    spent: float = 0.0  # of the fail-back budget since then, beside what the next call weighs
-    spent_at: float = 0.0
-    dark: float = NEVER  # since when calls were turned away with none taken
+    warmup_budget_used: float = 0.0  # of the fail-back budget since then, beside what the next call weighs
+    warmup_budget_at: float = 0.0
+    unreachable_since: float = NEVER  # since when calls were turned away with none taken
     cold_until: float = 0.0  # until when it may be cold from an outage; NEVER before a call has succeeded
 
 
 @dataclass(slots=True, eq=False)
 class _Limit:
-    """What calls to a destination, or to one of its routes apart, have in common: row, limit, outages."""
+    """What calls to a destination, or to one of its routes apart, have in common: breaker, limit, outages."""
 
     key: bytes  # names it in notes: the destination's number, or the route's address
     destination: "_Destination"
     listed: float = 0.0
-    told: float = 0.0  # calls a second, as it reports them
+    reported_limit: float = 0.0  # calls a second, as it reports them
     ok_sent: float = -NEVER  # when the newest call that succeeded was sent
     refused_at: "dict[_Route, float]" = field(default_factory=dict)  # failed connects, unless in an outage
 
@@ -179,7 +178,7 @@
         self._random = Random(seed)
         self._now = 0.0
         self._out: list[api.Action] = []
-        self._rows: dict[_Limit, _Row] = {}
+        self._breakers: dict[_Limit, _CircuitBreaker] = {}
         self._limits: dict[bytes, _Limit] = {}
         self._destinations: dict[int, _Destination] = {}
         self._where: dict[api.Address, int] = {}
@@ -203,9 +202,9 @@
     def turn(self, now: float, events: Collection[api.Event]) -> list[api.Action]:
         """Take all that came at one time and answer with what to do about it."""
         self._now, self._out = now, []
-        moved = not events  # whether anything, if only time, may have changed what goes when
+        changed = not events  # whether anything, if only time, may have changed what goes when
         for event in events:
-            moved |= not isinstance(event, api.PeerMessage) or self._heard(event.data)
+            changed |= not isinstance(event, api.PeerMessage) or self._on_gossip(event.data)
             match event:
                 case api.AttemptEnded():
                     self._ended(event)
@@ -220,7 +219,7 @@
                         self._finish(message)
                 case api.TimerFired() if event.token == self._timers:
                     self._wake = NEVER
-        if not moved:
+        if not changed:
             return self._out
         self._look_for_silence()
         while self._resting and self._resting[0][0] <= now:
@@ -240,112 +239,117 @@
         for destination in self._destinations.values():
             destination.kind = kinds.get(destination.kind.name, destination.kind)
 
-    # ---- the row ----
+    # ---- the circuit breaker ----
 
-    def _failure(self, limit: _Limit, reason: Outcome | None, heard: bool = False) -> bool:
-        """Count a refusal or an error; the third within the window opens the row. Returns whether it did."""
-        now, told, row = self._now, self._set.may_tell_peers, self._rows.setdefault(limit, _Row())
-        if now < row.open_until:
+    def _failure(self, limit: _Limit, reason: Outcome | None, from_gossip: bool = False) -> bool:
+        """Count a refusal or an error; the third in the window opens the breaker. Returns whether it did."""
+        now, gossips = self._now, self._set.may_tell_peers
+        breaker = self._breakers.setdefault(limit, _CircuitBreaker())
+        if now < breaker.open_until:
             return False  # landing while open: neither counts nor extends
-        if now >= row.window_end:
-            row.count, row.shared, row.served, row.window_end = 0, 0, 0, now + WINDOW
-        row.count += 1
-        if told and reason is not Outcome.RESET and (reason is not Outcome.FULL or now > row.dark + DARK):
-            row.shared += 1
-            if not heard:
-                self._tell(FAILED, limit)
+        if now >= breaker.window_end:
+            breaker.count, breaker.shared, breaker.successes, breaker.window_end = 0, 0, 0, now + WINDOW
+        breaker.count += 1
+        shut = now > breaker.unreachable_since + SHUT_AFTER
+        if gossips and reason is not Outcome.RESET and (reason is not Outcome.FULL or shut):
+            breaker.shared += 1
+            if not from_gossip:
+                self._broadcast(FAILED, limit)
         # Few errors among many successes (a lossy path, one failing class) must not shut the rest out.
-        few = reason is not Outcome.FULL and row.count < row.served * TOLERATED
+        few = reason is not Outcome.FULL and breaker.count < breaker.successes * TOLERATED
         # One of many senders has too few calls in a window to see the third: what may have run opens sooner.
-        most = THRESHOLD if reason in NOT_RUN or told else max(1.0, self._rate(limit) * WINDOW // 1.0)
-        if (row.count - row.shared >= min(THRESHOLD, most) and not few) or row.shared >= SHARED:
-            down = row.shared >= SHARED if told else reason not in NOT_RUN
-            row.count = row.shared = 0
-            row.cold_until = NEVER if down else row.cold_until
-            self._open(row, limit.destination, now + OPEN_FOR)
+        most = THRESHOLD if reason in NOT_RUN or gossips else max(1.0, self._rate(limit) * WINDOW // 1.0)
+        if (breaker.count - breaker.shared >= min(THRESHOLD, most) and not few) or breaker.shared >= SHARED:
+            down = breaker.shared >= SHARED if gossips else reason not in NOT_RUN
+            breaker.count = breaker.shared = 0
+            breaker.cold_until = NEVER if down else breaker.cold_until
+            self._open(breaker, limit.destination, now + OPEN_FOR)
             number, why = limit.destination.number, reason.name if reason else "SILENCE"
             self._out.append(api.Log(f"destination {number} open for {OPEN_FOR:g} s after {why}"))
             return True
         return False
 
-    def _open(self, row: _Row, destination: _Destination, until: float) -> None:
+    def _open(self, breaker: _CircuitBreaker, destination: _Destination, until: float) -> None:
         """Move the open-until time; messages that cannot wait for it are given up at once."""
-        row.open_until = max(row.open_until, until)
+        breaker.open_until = max(breaker.open_until, until)
         # Many senders told one close would all call at it: each takes one of as many places in the first gap.
-        row.spent, row.spent_at = self._random.randrange(n := self._set.senders) / n - 1.0, row.open_until
-        if self._newly_shut(row):
-            row.cold_until = NEVER
+        breaker.warmup_budget_used = self._random.randrange(n := self._set.senders) / n - 1.0
+        breaker.warmup_budget_at = breaker.open_until
+        if self._newly_shut(breaker):
+            breaker.cold_until = NEVER
         for message in [m for line in destination.lines.values() for m in line.waiting()]:
             if not message.over and self._too_late(message):
                 self._give_up(message)
 
-    def _newly_shut(self, row: _Row) -> bool:
+    def _newly_shut(self, breaker: _CircuitBreaker) -> bool:
         """Whether calls were turned away, or are put off, for longer than a busy destination refuses all."""
-        # A busy destination's limit or full connection table turns calls away too, but not for long without
-        # taking one. A sender whose next turn comes later than that cannot tell: it may come back cold.
-        put_off = row.open_until if self._set.may_tell_peers else max(row.open_until, row.next_at)
-        since = self._now if self._set.may_tell_peers else row.dark
-        return row.cold_until < NEVER and put_off > since + DARK
+        # A limit or a full table also refuses, but not for so long; a sender whose turn is later cannot tell.
+        put_off = breaker.open_until if self._set.may_tell_peers else max(breaker.open_until, breaker.next_at)
+        since = self._now if self._set.may_tell_peers else breaker.unreachable_since
+        return breaker.cold_until < NEVER and put_off > since + SHUT_AFTER
 
     def _success(self, limit: _Limit, scarce: bool) -> None:
         """A call that ended well takes back part of the slowing; the spacing lapses once nothing waits."""
         # Little left of a limit begins it: many senders reach it together, with too few calls each to see it.
-        row = self._rows.setdefault(limit, _Row()) if scarce else self._rows.get(limit) or _Row()
-        row.served, row.dark = row.served + 1, NEVER
-        back = row.cold_until == NEVER and self._now >= row.open_until
-        if row.shared or back:
-            self._tell(SERVED, limit)
-            row.count, row.shared = row.count - row.shared, 0
+        breaker = self._breakers.get(limit) or _CircuitBreaker()
+        breaker.successes, breaker.unreachable_since = breaker.successes + 1, NEVER
+        back = breaker.cold_until == NEVER and self._now >= breaker.open_until
+        if breaker.shared or back:
+            self._broadcast(SERVED, limit)
+            breaker.count, breaker.shared = breaker.count - breaker.shared, 0
         if back:
-            row.cold_until, row.strikes = self._now + self._set.cold_seconds, 0.0  # a shut one shows no limit
-            limit.refused_at.clear()  # and one that was down no full table
+            breaker.cold_until, breaker.slowdown_steps = self._now + self._set.cold_seconds, 0.0
+            limit.refused_at.clear()  # a shut one shows no limit, one that was down no full table
         if scarce:
-            row.strikes = max(row.strikes, 1.0)
-        elif row.strikes:
+            self._breakers[limit] = breaker
+            breaker.slowdown_steps = max(breaker.slowdown_steps, 1.0)
+        elif breaker.slowdown_steps:
             waits = any(line in self._waiting for line in limit.destination.lines.values())
             shared = limit.destination.kind.max_batch > 1  # what waits goes with the next call, however late
-            row.strikes = max(float(waits), row.strikes - (RECOVER if shared else 1.0))
+            breaker.slowdown_steps = max(float(waits), breaker.slowdown_steps - (RECOVER if shared else 1.0))
 
-    def _tell(self, what: bytes, limit: _Limit) -> None:
+    def _broadcast(self, what: bytes, limit: _Limit) -> None:
         if self._set.may_tell_peers:
             self._out.append(api.TellPeer(None, what + limit.key))
 
-    def _heard(self, data: bytes) -> bool:
+    def _on_gossip(self, data: bytes) -> bool:
         """A note: a failure counts, a success ends their run. Returns whether this changes what may go."""
         what, limit = data[:1], self._limits.get(data[1:])
         if what == CROWDED:
             self._crowded_until = self._now + CROWDED_FOR
         if limit is None or what != SERVED:
-            return limit is not None and what == FAILED and self._failure(limit, None, heard=True)
+            return limit is not None and what == FAILED and self._failure(limit, None, from_gossip=True)
         limit.ok_sent = max(limit.ok_sent, self._now - max(limit.destination.usual.values(), default=0.0))
-        if row := self._rows.get(limit):
-            row.count, row.shared, row.dark = row.count - row.shared, 0, NEVER
-            if row.cold_until == NEVER:
-                row.cold_until, row.strikes = self._now + self._set.cold_seconds, 0.0
-                return True
+        breaker = self._breakers.get(limit) or _CircuitBreaker()
+        breaker.count, breaker.shared, breaker.unreachable_since = breaker.count - breaker.shared, 0, NEVER
+        if breaker.cold_until == NEVER:
+            breaker.cold_until, breaker.slowdown_steps = self._now + self._set.cold_seconds, 0.0
+            return True
         return False
 
     def _gate(self, route: _Route) -> float:
-        """The earliest time at which a call may go there. Closed, empty rows drop here."""
-        row = self._rows.get(route.limit)
-        if row is None:
+        """The earliest time at which a call may go there. Closed, empty breakers are dropped here."""
+        breaker = self._breakers.get(route.limit)
+        if breaker is None:
             return 0.0
-        cold = self._now < row.cold_until
-        if not (cold or row.strikes or row.dark < NEVER) and self._now >= max(row.open_until, row.window_end):
-            del self._rows[route.limit]
+        cold = self._now < breaker.cold_until
+        troubled = cold or breaker.slowdown_steps or breaker.unreachable_since < NEVER
+        if not troubled and self._now >= max(breaker.open_until, breaker.window_end):
+            del self._breakers[route.limit]
             return 0.0
-        paid = row.spent_at + self._weight(row, route.limit) / self._budget(row, route.limit) if cold else 0.0
-        return max(row.open_until, row.next_at if row.strikes and row.cold_until < NEVER else 0.0, paid)
+        spaced_at = breaker.next_at if breaker.slowdown_steps and breaker.cold_until < NEVER else 0.0
+        return max(breaker.open_until, spaced_at, self._warmup_gate(breaker, route.limit) if cold else 0.0)
 
-    def _weight(self, row: _Row, limit: _Limit) -> float:
-        """What to save up of the fail-back budget before the next call: what the call will weigh."""
+    def _warmup_gate(self, breaker: _CircuitBreaker, limit: _Limit) -> float:
+        """When enough of the fail-back budget is saved up for what the next call will weigh."""
         waiting = sum(len(line.fresh) + len(line.late) for line in limit.destination.lines.values())
-        size = min(waiting, self._most(row, limit.destination.kind))
-        return row.spent + 1.0 + ITEM_WEIGHT * max(0, size - 1)
+        size = min(waiting, self._most(breaker, limit.destination.kind))
+        weight = breaker.warmup_budget_used + 1.0 + ITEM_WEIGHT * max(0, size - 1)
+        return breaker.warmup_budget_at + weight / self._budget(breaker, limit)
 
-    def _most(self, row: _Row, kind: api.DestinationKind) -> int:
+    def _most(self, breaker: _CircuitBreaker, kind: api.DestinationKind) -> int:
         """How many messages a call may carry: one until a call has succeeded, unless all were turned away."""
-        return 1 if row.cold_until == NEVER and row.dark == NEVER else kind.max_batch
+        return 1 if breaker.cold_until == NEVER and breaker.unreachable_since == NEVER else kind.max_batch
 
     def _first_gate(self, line: _Line) -> float:
         """The earliest time at which a call may go to any route that a line's messages may use."""
@@ -354,7 +358,7 @@
     def _rate(self, limit: _Limit) -> float:
         """This sender's part of the calls a second told for all: its own flow's, the even part at least."""
         # Guards a limit on calls: a flow of messages that are told one by one would take it many times over.
-        flow, whole = self._flow(limit), limit.told or limit.listed
+        flow, whole = self._flow(limit), limit.reported_limit or limit.listed
         own = flow / limit.destination.kind.max_batch
         return min(whole, max(own, whole / self._set.senders)) or max(own, min(flow, 1.0 / FIRST_GAP))
 
@@ -365,24 +369,24 @@
 
     def _space(self, limit: _Limit) -> None:
         """Note a call: evenly spaced after refusals, charged to the budget while cold."""
-        row, jitter = self._rows.get(limit) or _Row(), self._random.uniform(1.0, 1.1)
+        breaker, jitter = self._breakers.get(limit) or _CircuitBreaker(), self._random.uniform(1.0, 1.1)
         # A gap that is no part of a told rate is spread: all that were refused together would meet again.
-        spread = jitter if limit.told or limit.listed else self._random.uniform(0.5, 1.5)
-        row.next_at = self._now + spread * self._gap(row, limit)
-        row.spent, row.spent_at = jitter - 1.0, self._now
+        spread = jitter if limit.reported_limit or limit.listed else self._random.uniform(0.5, 1.5)
+        breaker.next_at = self._now + spread * self._gap(breaker, limit)
+        breaker.warmup_budget_used, breaker.warmup_budget_at = jitter - 1.0, self._now
 
-    def _gap(self, row: _Row, limit: _Limit) -> float:
+    def _gap(self, breaker: _CircuitBreaker, limit: _Limit) -> float:
         """Seconds between two calls of this sender while refusals have them spaced."""
-        most = NEVER if limit.told or limit.listed else FIRST_GAP
-        return float(SLOWER ** max(0.0, row.strikes - 1.0)) * min(1.0 / self._rate(limit), most)
+        most = NEVER if limit.reported_limit or limit.listed else FIRST_GAP
+        return float(SLOWER ** max(0.0, breaker.slowdown_steps - 1.0)) * min(1.0 / self._rate(limit), most)
 
-    def _budget(self, row: _Row, limit: _Limit) -> float:
+    def _budget(self, breaker: _CircuitBreaker, limit: _Limit) -> float:
         """This sender's part of the calls a second that a destination coming back can bear by now."""
-        warm = max(0.0, 1.0 - (row.cold_until - self._now) / (self._set.cold_seconds or 1.0))
+        warm = max(0.0, 1.0 - (breaker.cold_until - self._now) / (self._set.cold_seconds or 1.0))
         share = self._set.cold_start_share + (1.0 - self._set.cold_start_share) * warm
         part = self._rate(limit)
-        if row.cold_until == NEVER:  # guards a hot destination: all flows together may be far above its limit
-            even = (limit.told or limit.listed or NEVER) / self._set.senders
+        if breaker.cold_until == NEVER:  # a hot destination: all flows together may be far above its limit
+            even = (limit.reported_limit or limit.listed or NEVER) / self._set.senders
             part = min(self._flow(limit), max(1.0 / WINDOW, UNEVEN * even))
         return part * share * self._set.tip_multiple * COLD_MARGIN
 
@@ -449,8 +453,8 @@
 
     def _close(self, message: _Message) -> float:
         """When the first of the message's routes closes again; no endpoint yet is no reason to refuse."""
-        rows = [self._rows.get(route.limit) for route in self._line(message).routes()]
-        return min((row.open_until if row else 0.0 for row in rows), default=0.0)
+        breakers = [self._breakers.get(route.limit) for route in self._line(message).routes()]
+        return min((breaker.open_until if breaker else 0.0 for breaker in breakers), default=0.0)
 
     def _give_up(self, message: _Message) -> None:
         """The final answer, at once, for a message that will not be sent again: a refusal where allowed."""
@@ -507,18 +511,17 @@
 
     def _line_time(self, destination: _Destination, count: int) -> float:
         """How long so many messages for it will be in line, at the pace that holds there now."""
-        # Guards a healthy destination with small calls: nothing paces it, so that its line, however long by
-        # the rate told for it, is over before that of one that is shut.
+        # Guards a healthy destination with small calls: unpaced, its line is over before that of a shut one.
         gate, calls = self._first_gate(destination.line(None)), -(-count // destination.kind.max_batch)
         if gate == NEVER:
             return NEVER
         route = min(destination.routes.values(), key=self._gate)
-        row = self._rows.get(route.limit) or _Row()
+        breaker = self._breakers.get(route.limit) or _CircuitBreaker()
         each = max(destination.usual.values(), default=0.0) / self._slots
-        if self._now < row.cold_until:
-            line = (calls + ITEM_WEIGHT * (count - calls)) / self._budget(row, route.limit)
+        if self._now < breaker.cold_until:
+            line = (calls + ITEM_WEIGHT * (count - calls)) / self._budget(breaker, route.limit)
         else:
-            line = calls * (self._gap(row, route.limit) if row.strikes else 0.0)
+            line = calls * (self._gap(breaker, route.limit) if breaker.slowdown_steps else 0.0)
         return max(0.0, gate - self._now) + max(line, calls * each)
 
     def _expire(self) -> None:
@@ -566,8 +569,8 @@
     def _learn(self, message: _Message, call: _Call, event: api.AttemptEnded) -> None:
         """What an outcome shows of its destination. A shared call has one fate and counts once."""
         route, limit, outcome, now = call.route, call.route.limit, event.outcome, self._now
-        told = dict(zip(self._set.report_fields, event.report, strict=False))
-        limit.told = max(0.0, told.get("x1", limit.told))
+        report = dict(zip(self._set.report_fields, event.report, strict=False))
+        limit.reported_limit = max(0.0, report.get("x1", limit.reported_limit))
         if outcome in (Outcome.OK, Outcome.FULL):
             route.failed.pop(message.index, None)
         if outcome is Outcome.OK:
@@ -581,37 +584,38 @@
                 self._judge_idle(call, -STALE_BACK if outcome is Outcome.OK else 1.0)
             if outcome is Outcome.OK:
                 # A gap beyond the aim would cost more than the refusals that it spares.
-                scarce = limit.told > 0.0 and told.get("x0", 1.0) < SCARCE
+                scarce = limit.reported_limit > 0.0 and report.get("x0", 1.0) < SCARCE
                 self._success(limit, scarce and self._rate(limit) * message.kind.aim >= 1.0)
                 since = limit.refused_at.get(route, NEVER)
                 if call.sent >= since and self._crowded_until < since + CROWDED_FOR:
                     self._crowded_until = since + CROWDED_FOR
-                    self._tell(CROWDED, limit)
+                    self._broadcast(CROWDED, limit)
             elif outcome not in (Outcome.CANCELLED, Outcome.NOT_SENT):
                 if outcome is not Outcome.FULL:
                     self._shun(call)
                 if outcome is Outcome.CONNECT_FAILED:
                     limit.refused_at[route] = now
                 if outcome in NOT_RUN:
-                    row = self._rows.setdefault(limit, _Row())
+                    breaker = self._breakers.setdefault(limit, _CircuitBreaker())
                     # One of many senders sees few calls taken. A limit that reports itself used up counts
                     # like one, unless the wait is too long for it; a wait with it unused tells of a shut one.
-                    wait, left = event.retry_after or 0.0, told.get("x0", 0.0) if limit.told else 0.0
-                    row.dark = NEVER if 0.0 < left < SPENT and wait < DARK else min(row.dark, now)
-                    if wait and left >= SPENT and limit.ok_sent < now - WINDOW:
-                        row.dark = -NEVER
-                    row.strikes += outcome is Outcome.FULL
+                    left = report.get("x0", 0.0) if limit.reported_limit else 0.0
+                    used_up = 0.0 < left < SPENT and (event.retry_after or 0.0) < SHUT_AFTER
+                    breaker.unreachable_since = NEVER if used_up else min(breaker.unreachable_since, now)
+                    if event.retry_after and left >= SPENT and limit.ok_sent < now - WINDOW:
+                        breaker.unreachable_since = -NEVER
+                    breaker.slowdown_steps += outcome is Outcome.FULL
                 self._space(limit)
                 # A connect without an answer is silence: the host is gone. A full table says no at once.
                 gone = outcome is Outcome.CONNECT_FAILED and event.elapsed >= self._set.connect_timeout
                 self._failure(limit, None if gone else outcome)
-        row = self._rows.get(limit) or _Row()
-        explained = told.get("x0", 1.0) < SPENT and limit.ok_sent >= now - WINDOW  # by a limit used up
+        breaker = self._breakers.get(limit) or _CircuitBreaker()
+        explained = report.get("x0", 1.0) < SPENT and limit.ok_sent >= now - WINDOW  # by a limit used up
         if event.retry_after:
-            self._rows[limit] = row
-            self._open(row, limit.destination, now + event.retry_after + self._set.tick)
-        elif outcome is Outcome.FULL and not explained and self._newly_shut(row):
-            self._open(row, limit.destination, now)  # an opening of no length: only the return is paced
+            self._breakers[limit] = breaker
+            self._open(breaker, limit.destination, now + event.retry_after + self._set.tick)
+        elif outcome is Outcome.FULL and not explained and self._newly_shut(breaker):
+            self._open(breaker, limit.destination, now)  # an opening of no length: only the return is paced
 
     def _shun(self, call: _Call) -> None:
         """Prefer other endpoints for a window; a class that succeeds here meanwhile is out of it."""
@@ -746,9 +750,9 @@
             return route.failed.get(index, 0.0) > now, route.calls + price, self._random.random()
 
         route = min(routes, key=preference)
-        row = self._rows.get(route.limit) or _Row()
-        unproven = row.cold_until == NEVER
-        call, size, overdue = _Call(route, now), self._most(row, destination.kind), 0.0
+        breaker = self._breakers.get(route.limit) or _CircuitBreaker()
+        unproven = breaker.cold_until == NEVER
+        call, size, overdue = _Call(route, now), self._most(breaker, destination.kind), 0.0
         if not self._connected(route):
             route.connections += 1
         elif self._stale >= STALE and now - route.all_used >= self._idle_limit:
--- a/irisstack/watch.py
+++ b/irisstack/watch.py
@@ -17,7 +17,7 @@
     NOTE = "watch_note"
     """A failure would have been told to the other senders."""
     OPENED_ALONE = "watch_opened_alone"
-    """A row was opened by fewer failures than all senders together would have waited for."""
+    """A breaker was opened by fewer failures than all senders together would have waited for."""
     CONNECTION_CLOSED = "watch_connection_closed"
     """A connection was given back that would have been kept."""
     OTHER_ZONE = "watch_other_zone"
@@ -38,11 +38,11 @@
         self._tells = trial.may_tell_peers and not settings.may_tell_peers
         self._trial_home = trial.zone if trial.cross_zone_price else None
 
-    def _failure(self, limit: _Limit, reason: api.Outcome | None, heard: bool = False) -> bool:
-        row = self._rows.get(limit)
-        counts = row is None or self._now >= row.open_until
-        before = row.count if row is not None and self._now < row.window_end else 0
-        opened = super()._failure(limit, reason, heard)
+    def _failure(self, limit: _Limit, reason: api.Outcome | None, from_gossip: bool = False) -> bool:
+        breaker = self._breakers.get(limit)
+        counts = breaker is None or self._now >= breaker.open_until
+        before = breaker.count if breaker is not None and self._now < breaker.window_end else 0
+        opened = super()._failure(limit, reason, from_gossip)
         if self._tells and counts and reason not in (api.Outcome.FULL, api.Outcome.RESET):
             self._count(Kind.NOTE)
         if self._tells and opened and before + 1 < THRESHOLD:
--- a/tests/test_found.py
+++ b/tests/test_found.py
@@ -3,7 +3,7 @@
 import pytest
 
 from irisstack import interface as api
-from irisstack.choice import CROWDED_FOR, DARK, OPEN_FOR, STALE, THRESHOLD, TOLERATED
+from irisstack.choice import CROWDED_FOR, OPEN_FOR, SHUT_AFTER, STALE, THRESHOLD, TOLERATED
 from tests.support import KEYED_INDEX, SETTINGS, UNSAFE_INDEX, Driver, address, endpoint
 
 OK, FULL, ERROR, RESET = api.Outcome.OK, api.Outcome.FULL, api.Outcome.ERROR, api.Outcome.RESET
@@ -39,7 +39,7 @@
         driver = Driver()
         driver.message(1, 1.0)
         for attempt in (1, 2, 3):
-            driver.end(1, FULL, driver.now + 0.1, retry_after=DARK / 2.0, report=(left, 4.0))
+            driver.end(1, FULL, driver.now + 0.1, retry_after=SHUT_AFTER / 2.0, report=(left, 4.0))
             driver.wait_for(1, attempt + 1)
         driver.end(1, OK, driver.now + 0.1)
         return spread(driver, driver.now + 0.1, 50)
@@ -75,8 +75,8 @@
 def test_refusals_for_long_with_no_call_taken_are_an_outage() -> None:
     driver = Driver()
     driver.message(1, 1.0)
-    driver.end(1, FULL, 1.1, retry_after=DARK + 1.0)
-    close = 1.1 + DARK + 1.0
+    driver.end(1, FULL, 1.1, retry_after=SHUT_AFTER + 1.0)
+    close = 1.1 + SHUT_AFTER + 1.0
     numbers = range(50, 56)
     driver.turn(2.0, *(driver.received(n, 2.0) for n in numbers))
     driver.turn(close + 5.5)
@@ -90,7 +90,7 @@
     driver.turn(1.0, *(driver.received(n, 1.0) for n in (1, 2, 3)))
     driver.turn(1.1, *(driver.outcome(n, failed, 1.1) for n in (1, 2, 3)))
     driver.turn(1.2, *(api.MessageWithdrawn(n) for n in (1, 2, 3)))
-    at = 1.1 + OPEN_FOR + DARK + 7.0  # closed, its window lapsed, and nothing was taken since
+    at = 1.1 + OPEN_FOR + SHUT_AFTER + 7.0  # closed, its window lapsed, and nothing was taken since
     driver.turn(at, *(driver.received(n, at) for n in (4, 5, 6)))
     driver.turn(at + 0.1, *(driver.outcome(n, failed, at + 0.1) for n in (4, 5, 6)))
     driver.turn(at + 0.2, *(api.MessageWithdrawn(n) for n in (4, 5, 6)))
@@ -277,9 +277,9 @@
     driver.message(1, 1.0)
     driver.end(1, OK, 1.1, report=(0.9, 8.0))
     driver.message(2, 2.0)
-    driver.end(2, FULL, 2.1, retry_after=DARK + 1.0, report=(0.0, lowered))
+    driver.end(2, FULL, 2.1, retry_after=SHUT_AFTER + 1.0, report=(0.0, lowered))
     driver.turn(3.0, *(driver.received(n, 3.0) for n in range(50, 60)))
-    driver.turn(2.1 + DARK + 1.0 + 12.0)
+    driver.turn(2.1 + SHUT_AFTER + 1.0 + 12.0)
     first, second = [at for at, _ in driver.sends[2:4]]
     return second - first
 
@@ -353,10 +353,10 @@
         driver = Driver(endpoint(1, rate=100.0), senders=100, seed=seed)
         driver.turn(1.0, *(driver.received(n, 1.0) for n in range(1, 21)))
         out = [send.message for _, send in driver.sends]
-        driver.turn(1.1, *(driver.outcome(n, FULL, 1.1, retry_after=DARK + 1.0) for n in out))
+        driver.turn(1.1, *(driver.outcome(n, FULL, 1.1, retry_after=SHUT_AFTER + 1.0) for n in out))
         driver.turn(9.0)
         returns += [at for at, _ in driver.sends[len(out) : len(out) + 1]]
-    close = 1.1 + DARK + 1.0
+    close = 1.1 + SHUT_AFTER + 1.0
     assert all(at >= close for at in returns)
     assert len(returns) > 10
     assert sum(at < close + 0.3 for at in returns) < len(returns) / 2
@@ -394,7 +394,7 @@
     at = driver.serve(1, 4, 1.0, gap=0.05)
     numbers = range(50, 110)
     driver.turn(at, *(driver.received(n, at, due=at + 60.0) for n in numbers))
-    shut_until = at + DARK + 4.0
+    shut_until = at + SHUT_AFTER + 4.0
     end = shut_until + SETTINGS.cold_seconds + 2.0
     answered: set[tuple[int, int]] = set()
     while driver.now < end:
--- a/tests/test_move.py
+++ b/tests/test_move.py
@@ -6,7 +6,7 @@
 import pytest
 
 from irisstack import interface as api
-from irisstack.choice import CROWDED_FOR, DARK, FIRST_GAP, OPEN_FOR, SHARED, WINDOW
+from irisstack.choice import CROWDED_FOR, FIRST_GAP, OPEN_FOR, SHARED, SHUT_AFTER, WINDOW
 from irisstack.watch import Kind, Watching
 from tests.support import CLASSES, KEYED_INDEX, SETTINGS, UNSAFE_INDEX, Driver, address, endpoint
 
@@ -100,7 +100,7 @@
         for attempt in (1, 2, 3):
             driver.end(1, FULL, driver.now + 0.1)
             driver.wait_for(1, attempt + 1)
-        assert all(told > 1.1 + DARK for told, _ in driver.told)
+        assert all(told > 1.1 + SHUT_AFTER for told, _ in driver.told)
         assert bool(driver.told) == noted
         driver.end(1, OK, driver.now + 0.1)
         at = driver.now
