The decisions' test support uses the member's new name for a reported revision

The rename in the stand-in had left it behind; mypy found it. A name alone: the check is the same. Tests of the fleet, the stand-in and dynamic_settings passed.

--- a/tests/dynamic_settings/support.py
+++ b/tests/dynamic_settings/support.py
@@ -187,7 +187,7 @@
         self.modes[name] = mode
         member = self.members[name]
         member.watches_silent = mode is Mode.WATCH_SILENT
-        member.told_revision = 1 if mode is Mode.SAYS_OLDER else None
+        member.reported_revision = 1 if mode is Mode.SAYS_OLDER else None
         member.cluster_id = OTHER_CLUSTER if mode is Mode.OTHER_CLUSTER else None
         if mode is Mode.NO_LEADER:
             member.lose_quorum()
