--- a/irisstack/lab/capacity/registry.py
+++ b/irisstack/lab/capacity/registry.py
@@ -410,5 +410,37 @@
         (),
         DYNAMIC_SETTINGS,
     ),
+    ExpectedSlope(
+        "settings-loopback-document-node-resident-bytes",
+        Role.NODE,
+        "memory of following a document, over loopback",
+        *_DOCUMENT,
+        (CONTROL_MEMORY,),
+        DYNAMIC_SETTINGS,
+    ),
+    ExpectedSlope(
+        "settings-loopback-document-node-processor-share",
+        Role.NODE,
+        "processor of following a document, over loopback",
+        *_DOCUMENT,
+        (CONTROL_CORE,),
+        DYNAMIC_SETTINGS,
+    ),
+    ExpectedSlope(
+        "settings-loopback-node-processor-share",
+        Role.NODE,
+        "processor of following changes, over loopback",
+        *_NODES,
+        (CONTROL_CORE,),
+        DYNAMIC_SETTINGS,
+    ),
+    ExpectedSlope(
+        "settings-loopback-in-force-seconds",
+        Role.CONTROL,
+        "a change of settings, all nodes on one core",
+        *_NODES,
+        (SETTINGS_IN_FORCE,),
+        DYNAMIC_SETTINGS,
+    ),
 )
 """In the order in which the page lists them."""
