--- a/irisstack/lab/scale/gossip_experiments.py
+++ b/irisstack/lab/scale/gossip_experiments.py
@@ -7,16 +7,11 @@
 
 from irisstack import interface as api
 from irisstack.choice import FAILED, Sender
+from irisstack.lab.capacity import targets
 from irisstack.lab.scale.destinations import Destination, Failure, Outage
 from irisstack.lab.scale.fleet import Fleet
 from irisstack.lab.scale.results import Point, Slope, mean, slope_name
-from irisstack.lab.scale.settings import (
-    NODE_SIZES,
-    SECONDS_BETWEEN_MESSAGES,
-    TARGET_DESTINATIONS,
-    TARGET_DOWN_SHARE,
-    fleet_settings,
-)
+from irisstack.lab.scale.settings import NODE_SIZES, SECONDS_BETWEEN_MESSAGES, fleet_settings
 
 TRAFFIC_PER_LISTED_RATE = 0.9
 OUTAGE_LASTS = 60.0
@@ -124,7 +119,7 @@
 
 
 def _traffic_slopes(runs: Mapping[int, GossipRun], failure: Failure) -> Iterator[Slope]:
-    name, down = failure.name.lower(), TARGET_DOWN_SHARE * TARGET_DESTINATIONS
+    name, down = failure.name.lower(), targets.DESTINATIONS_DOWN_SHARE * targets.DESTINATIONS
     sample = next(iter(runs.values())).failing
     scaled = (
         f"played with {sample} destinations down and multiplied by {down / sample:g} to the {down:g} "
@@ -199,7 +194,7 @@
         for number in range(1, destinations + 1)
     )
     sender.turn(0.0, [api.EndpointsUpdated(api.UpdateScope.CACHED, 1, endpoints)])
-    failing = max(1, round(destinations * TARGET_DOWN_SHARE))
+    failing = max(1, round(destinations * targets.DESTINATIONS_DOWN_SHARE))
     events = [[api.PeerMessage(1, FAILED + _key(1 + i % failing))] for i in range(messages)]
     began = time.process_time()
     for i, event in enumerate(events):
--- a/irisstack/lab/scale/list_experiments.py
+++ b/irisstack/lab/scale/list_experiments.py
@@ -3,11 +3,12 @@
 from collections.abc import Callable, Iterator, Mapping, Sequence
 from dataclasses import dataclass
 
+from irisstack.lab.capacity import targets
 from irisstack.lab.scale.list_fleet import ListFleet, Mode, Recovery
 from irisstack.lab.scale.list_lines import BEAT_BYTES, BEAT_S
 from irisstack.lab.scale.list_service import Costs, State
 from irisstack.lab.scale.results import Point, Slope, mean, slope_name
-from irisstack.lab.scale.settings import NODE_SIZES, TARGET_NODES
+from irisstack.lab.scale.settings import NODE_SIZES
 
 SETTLED_AT = 30.0
 """Virtual seconds in which every node has its first watch; calls take no time until then."""
@@ -78,7 +79,7 @@
 
 
 def restart(
-    case: ListCase, restarted: int, *, fleet: int = TARGET_NODES, keeps_history: bool = True
+    case: ListCase, restarted: int, *, fleet: int = targets.NODES, keeps_history: bool = True
 ) -> Recovery:
     """So many nodes of a whole fleet restart at once, while the list changes."""
     played = settled(max(restarted, fleet), case)
@@ -123,7 +124,9 @@
         NODE_SIZES,
         lambda case, nodes: outage(case, nodes, State.SILENT),
     ),
-    ListEvent("restart", f"a restart of part of {TARGET_NODES} nodes", "restarted nodes", RESTARTED, restart),
+    ListEvent(
+        "restart", f"a restart of part of {targets.NODES} nodes", "restarted nodes", RESTARTED, restart
+    ),
     ListEvent("reunion", f"a separation of two regions for {CUT_OFF_FOR:g} s", "nodes", NODE_SIZES, reunion),
 )
 
@@ -199,7 +202,7 @@
             "restarted nodes",
             "bytes",
             tuple(Point(n, restart(case, n, keeps_history=keeps_history).bytes_sent) for n in sizes),
-            f"the restart and one change of {TARGET_NODES} nodes; time on the network is not played",
+            f"the restart and one change of {targets.NODES} nodes; time on the network is not played",
         )
     yield Slope(
         "list-steady-bytes",
--- a/irisstack/lab/scale/list_fleet.py
+++ b/irisstack/lab/scale/list_fleet.py
@@ -5,11 +5,12 @@
 from enum import Enum
 
 from irisstack import interface as api
+from irisstack.lab.capacity import targets
 from irisstack.lab.scale.hollow_node import HollowNode, Surroundings
 from irisstack.lab.scale.list_client import PUSHED_PAUSE_S, ListClient
 from irisstack.lab.scale.list_service import Costs, ListService, State
 from irisstack.lab.scale.network import Network
-from irisstack.lab.scale.settings import TARGET_DESTINATIONS, fleet_settings
+from irisstack.lab.scale.settings import fleet_settings
 from irisstack.lab.virtual.clock import Clock
 
 SERVICE = -1
@@ -48,7 +49,7 @@
     def __init__(self, nodes: int, mode: Mode, costs: Costs, seed: int) -> None:
         self.clock = Clock()
         self.network = Network(self.clock, seed)
-        self.service = ListService(self.clock, costs, TARGET_DESTINATIONS)
+        self.service = ListService(self.clock, costs, targets.DESTINATIONS)
         self.network.join(SERVICE, 0)
         self.clients: dict[int, ListClient] = {}
         self._mode = mode
--- a/irisstack/lab/scale/node_experiments.py
+++ b/irisstack/lab/scale/node_experiments.py
@@ -11,12 +11,13 @@
 
 from irisstack.choice import FAILED
 from irisstack.lab import scenario, world
+from irisstack.lab.capacity import targets
 from irisstack.lab.node_settings import settings_object
 from irisstack.lab.scale.bare_receiver import BareReceiver
 from irisstack.lab.scale.list_lines import whole_list
 from irisstack.lab.scale.node_process import HOST, NodeFile, NodeProcess
 from irisstack.lab.scale.results import Point, Slope, mean
-from irisstack.lab.scale.settings import NODE_SIZES, TARGET_DESTINATIONS, TARGET_DOWN_SHARE, TARGET_NODES
+from irisstack.lab.scale.settings import NODE_SIZES
 
 LIST_SIZES = (10, 1_000, 10_000, 100_000)
 RUNS = 3
@@ -26,7 +27,7 @@
 """Seconds in which a node ends after SIGTERM, whatever it has under way."""
 GOSSIP_RATES = (50, 100, 250, 500, 1_000, 2_000)
 GOSSIP_SECONDS = 5.0
-GOSSIP_DESTINATIONS = TARGET_DESTINATIONS
+GOSSIP_DESTINATIONS = targets.DESTINATIONS
 GOSSIP_BURSTS_PER_S = 1_000
 """Many, since at the target messages come one by one from all other nodes."""
 
@@ -43,7 +44,7 @@
     """The file of a node that holds a list of so many lines."""
     played = world.build(scenario.read(scenario.find("short-day")))
     settings = settings_object(played, 0)
-    settings["balancers"] = TARGET_NODES
+    settings["balancers"] = targets.NODES
     settings["invariants"] = {k: v for k, v in settings["invariants"].items() if v is not None}
     settings["allowed"]["mayTell"] = gossip_peer is not None
     known = whole_list(lines, settings["shapes"][0])
@@ -103,7 +104,7 @@
 
 def measure_gossip(rates: Sequence[int] = GOSSIP_RATES, seconds: float = GOSSIP_SECONDS) -> Iterator[Slope]:
     """Processor time of a real node, and of a bare receiver, against gossip messages a second."""
-    failing = round(GOSSIP_DESTINATIONS * TARGET_DOWN_SHARE)
+    failing = round(GOSSIP_DESTINATIONS * targets.DESTINATIONS_DOWN_SHARE)
     with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as sock:
         sock.bind((HOST, 0))
         node = _node_gossip(sock, rates, seconds)
@@ -166,7 +167,7 @@
 
 def processor_share(receiver: Receiver, sock: socket.socket, rate: int, seconds: float) -> float:
     """Processor time a second of a receiver while so much gossip comes to it."""
-    failing = round(GOSSIP_DESTINATIONS * TARGET_DOWN_SHARE)
+    failing = round(GOSSIP_DESTINATIONS * targets.DESTINATIONS_DOWN_SHARE)
     before, began = receiver.processor_s(), time.monotonic()
     sent = 0
     for burst in range(round(seconds * GOSSIP_BURSTS_PER_S)):
--- a/irisstack/lab/scale/outage_experiments.py
+++ b/irisstack/lab/scale/outage_experiments.py
@@ -4,17 +4,13 @@
 from dataclasses import dataclass
 from random import Random
 
+from irisstack.lab.capacity import targets
 from irisstack.lab.scale.destinations import Destination, Failure, Outage, ReturnLoad, return_load
 from irisstack.lab.scale.fleet import Fleet
 from irisstack.lab.scale.results import Point, Slope, mean, slope_name
-from irisstack.lab.scale.settings import (
-    SENDER_SIZES,
-    TARGET_DESTINATIONS,
-    TARGET_EVENTS_PER_S,
-    fleet_settings,
-)
+from irisstack.lab.scale.settings import SENDER_SIZES, fleet_settings
 
-MEAN_RATE = TARGET_EVENTS_PER_S / TARGET_DESTINATIONS
+MEAN_RATE = targets.EVENTS_PER_S / targets.DESTINATIONS
 """Messages a second for a destination in the mean, from all senders together: 2."""
 HOT_RATE = 12.0
 TRAFFIC_PER_LISTED_RATE = 0.9
--- a/irisstack/lab/scale/settings.py
+++ b/irisstack/lab/scale/settings.py
@@ -1,12 +1,9 @@
-"""The settings of a fleet of hollow nodes, and the size that the operators plan for."""
+"""The settings of a fleet of hollow nodes, and the sizes of fleets that are measured."""
 
 from irisstack import interface as api
+from irisstack.lab.capacity import targets
 
-TARGET_NODES = 840
-TARGET_EVENTS_PER_S = 200_000.0
-TARGET_DESTINATIONS = 100_000
-TARGET_DOWN_SHARE = 0.019
-SECONDS_BETWEEN_MESSAGES = TARGET_NODES * TARGET_DESTINATIONS / TARGET_EVENTS_PER_S
+SECONDS_BETWEEN_MESSAGES = targets.NODES * targets.DESTINATIONS / targets.EVENTS_PER_S
 """Seconds between two messages of one sender to one destination at the target: 420."""
 NODE_SIZES = (10, 40, 105, 200, 420, 840)
 SENDER_SIZES = (2, 10, 30, 100, 300, 840)
--- a/irisstack/lab/scale/settings_plays.py
+++ b/irisstack/lab/scale/settings_plays.py
@@ -6,6 +6,7 @@
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass
 
+from irisstack.lab.capacity import targets
 from irisstack.lab.scale.settings_fleet import (
     BAD,
     KIB,
@@ -16,10 +17,6 @@
 from irisstack.lab.scale.settings_node import SettingsNode
 from irisstack.lab.standins.traffic import Rate
 
-DAY_S = 86_400.0
-CHANGES_A_DAY = 2_400
-RESTARTS_A_DAY = 52
-FAILURES_A_DAY = 3
 ORDINARY_S = 1_200
 BURST_CHANGES = 20
 BURST_S = 2.0
@@ -217,15 +214,18 @@
     """The day's rate of changes with two bursts, and all restarts and failures of a day in a short time."""
     random, last = fleet.random, fleet.seconds - TAIL_S
     at = SETTLED_S
-    while (at := at + random.expovariate(CHANGES_A_DAY / DAY_S)) < last:
+    while (at := at + random.expovariate(targets.SETTINGS_CHANGES_PER_DAY / targets.DAY_S)) < last:
         fleet.clock.at(at, fleet.write)
     for begin in (0.25 * fleet.seconds, 0.75 * fleet.seconds):
         for _ in range(BURST_CHANGES):
             fleet.clock.at(begin + random.uniform(0.0, BURST_S), fleet.write)
-    chosen = random.sample(fleet.nodes, min(len(fleet.nodes), RESTARTS_A_DAY + FAILURES_A_DAY))
+    chosen = random.sample(
+        fleet.nodes,
+        min(len(fleet.nodes), targets.RESTARTED_MACHINES_PER_DAY + targets.FAILED_MACHINES_PER_DAY),
+    )
     for place, node in enumerate(chosen):
         at = random.uniform(SETTLED_S, last - REPLACED_S)
-        if place < FAILURES_A_DAY:
+        if place < targets.FAILED_MACHINES_PER_DAY:
             fleet.clock.at(at, _fail_for_good, node)
             fleet.clock.at(at + REPLACED_S, fleet.start, node)
         else:
@@ -330,17 +330,17 @@
     at = SETTLED_S
     while at <= fleet.seconds - TAIL_S:
         fleet.clock.at(at, fleet.write)
-        at += DAY_S / CHANGES_A_DAY
+        at += targets.SETTINGS_CHANGE_INTERVAL_S
 
 
 PLAYS = (
-    Play("steady", "nothing goes wrong", 600, steady, changes_every_s=DAY_S / CHANGES_A_DAY),
+    Play("steady", "nothing goes wrong", 600, steady, changes_every_s=targets.SETTINGS_CHANGE_INTERVAL_S),
     Play(
         "ordinary-day",
         "the failures and restarts of a day in 20 minutes",
         ORDINARY_S,
         ordinary_day,
-        changes_every_s=DAY_S / CHANGES_A_DAY,
+        changes_every_s=targets.SETTINGS_CHANGE_INTERVAL_S,
     ),
     Play("member-process-dies", "a member's process dies", 180, member_process_dies),
     Play("member-machine-lost", "a member's machine is lost", 180, member_machine_lost),
--- a/tests/lab/scale/test_list_service.py
+++ b/tests/lab/scale/test_list_service.py
@@ -2,10 +2,10 @@
 
 import pytest
 
+from irisstack.lab.capacity import targets
 from irisstack.lab.scale import list_client, list_lines
 from irisstack.lab.scale.list_lines import FRAME_BYTES, HEAD_BYTES, LINE_BYTES
 from irisstack.lab.scale.list_service import Costs, ListCall, ListService, State
-from irisstack.lab.scale.settings import TARGET_DESTINATIONS
 from irisstack.lab.virtual.clock import Clock
 from irisstack.node import discovery, http
 
@@ -116,6 +116,6 @@
 
 
 def test_the_whole_list_at_the_target_fits_into_what_a_node_reads() -> None:
-    whole = list_lines.size_of(list_lines.whole_list(TARGET_DESTINATIONS))
+    whole = list_lines.size_of(list_lines.whole_list(targets.DESTINATIONS))
     assert whole <= http.MAX_LIST
-    assert whole >= TARGET_DESTINATIONS * (LINE_BYTES - 16)
+    assert whole >= targets.DESTINATIONS * (LINE_BYTES - 16)
