--- a/irisstack/choice.py
+++ b/irisstack/choice.py
@@ -283,8 +283,8 @@
 
     def _newly_shut(self, breaker: _CircuitBreaker) -> bool:
         """Whether calls were turned away, or are put off, for longer than a busy destination refuses all."""
-        # A limit or a full table also refuses, but not for so long; a sender whose turn is later cannot tell.
-        put_off = breaker.open_until if self._set.may_tell_peers else max(breaker.open_until, breaker.next_at)
+        seldom = not self._set.may_tell_peers and breaker.next_at >= self._now + WINDOW  # few calls
+        put_off = max(breaker.open_until, breaker.next_at) if seldom else breaker.open_until
         since = self._now if self._set.may_tell_peers else breaker.unreachable_since
         return breaker.cold_until < NEVER and put_off > since + SHUT_AFTER
 
