--- a/tests/test_found.py
+++ b/tests/test_found.py
@@ -63,7 +63,7 @@
 def test_a_turn_put_off_for_long_after_an_unexplained_refusal_is_an_outage(
     senders: int, served: int, report: tuple[float, ...], looks_shut: bool
 ) -> None:
-    """One of very many senders sees one refusal of a shut destination; two calls in a window can tell."""
+    """One of very many senders sees one refusal of a shut destination; two calls in a window tell."""
     driver = Driver(senders=senders)
     driver.serve(90, served, 0.2)
     driver.message(1, 1.0, due=100.0)
