--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -1,8 +1,8 @@
 """What holds for all tests: logging as before each, and the tests that are known to fail.
 
 `KNOWN-RED.txt` at the root names those that fail for a fault of the project's own. A line each: the test's
-id, the cause and the issue, with ` | ` between them. A run passes over just these and prints them. It fails on
-a fourth, on one that passes, and on a line that names no test of a whole run.
+id, the cause and the issue, with ` | ` between them. A run passes over just these and prints them. It fails
+on a fourth, on one that passes, and on a line that names no test of a whole run.
 """
 
 from collections.abc import Iterator
