--- /dev/null
+++ b/irisstack/lab/faults/__init__.py
@@ -0,0 +1,1 @@
+"""Faults of a machine, made for one process: see `rig`."""
--- /dev/null
+++ b/irisstack/lab/faults/rig.py
@@ -0,0 +1,133 @@
+"""A fault rig: a preloaded library makes one process see a stepped wall clock and system calls that fail.
+
+`Rig.environment` is what the process is started with; from then on the rig's methods change what it sees, at
+once and while it runs. The library is built from `preload.c` with the system's C compiler. It reaches calls
+that go through the C library, so the program has to be linked dynamically against it.
+"""
+
+import mmap
+import os
+import shutil
+import struct
+import subprocess
+from dataclasses import dataclass
+from enum import IntEnum
+from pathlib import Path
+
+SOURCE = Path(__file__).with_name("preload.c")
+NANOSECONDS = 1_000_000_000
+MOST_RULES = 16
+_OFFSET = struct.Struct("=q")
+_RULE = struct.Struct("=8i")
+_CALL = struct.Struct("=i")
+_SIZE = _OFFSET.size + MOST_RULES * _RULE.size
+_HITS_AT = 6 * 4
+"""Where in a rule the number of calls hit so far stands."""
+
+KILL = -1
+"""In place of an errno: the process is killed at that call, a write after the bytes that its limit allows."""
+ALL = -1
+
+
+class RigUnavailable(RuntimeError):
+    """The library cannot be built here."""
+
+
+class SystemCall(IntEnum):
+    """The calls that a rule can hit."""
+
+    ACCEPT = 1
+    SOCKET = 2
+    CONNECT = 3
+    SEND = 4
+    RECEIVE = 5
+    WRITE = 6
+    SYNC = 7
+    OPEN = 8
+    WAIT = 9
+
+
+class DescriptorKind(IntEnum):
+    """What the descriptor of a call is."""
+
+    ANY = 0
+    CLIENT = 1
+    PEER = 2
+    FILE = 3
+
+
+@dataclass(slots=True, frozen=True)
+class Rule:
+    """Which calls fail, and how.
+
+    `error` is the errno, or `KILL`; with 0 a transfer only takes `limit` bytes at most. `after` calls that
+    the rule fits pass first, then `count` are hit.
+    """
+
+    call: SystemCall
+    kind: DescriptorKind = DescriptorKind.ANY
+    error: int = 0
+    limit: int = -1
+    after: int = 0
+    count: int = ALL
+
+
+def build(folder: Path) -> Path:
+    """Build the library in a folder; raises `RigUnavailable` without a C compiler, or if it fails."""
+    compiler = shutil.which("cc") or shutil.which("gcc")
+    if compiler is None:
+        raise RigUnavailable("no C compiler (cc) was found")
+    library = folder / "preload.so"
+    command = [compiler, "-shared", "-fPIC", "-O1", "-o", str(library), str(SOURCE), "-ldl"]
+    run = subprocess.run(command, capture_output=True, text=True, check=False)
+    if run.returncode:
+        raise RigUnavailable(f"{compiler} failed: {run.stderr.strip()[:500]}")
+    return library
+
+
+class Rig:
+    """What one process, and those that it starts, see of their machine."""
+
+    def __init__(self, library: Path, control: Path) -> None:
+        """`control` is the file through which the process is led; it is made anew."""
+        self._library = library
+        self._path = control
+        control.write_bytes(bytes(_SIZE))
+        with control.open("r+b") as file:
+            self._control = mmap.mmap(file.fileno(), _SIZE)
+
+    @property
+    def environment(self) -> dict[str, str]:
+        """Variables for the process to be started with."""
+        loaded = [str(self._library), os.environ.get("LD_PRELOAD", "")]
+        return {"LD_PRELOAD": " ".join(filter(None, loaded)), "IRISSTACK_FAULTS": str(self._path)}
+
+    def set_wall_clock(self, seconds: float) -> None:
+        """Let the wall clock be so far ahead of the true one; below zero it is behind."""
+        _OFFSET.pack_into(self._control, 0, round(seconds * NANOSECONDS))
+
+    def fail(self, *rules: Rule) -> None:
+        """Have these rules in force, in place of those before; the first that fits a call counts."""
+        if len(rules) > MOST_RULES:
+            raise ValueError(f"{MOST_RULES} rules at most, not {len(rules)}")
+        for index in range(MOST_RULES):
+            self._write_rule(index, None)
+        for index, rule in enumerate(rules):
+            self._write_rule(index, rule)
+
+    def hits(self, index: int = 0) -> int:
+        """How many calls the rule at this position has hit."""
+        at = _OFFSET.size + index * _RULE.size + _HITS_AT
+        return int.from_bytes(self._control[at : at + 4], "little", signed=True)
+
+    def close(self) -> None:
+        """Let go of the control file; the process keeps what it was last told."""
+        self._control.close()
+
+    def _write_rule(self, index: int, rule: Rule | None) -> None:
+        values = (0,) * 8
+        if rule is not None:
+            values = (rule.call, rule.kind, rule.error, rule.limit, rule.after, rule.count, 0, 0)
+        at = _OFFSET.size + index * _RULE.size
+        _RULE.pack_into(self._control, at, 0, *values[1:])
+        _CALL.pack_into(self._control, at, values[0])  # last: from here on the rule is in force
--- /dev/null
+++ b/tests/node/test_wall_clock.py
@@ -0,0 +1,57 @@
+"""A machine's wall clock is stepped while a node holds messages; spans of real time must not change.
+
+Symptom: accepted messages that may not be repeated got no final answer in their time, a few of them, on
+nodes whose wall clock was stepped.
+
+Sequence: a message was accepted with 12 s to live and waited behind an open circuit breaker. Meanwhile the
+wall clock went back by 3 or 20 s. 11 s after its acceptance the message was sent; it ran, but its answer got
+lost. The node went on waiting for that answer beyond the message's time, by as much as the clock had gone
+back, and gave no final answer.
+
+Cause: deadlines were kept as Unix time and turned back into the monotonic clock with the wall clock as it
+stood at that moment. Every span that crossed a step was wrong by the step.
+
+What settled it: in a replay, the log's time stamps jump by -3, +20 and -20 s against the monitoring's clock.
+Behind a step forward circuit breakers open with CONNECT_FAILED at destinations that are well: calls whose
+deadline seemed past ended before they connected. All four messages lost were of the class that may not be
+repeated, the only one whose calls have no second limit beside the deadline.
+"""
+
+import time
+from pathlib import Path
+
+from tests.node.fault_support import led_node
+from tests.node_support import EndpointPeer, eventually, raw
+
+STEP = -20.0
+RESULT_SLACK = 0.3
+"""Seconds after a message's time in which its final answer may still come."""
+WAIT_FIRST = raw(429, "Retry-After: 0.800")
+
+
+def test_an_unanswered_call_ends_with_the_message_s_time(tmp_path: Path) -> None:
+    endpoint = EndpointPeer(WAIT_FIRST, None)
+    with led_node(tmp_path, endpoint) as (node, platform, rig):
+        accepted = time.monotonic()
+        assert node.hand_in("m1", "unsafe", X_Timeout="2.500").status == 202
+        eventually(lambda: endpoint.requests, "the first call")
+        rig.set_wall_clock(STEP)
+        eventually(lambda: len(endpoint.requests) == 2, "the second call")
+        assert float(endpoint.requests[1].headers["x-timeout"]) <= 2.5
+        notice = eventually(lambda: platform.notice("m1"), "the final answer")
+        assert notice["result"] == "dead"
+        assert 2.5 <= time.monotonic() - accepted + 0.1 <= 2.6 + RESULT_SLACK
+
+
+def test_a_restart_ends_a_message_with_its_time(tmp_path: Path) -> None:
+    endpoint = EndpointPeer(WAIT_FIRST, None)
+    with led_node(tmp_path, endpoint) as (node, platform, rig):
+        accepted = time.monotonic()
+        assert node.hand_in("m1", "unsafe", X_Timeout="4.000").status == 202
+        eventually(lambda: endpoint.requests, "the first call")
+        node.kill()
+        rig.set_wall_clock(STEP)
+        node.start()
+        eventually(lambda: len(endpoint.requests) == 2, "the second call")
+        assert eventually(lambda: platform.notice("m1"), "the final answer")["result"] == "dead"
+        assert 4.0 <= time.monotonic() - accepted + 0.1 <= 4.1 + RESULT_SLACK
--- a/tests/node_support.py
+++ b/tests/node_support.py
@@ -225,6 +225,8 @@
             "settings": SETTINGS,
         }
         self.process: subprocess.Popen[bytes] | None = None
+        self.environment: dict[str, str] = {}
+        """Variables for the process beside those that any node is given."""
 
     def reread(self) -> None:
         """Have the running node read its configuration as it stands now."""
@@ -236,7 +238,12 @@
 
     def launch(self) -> "subprocess.Popen[bytes]":
         self.config.write_text(json.dumps(self.raw))
-        environment = {**os.environ, "RELAY_CONFIG": str(self.config), "RELAY_STATE": str(self.state)}
+        environment = {
+            **os.environ,
+            "RELAY_CONFIG": str(self.config),
+            "RELAY_STATE": str(self.state),
+            **self.environment,
+        }
         with self.log.open("ab") as log:
             self.process = subprocess.Popen(
                 [sys.executable, "-m", "irisstack", "run"], env=environment, stdout=log, stderr=log
