Deadlines, windows and records no longer follow steps of the wall clock

Cause: a message's deadline, the time of its first run and the time until which an ended one is known were Unix time, turned into the monotonic clock with the wall clock as it stood at that moment: in each call, at each restart. Change: all times of the folder are on one clock, the monotonic clock plus an offset that is taken from the wall clock once for each boot, stands at the head of each segment and is taken over by each later life. Two tests of internals now ask the store's clock (as strict: they compare with the same recorded time).

--- a/benchmarks/owed_messages.py
+++ b/benchmarks/owed_messages.py
@@ -53,8 +53,8 @@
 
 def fill(folder: Path, messages: int) -> None:
     """Put so many messages owed on record, as a node does that takes them on."""
-    now = time.time()
-    store = Store(folder, disk_bytes(messages), now)
+    store = Store(folder, disk_bytes(messages))
+    now = store.clock.now()
     _take_all(store, messages, now)
     store.close()
 
@@ -128,8 +128,9 @@
     Messages that are delivered at once, and whose time is up, come and go beside those that stay owed.
     """
     with tempfile.TemporaryDirectory(prefix="irisstack-owed-") as folder:
-        now, limit = time.time(), messages * CROWDED_ROOM_A_MESSAGE
-        store = Store(Path(folder), limit, now)
+        limit = messages * CROWDED_ROOM_A_MESSAGE
+        store = Store(Path(folder), limit)
+        now = store.clock.now()
         _take_all(store, messages, now)
         number, written, longest = messages + 1, 0, 0.0
         while written < PART_WRITTEN * limit:
--- a/irisstack/lab/sockets/nodes.py
+++ b/irisstack/lab/sockets/nodes.py
@@ -7,6 +7,7 @@
 import signal
 import subprocess
 import sys
+import time
 from collections.abc import Mapping
 from contextlib import suppress
 from pathlib import Path
@@ -106,11 +107,10 @@
 
     def wait_ready(self) -> bool:
         """Wait until the node answers that it serves."""
-        deadline = gevent.get_hub().loop.now() + READY_WITHIN
+        deadline = time.monotonic() + READY_WITHIN
         process = self._process
         while process is self._process and process is not None and process.poll() is None:
-            gevent.get_hub().loop.update_now()
-            if gevent.get_hub().loop.now() > deadline:
+            if time.monotonic() > deadline:
                 return False
             if self._serves():
                 self.up = True
--- a/irisstack/node/decider.py
+++ b/irisstack/node/decider.py
@@ -115,6 +115,7 @@
             self._sender = Watching(settings, trial, seed, counters.add)
         self._tell = tell
         self._store = store
+        self._clock = store.clock
         self._counters = counters
         self._call = call
         self._ask = ask
@@ -151,7 +152,7 @@
 
     def recover(self, known: api.EndpointsUpdated) -> None:
         """The list as it was last held, and what an earlier life of this node owes."""
-        now, unix = time.monotonic(), time.time()
+        now = time.monotonic()
         self._learn(known, now)
         owed: list[api.Event] = []
         for _, entry in sorted(self._store.entries.items()):  # in the order in which they were taken on
@@ -160,44 +161,44 @@
             if not entry.owed:
                 continue
             if entry.message_class in self._classes:
-                owed.append(self._received(entry, now, unix))
+                owed.append(self._received(entry))
             elif self._settings_taken is not None:  # the settings that it was taken on under may yet come
-                due = now + entry.due - unix
+                due = self._clock.to_monotonic(entry.due)
                 self._classless.append((due, entry))
                 heappush(self._timers, (due, NO_TOKEN))
             else:  # the settings changed between two lives
-                self._class_gone(entry, unix)
+                self._class_gone(entry)
         self._next = [known, *owed]
         self._counters.add("recovered", len(owed))
 
-    def _class_gone(self, entry: Entry, unix: float) -> None:
+    def _class_gone(self, entry: Entry) -> None:
         log.error("class_gone", message_class=entry.message_class, id=entry.id)
-        self._store.write([self._over(entry.number, "dead")], unix)
+        self._store.write([self._over(entry.number, "dead")], self._clock.now())
         self._notice(entry)
 
-    def _recover_classless(self, now: float, unix: float) -> list[api.Event]:
+    def _recover_classless(self, now: float) -> list[api.Event]:
         """What is owed under a class that is known now goes on; whose time is up has ended."""
         events: list[api.Event] = []
         waiting, self._classless = self._classless, []
         for due, entry in waiting:
             if entry.message_class in self._classes:
-                events.append(self._received(entry, now, unix))
+                events.append(self._received(entry))
             elif due > now:
                 self._classless.append((due, entry))
             else:
-                self._class_gone(entry, unix)
+                self._class_gone(entry)
         self._counters.add("recovered", len(events))
         return events
 
-    def _received(self, entry: Entry, now: float, unix: float) -> api.MessageReceived:
+    def _received(self, entry: Entry) -> api.MessageReceived:
         """What the module is told of a message, be it new or one that outlived a process."""
-        ran = None if entry.ran_at is None else now + entry.ran_at - unix
+        ran = None if entry.ran_at is None else self._clock.to_monotonic(entry.ran_at)
         zones = self._settings.zones
         return api.MessageReceived(
             entry.number,
             self._classes[entry.message_class],
             entry.destination,
-            now + entry.due - unix,
+            self._clock.to_monotonic(entry.due),
             entry.tenant,
             is_retry=entry.is_retry,
             from_dead_sender=entry.from_dead_sender,
@@ -237,7 +238,7 @@
             return []
 
     def _turn(self, items: Sequence[Item]) -> None:
-        now, unix = time.monotonic(), time.time()
+        now = time.monotonic()
         self._turned = now
         turn = _Turn()
         # First of all: a turn is under one set of settings from its begin to its end.
@@ -245,11 +246,11 @@
         events += self._next
         self._next = []
         if self._classless:
-            events += self._recover_classless(now, unix)
+            events += self._recover_classless(now)
         for item in items:
             match item:
                 case Arrival():
-                    self._arrived(item, turn, events, now, unix)
+                    self._arrived(item, turn, events, now)
                 case Ended():
                     self._ended(item, turn, events, now)
                 case api.EndpointsUpdated():
@@ -262,8 +263,8 @@
         if events:
             for action in self._sender.turn(now, events):
                 self._note(action, turn, now)
-        self._carry_out(turn, now, unix)
-        self._store.drop_ended(unix)
+        self._carry_out(turn, now)
+        self._store.drop_ended(self._clock.to_record(now))
 
     # ---- events ----
 
@@ -284,9 +285,7 @@
         log.info("settings_in_force", revision=newest.revision)
         return events
 
-    def _arrived(
-        self, arrival: Arrival, turn: _Turn, events: list[api.Event], now: float, unix: float
-    ) -> None:
+    def _arrived(self, arrival: Arrival, turn: _Turn, events: list[api.Event], now: float) -> None:
         store = self._store
         self._counters.add("received")
         if self._destinations and arrival.destination not in self._destinations:
@@ -303,12 +302,12 @@
             self._settings.classes[arrival.message_class].name,
             arrival.tenant,
             arrival.destination,
-            unix + arrival.due - now,
+            self._clock.to_record(arrival.due),
             arrival.is_retry,
             arrival.from_dead_sender,
             arrival.body,
         )
-        if self.refusing or not store.fits(entry, unix):
+        if self.refusing or not store.fits(entry, self._clock.to_record(now)):
             self._counters.add("turned_away")
             turn.answers.append((arrival, HTTPStatus.SERVICE_UNAVAILABLE, self._come_again))
             return
@@ -322,7 +321,7 @@
             destination=entry.destination,
             due_s=round(arrival.due - now, 3),
         )
-        events.append(self._received(entry, now, unix))
+        events.append(self._received(entry))
 
     def _ended(self, ended: Ended, turn: _Turn, events: list[api.Event], now: float) -> None:
         _, sent = self._where.pop(ended.number)
@@ -453,8 +452,9 @@
             turn.records.append(self._over(number, result, round((wait or 0.0) * 1000.0)))
             self._notice(self._store.entries[number])
 
-    def _carry_out(self, turn: _Turn, now: float, unix: float) -> None:
-        self._store.write([*(self._store.taken(n) for n in turn.arrivals), *turn.records], unix)
+    def _carry_out(self, turn: _Turn, now: float) -> None:
+        recorded = self._clock.to_record(now)
+        self._store.write([*(self._store.taken(n) for n in turn.arrivals), *turn.records], recorded)
         gone: set[int] = set()
         for number, arrival in turn.arrivals.items():
             if arrival.client.answer(HTTPStatus.ACCEPTED):
@@ -462,7 +462,7 @@
             else:
                 gone.add(number)
         if gone:
-            self._store.write([self._over(number, "withdrawn") for number in gone], unix)
+            self._store.write([self._over(number, "withdrawn") for number in gone], recorded)
             self._next.extend(api.MessageWithdrawn(number) for number in gone)
         for arrival, status, wait in turn.answers:
             arrival.client.answer(status, wait)
@@ -470,7 +470,7 @@
             arrival.client.answer(self._what_became(number))
         for action in turn.others:
             self._do(action)
-        self._send(turn.sends, now, unix)
+        self._send(turn.sends, now)
 
     def _do(self, action: api.Action) -> None:
         match action:
@@ -488,7 +488,7 @@
             case _:
                 log.error("action_unknown", action=repr(action))
 
-    def _send(self, sends: list[api.Send], now: float, unix: float) -> None:
+    def _send(self, sends: list[api.Send], now: float) -> None:
         """What goes to one endpoint in one turn travels together, as far as its kind allows."""
         by_endpoint: dict[api.Address, list[Outgoing]] = {}
         for send in sends:
@@ -507,7 +507,7 @@
                 endpoint=name_of(peer_of(send.endpoint)),
                 attempt=entry.attempts,
             )
-            due = now + entry.due - unix
+            due = self._clock.to_monotonic(entry.due)  # as accepted, whatever the wall clock did since
             give_up = min(due, send.give_up_at or due)
             by_endpoint.setdefault(send.endpoint, []).append(
                 Outgoing(
@@ -517,4 +517,5 @@
         for address, messages in by_endpoint.items():
             most = self._kind(address).max_batch
             for start in range(0, len(messages), most):
-                self._call(address, Call(messages[start : start + most], unix, self._zone(address)))
+                call = Call(messages[start : start + most], self._clock.to_record(now), self._zone(address))
+                self._call(address, call)
--- a/irisstack/node/discovery.py
+++ b/irisstack/node/discovery.py
@@ -16,6 +16,7 @@
 from irisstack.node.buffer import Buffer
 from irisstack.node.config import HostPort, host_port, name_of
 from irisstack.node.objects import ObjectStream
+from irisstack.node.record_clock import RecordClock, resume
 
 STATES = {
     "SERVING": api.EndpointState.READY,
@@ -39,7 +40,11 @@
 class ListReader:
     """The list's JSON as `EndpointsUpdated`; a line that cannot be read is logged and passed over."""
 
-    def __init__(self, settings: api.Settings, most_waiting: int = 0) -> None:
+    def __init__(
+        self, settings: api.Settings, most_waiting: int = 0, clock: RecordClock | None = None
+    ) -> None:
+        """`clock` is what the list's Unix times are read by; by default the wall clock as it is now."""
+        self._clock = clock or resume(None)
         self._kinds = {kind.name: i for i, kind in enumerate(settings.kinds)}
         self._most_waiting = most_waiting
         self._waiting: dict[str, Mapping[str, Any]] = {}  # lines of kinds not known yet, by id
@@ -122,7 +127,7 @@
             int(member["cell"]),
             self._zone(member.get("locality", "")),
             float(member.get("size", 1.0)),
-            since - time.time() + time.monotonic() if since else None,
+            self._clock.to_monotonic(since) if since else None,
         )
         owner = self._owners.get(address)
         lines: list[api.Endpoint] = []
--- a/irisstack/node/endpoint.py
+++ b/irisstack/node/endpoint.py
@@ -51,7 +51,7 @@
     """One request to the endpoint; its messages are sent together and end together."""
 
     messages: Sequence[Outgoing]
-    sent_at: float  # Unix time, for the record
+    sent_at: float  # on the clock of the records
     zone: str = ""  # that it goes to, likewise
     worker: "gevent.Greenlet[..., None] | None" = None
     begun: bool = False
--- a/irisstack/node/service.py
+++ b/irisstack/node/service.py
@@ -64,7 +64,8 @@
             self._start_dynamic_settings(config.dynamic_settings)
         settings = self._settings = config.settings if self._live is None else self._live.in_force.settings
         self._notices = Notices(config.discovery, self._store, self.counters)
-        self._reader = ListReader(settings, 0 if self._live is None else MOST_WAITING_LINES)
+        most_waiting = 0 if self._live is None else MOST_WAITING_LINES
+        self._reader = ListReader(settings, most_waiting, self._store.clock)
         known = self._known(self._reader)
         self._discovery = Discovery(
             config.discovery,
@@ -274,7 +275,7 @@
             from irisstack.dynamic_settings.snapshot import DISK_RESERVE_BYTES
 
             disk_bytes -= DISK_RESERVE_BYTES
-        return Store(self._config.state, disk_bytes, time.time())
+        return Store(self._config.state, disk_bytes)
 
     def _start_dynamic_settings(self, source: DynamicSettings) -> None:
         """Take the settings of the life before, and get ready to follow those that come."""
--- a/irisstack/node/store.py
+++ b/irisstack/node/store.py
@@ -1,21 +1,17 @@
 """The lasting folder: a log of what the node owes, in segments, that outlives its processes.
 
-A record is a head (two lengths and a checksum), a JSON note and, for a message taken on, its body. The oldest
-segment makes room by having what is still needed of it written anew; a torn record ends the reading of its
-segment. Times in the folder are Unix time.
+Each segment begins with the anchor of the clock that the times in the folder are on. The oldest segment makes
+room by having what is still needed of it written anew; a torn record ends the reading of its segment.
 """
 
-import json
 import os
-import struct
-import zlib
-from collections.abc import Iterable, Iterator
+from collections.abc import Iterable
 from dataclasses import dataclass, fields
 from heapq import heappop, heappush
 from pathlib import Path
-from typing import Any
 
-HEAD = struct.Struct(">III")
+from irisstack.node import record_clock, records
+
 UNIT = 512
 """Files count in whole units of this size."""
 SEGMENTS = 12
@@ -69,28 +65,11 @@
 NOTED = tuple(field.name for field in fields(Entry) if field.name not in ("body", "segment"))
 
 
-def _record(note: dict[str, Any], body: bytes = b"") -> bytes:
-    text = json.dumps(note, separators=(",", ":")).encode()
-    return HEAD.pack(len(text), len(body), zlib.crc32(body, zlib.crc32(text))) + text + body
-
-
-def _records(data: bytes) -> Iterator[tuple[dict[str, Any], bytes]]:
-    """The records of a segment, up to the first that is torn."""
-    at = 0
-    while at + HEAD.size <= len(data):
-        note_size, body_size, check = HEAD.unpack_from(data, at)
-        start = at + HEAD.size
-        middle, end = start + note_size, start + note_size + body_size
-        if end > len(data) or zlib.crc32(data[start:end]) != check:
-            return
-        yield json.loads(data[start:middle]), data[middle:end]
-        at = end
-
-
 class Store:
     """Keeps the folder and, beside it, the entries in memory."""
 
-    def __init__(self, folder: Path, disk_bytes: int, now: float) -> None:
+    def __init__(self, folder: Path, disk_bytes: int, now: float | None = None) -> None:
+        """`now` is the time on the clock of the records; by default what that clock says."""
         self._folder = folder
         self._disk = disk_bytes
         self._segment_size = disk_bytes // SEGMENTS
@@ -102,7 +81,11 @@
         self.entries: dict[int, Entry] = {}
         self.by_id: dict[str, int] = {}
         self.next_number = 1
+        self._anchor: record_clock.Anchor | None = None
         self._read()
+        self.clock = record_clock.resume(self._anchor)
+        if now is None:
+            now = self.clock.now()
         self._rotate()
         self._make_room(now)
         # The process ended with these calls out: they may have run. That goes on record before anything else:
@@ -118,13 +101,14 @@
             data = path.read_bytes()
             self._sizes[segment] = len(data)
             self._current = max(self._current, segment)
-            for note, body in _records(data):
+            for note, body in records.decode(data):
                 self._replay(note, body, segment)
 
-    def _replay(self, note: dict[str, Any], body: bytes, segment: int) -> None:
-        match note["t"]:
+    def _replay(self, note: records.Note, body: bytes, segment: int) -> None:
+        match note.pop("t"):
+            case "clock":
+                self._anchor = record_clock.Anchor(**note)
             case "taken":
-                del note["t"]
                 entry = Entry(**note, body=body, segment=segment)
                 known = self.entries.get(entry.number)
                 if known is not None:
@@ -206,26 +190,26 @@
     def end(self, number: int, attempt: int, ran: bool) -> bytes:
         """An attempt has ended; returns the record to write."""
         self._end(self.entries[number], attempt, ran)
-        return _record({"t": "end", "n": number, "a": attempt, "ran": ran})
+        return records.encode({"t": "end", "n": number, "a": attempt, "ran": ran})
 
     def over(self, number: int, result: str, wait_ms: int = 0) -> bytes:
         """A message is over; returns the record to write."""
         self._over(self.entries[number], result, wait_ms)
-        return _record({"t": "over", "n": number, "result": result, "wait_ms": wait_ms})
+        return records.encode({"t": "over", "n": number, "result": result, "wait_ms": wait_ms})
 
     def out(self, attempts: Iterable[tuple[int, int]], at: float, zone: str = "") -> None:
         """A call is about to leave for a zone with these messages; on record when this returns."""
         numbers = [(number, attempt) for number, attempt in attempts if number in self.entries]
         for number, attempt in numbers:
             self._out(self.entries[number], attempt, at, zone)
-        self.write([_record({"t": "out", "n": numbers, "at": at, "in": zone})], at)
+        self.write([records.encode({"t": "out", "n": numbers, "at": at, "in": zone})], at)
 
     def told(self, numbers: Iterable[int], now: float) -> None:
         """The platform has taken these notices."""
         known = [number for number in numbers if number in self.entries]
         for number in known:
             self._told(self.entries[number])
-        self.write([_record({"t": "told", "n": known})], now)
+        self.write([records.encode({"t": "told", "n": known})], now)
 
     def drop_ended(self, now: float) -> None:
         """Forget messages that are over, once their time is up and their notice was taken."""
@@ -238,11 +222,11 @@
         if entry is not None and not entry.to_tell:
             self._forget(entry)
 
-    def write(self, records: list[bytes], now: float) -> None:
+    def write(self, encoded: list[bytes], now: float) -> None:
         """Append records with one write, unless they run over the end of a segment."""
         left = self._segment_size - self._sizes[self._current]
         batch: list[bytes] = []
-        for record in records:
+        for record in encoded:
             if len(record) > left:
                 self._append(b"".join(batch))
                 batch.clear()
@@ -260,7 +244,7 @@
 
     @staticmethod
     def _taken(entry: Entry) -> bytes:
-        return _record({"t": "taken", **{name: getattr(entry, name) for name in NOTED}}, entry.body)
+        return records.encode({"t": "taken", **{name: getattr(entry, name) for name in NOTED}}, entry.body)
 
     def _append(self, data: bytes) -> None:
         self._sizes[self._current] += len(data)
@@ -276,6 +260,7 @@
         self._current += 1
         self._sizes[self._current] = 0
         self._file = os.open(self._path(self._current), os.O_WRONLY | os.O_CREAT | os.O_APPEND, 0o600)
+        self._append(records.encode(self.clock.note()))
 
     def _used(self) -> int:
         return sum(-(-size // UNIT) * UNIT for size in self._sizes.values())
--- a/tests/node/test_repeats.py
+++ b/tests/node/test_repeats.py
@@ -267,11 +267,11 @@
         notice=lambda _: None,
         room=10,
     )
-    told = decider._received(again.entries[1], 10.0, 1010.0)
+    told = decider._received(again.entries[1])
     if ended is False:
         assert (told.maybe_ran, told.ran_in) == (None, None)
     else:
-        assert (told.maybe_ran, told.ran_in) == (2.0, known_as)
+        assert (told.maybe_ran, told.ran_in) == (again.clock.to_monotonic(1002.0), known_as)
 
 
 @pytest.mark.parametrize("second", ["untried", "out", "withheld", "ended"])
--- a/tests/node/test_wall_clock.py
+++ b/tests/node/test_wall_clock.py
@@ -20,22 +20,26 @@
 import time
 from pathlib import Path
 
+import pytest
+
 from tests.node.fault_support import led_node
 from tests.node_support import EndpointPeer, eventually, raw
 
-STEP = -20.0
+HOUR = 3600.0
+STEPS = pytest.mark.parametrize("step", [-HOUR, -3.0, 20.0], ids="step {:+.0f} s".format)
 RESULT_SLACK = 0.3
 """Seconds after a message's time in which its final answer may still come."""
 WAIT_FIRST = raw(429, "Retry-After: 0.800")
 
 
-def test_an_unanswered_call_ends_with_the_message_s_time(tmp_path: Path) -> None:
+@STEPS
+def test_an_unanswered_call_ends_with_the_message_s_time(tmp_path: Path, step: float) -> None:
     endpoint = EndpointPeer(WAIT_FIRST, None)
     with led_node(tmp_path, endpoint) as (node, platform, rig):
         accepted = time.monotonic()
         assert node.hand_in("m1", "unsafe", X_Timeout="2.500").status == 202
         eventually(lambda: endpoint.requests, "the first call")
-        rig.set_wall_clock(STEP)
+        rig.set_wall_clock(step)
         eventually(lambda: len(endpoint.requests) == 2, "the second call")
         assert float(endpoint.requests[1].headers["x-timeout"]) <= 2.5
         notice = eventually(lambda: platform.notice("m1"), "the final answer")
@@ -43,15 +47,85 @@
         assert 2.5 <= time.monotonic() - accepted + 0.1 <= 2.6 + RESULT_SLACK
 
 
-def test_a_restart_ends_a_message_with_its_time(tmp_path: Path) -> None:
+@STEPS
+def test_a_waiting_message_is_sent_and_delivered_after_the_step(tmp_path: Path, step: float) -> None:
+    endpoint = EndpointPeer(WAIT_FIRST, raw(200))
+    with led_node(tmp_path, endpoint) as (node, platform, rig):
+        assert node.hand_in("m1", "unsafe", X_Timeout="4.000").status == 202
+        eventually(lambda: endpoint.requests, "the first call")
+        rig.set_wall_clock(step)
+        eventually(lambda: node.counters().get("delivered"), "the delivery")
+        assert not platform.notices
+        assert not node.counters().get("ended_connect_failed")
+
+
+@STEPS
+def test_a_restart_delivers_what_has_time_left(tmp_path: Path, step: float) -> None:
+    endpoint = EndpointPeer(WAIT_FIRST, raw(200))
+    with led_node(tmp_path, endpoint) as (node, platform, rig):
+        accepted = time.monotonic()
+        assert node.hand_in("m1", "unsafe", X_Timeout="15.000").status == 202
+        eventually(lambda: node.counters().get("ended_full"), "the first call's end")
+        node.kill()
+        rig.set_wall_clock(step)
+        node.start()
+        eventually(lambda: node.counters().get("delivered"), "the delivery")
+        left = float(endpoint.requests[-1].headers["x-timeout"])
+        assert left == pytest.approx(15.0 - (time.monotonic() - accepted), abs=0.7)
+        assert not platform.notices
+
+
+@STEPS
+def test_a_restart_ends_a_message_with_its_time(tmp_path: Path, step: float) -> None:
     endpoint = EndpointPeer(WAIT_FIRST, None)
     with led_node(tmp_path, endpoint) as (node, platform, rig):
         accepted = time.monotonic()
         assert node.hand_in("m1", "unsafe", X_Timeout="4.000").status == 202
-        eventually(lambda: endpoint.requests, "the first call")
+        eventually(lambda: node.counters().get("ended_full"), "the first call's end")
         node.kill()
-        rig.set_wall_clock(STEP)
+        rig.set_wall_clock(step)
         node.start()
         eventually(lambda: len(endpoint.requests) == 2, "the second call")
         assert eventually(lambda: platform.notice("m1"), "the final answer")["result"] == "dead"
         assert 4.0 <= time.monotonic() - accepted + 0.1 <= 4.1 + RESULT_SLACK
+
+
+@STEPS
+def test_a_restart_repeats_a_keyed_message_within_its_window(tmp_path: Path, step: float) -> None:
+    endpoint = EndpointPeer(None)
+    with led_node(tmp_path, endpoint) as (node, _, rig):
+        assert node.hand_in("m1", "keyed").status == 202
+        eventually(lambda: endpoint.requests, "the first call")
+        node.kill()
+        rig.set_wall_clock(step)
+        endpoint.script[:] = [raw(200)]
+        node.start()
+        eventually(lambda: node.counters().get("delivered"), "the delivery")
+        assert len(endpoint.requests) == 2
+
+
+@STEPS
+def test_a_restart_repeats_no_keyed_message_beyond_its_window(tmp_path: Path, step: float) -> None:
+    endpoint = EndpointPeer(None)
+    with led_node(tmp_path, endpoint, window=1.5) as (node, platform, rig):
+        assert node.hand_in("m1", "keyed").status == 202
+        eventually(lambda: endpoint.requests, "the first call")
+        node.kill()
+        time.sleep(1.5)
+        rig.set_wall_clock(step)
+        node.start()
+        assert eventually(lambda: platform.notice("m1"), "the final answer")["result"] == "dead"
+        assert len(endpoint.requests) == 1
+
+
+@STEPS
+def test_a_message_that_is_over_is_known_again_after_the_step(tmp_path: Path, step: float) -> None:
+    endpoint = EndpointPeer(raw(200))
+    with led_node(tmp_path, endpoint) as (node, _, rig):
+        assert node.hand_in("m1", "unsafe").status == 202
+        eventually(lambda: node.counters().get("delivered") == 1, "the delivery")
+        rig.set_wall_clock(step)
+        assert node.hand_in("m2", "unsafe").status == 202
+        eventually(lambda: node.counters().get("delivered") == 2, "the next delivery")
+        assert node.hand_in("m1", "unsafe").status == 200
+        assert len(endpoint.calls_with("m1")) == 1
--- a/tests/test_node_parts.py
+++ b/tests/test_node_parts.py
@@ -23,6 +23,7 @@
 from irisstack.node.discovery import Discovery, ListReader
 from irisstack.node.endpoint import Call, CallOff, Ended, Endpoint, Hold, Outgoing, Retire
 from irisstack.node.intake import Intake
+from irisstack.node.record_clock import wall_clock
 from irisstack.node.results import Ending, Reached, answered, answered_each, unanswered
 from irisstack.node.store import Entry, Store
 from irisstack.settings import Reader, read
@@ -603,7 +604,7 @@
                 member(2, flavor="unheard of"),
                 5,
                 member(3, host_port="here"),
-                member(4, phase="DRAINING", up_since_ms=1000.0 * time.time()),
+                member(4, phase="DRAINING", up_since_ms=1000.0 * wall_clock()),
             ],
         }
     )
