A folder that cannot be written sheds new messages and owes the rest; answers go in parts

Cause: an OSError of a write to the folder left the decider, and with it the node; an answer that the system took in part was given up; a log line that could not be written would have ended the node too. The store keeps what has happened and writes it first, with backoff; a new message that cannot be put on record is refused, a call waits for its record, a notice for the record of its end or for the message's time. The log loses lines instead of raising. Each call withheld says why. The rig tells the folder's files from others.

--- a/irisstack/common/logs.py
+++ b/irisstack/common/logs.py
@@ -1,7 +1,9 @@
 """Structured logs: one event a line, the same keys everywhere, on standard output or elsewhere."""
 
 import logging
-from typing import Literal, TextIO
+import sys
+from contextlib import suppress
+from typing import Literal, TextIO, cast
 
 import structlog
 
@@ -9,6 +11,22 @@
 LEVELS = ("debug", "info", "warning", "error", "critical")
 
 
+class _LossyStream:
+    """A stream whose lines are lost where they cannot be written: a full disk must not end the process."""
+
+    def __init__(self, stream: TextIO) -> None:
+        self._stream = stream
+
+    def write(self, text: str) -> int:
+        with suppress(OSError):
+            self._stream.write(text)
+        return len(text)
+
+    def flush(self) -> None:
+        with suppress(OSError):
+            self._stream.flush()
+
+
 def configure(form: Format = "json", level: str = "info", stream: TextIO | None = None) -> None:
     """Set up all loggers of the process; they write to `stream`, standard output by default.
 
@@ -24,6 +42,6 @@
             renderer,
         ],
         wrapper_class=structlog.make_filtering_bound_logger(getattr(logging, level.upper())),
-        logger_factory=structlog.PrintLoggerFactory(stream),
+        logger_factory=structlog.PrintLoggerFactory(cast(TextIO, _LossyStream(stream or sys.stdout))),
         cache_logger_on_first_use=stream is None,
     )
--- a/irisstack/lab/faults/preload.c
+++ b/irisstack/lab/faults/preload.c
@@ -10,8 +10,10 @@
 #include <fcntl.h>
 #include <poll.h>
 #include <signal.h>
+#include <stdarg.h>
 #include <stdint.h>
 #include <stdlib.h>
+#include <string.h>
 #include <sys/epoll.h>
 #include <sys/mman.h>
 #include <sys/socket.h>
@@ -22,8 +24,8 @@
 #include <unistd.h>
 
 enum { RULES = 16, DESCRIPTORS = 65536 };
-enum call { ACCEPT = 1, SOCKET, CONNECT, SEND, RECEIVE, WRITE, SYNC, OPEN, WAIT };
-enum kind { ANY = 0, CLIENT, PEER, FILE_KIND };
+enum call { ACCEPT = 1, SOCKET, CONNECT, SEND, RECEIVE, WRITE, SYNC, OPEN_FILE, WAIT };
+enum kind { ANY = 0, CLIENT, PEER, ANY_FILE, FOLDER };
 enum { KILL = -1 }; /* in place of an errno: the process is killed, after the bytes that the limit allows */
 
 struct rule {
@@ -43,6 +45,7 @@
 };
 
 static struct control *control;
+static const char *folder; /* descriptors of files in it are of the kind FOLDER */
 static unsigned char kinds[DESCRIPTORS];
 
 __attribute__((constructor)) static void load(void) {
@@ -56,6 +59,7 @@
     close(file);
     if (at != MAP_FAILED)
         control = at;
+    folder = getenv("IRISSTACK_FAULTS_FOLDER");
 }
 
 #define REAL(name) \
@@ -115,13 +119,13 @@
 
 /* ---- calls that fail ---- */
 
-static enum kind kind_of(int descriptor) {
+static int is_of(enum kind kind, int descriptor) {
     struct stat about;
     if (descriptor < 0 || descriptor >= DESCRIPTORS)
-        return ANY;
-    if (fstat(descriptor, &about) == 0 && S_ISREG(about.st_mode))
-        return FILE_KIND;
-    return kinds[descriptor];
+        return 0;
+    if (kind == ANY_FILE)
+        return fstat(descriptor, &about) == 0 && S_ISREG(about.st_mode);
+    return kinds[descriptor] == kind;
 }
 
 static void remember(int descriptor, enum kind kind) {
@@ -137,7 +141,7 @@
         struct rule *rule = &control->rules[i];
         if (__atomic_load_n(&rule->call, __ATOMIC_ACQUIRE) != (int)call)
             continue;
-        if (rule->kind != ANY && rule->kind != (int)kind_of(descriptor))
+        if (rule->kind != ANY && !is_of(rule->kind, descriptor))
             continue;
         if (rule->after > 0) {
             rule->after--;
@@ -253,33 +257,30 @@
     return fails(SYNC, descriptor) ? -1 : real(descriptor);
 }
 
-int open(const char *path, int flags, ...) {
-    REAL(open);
-    mode_t mode = 0;
-    if (flags & (O_CREAT | O_TMPFILE)) {
-        __builtin_va_list arguments;
-        __builtin_va_start(arguments, flags);
-        mode = __builtin_va_arg(arguments, mode_t);
-        __builtin_va_end(arguments);
-    }
-    if ((flags & O_CREAT) && fails(OPEN, -1))
-        return -1;
-    return real(path, flags, mode);
+static int in_folder(const char *path) {
+    return folder != NULL && strncmp(path, folder, strlen(folder)) == 0;
 }
 
-int open64(const char *path, int flags, ...) {
-    REAL(open64);
-    mode_t mode = 0;
-    if (flags & (O_CREAT | O_TMPFILE)) {
-        __builtin_va_list arguments;
-        __builtin_va_start(arguments, flags);
-        mode = __builtin_va_arg(arguments, mode_t);
-        __builtin_va_end(arguments);
+/* Only files that a call may make anew can fail to open; reading a program's modules is left alone. */
+#define OPEN(name) \
+    int name(const char *path, int flags, ...) { \
+        REAL(name); \
+        mode_t mode = 0; \
+        if (flags & (O_CREAT | O_TMPFILE)) { \
+            va_list arguments; \
+            va_start(arguments, flags); \
+            mode = va_arg(arguments, mode_t); \
+            va_end(arguments); \
+        } \
+        if ((flags & O_CREAT) && in_folder(path) && fails(OPEN_FILE, -1)) \
+            return -1; \
+        int opened = real(path, flags, mode); \
+        remember(opened, in_folder(path) ? FOLDER : ANY); \
+        return opened; \
     }
-    if ((flags & O_CREAT) && fails(OPEN, -1))
-        return -1;
-    return real(path, flags, mode);
-}
+
+OPEN(open)
+OPEN(open64)
 
 int epoll_wait(int descriptor, struct epoll_event *events, int most, int timeout) {
     REAL(epoll_wait);
--- a/irisstack/lab/faults/rig.py
+++ b/irisstack/lab/faults/rig.py
@@ -54,6 +54,9 @@
     CLIENT = 1
     PEER = 2
     FILE = 3
+    """A regular file, the log among them where it is one."""
+    FOLDER = 4
+    """A file in the folder that the rig was told of."""
 
 
 @dataclass(slots=True, frozen=True)
@@ -88,9 +91,13 @@
 class Rig:
     """What one process, and those that it starts, see of their machine."""
 
-    def __init__(self, library: Path, control: Path) -> None:
-        """`control` is the file through which the process is led; it is made anew."""
+    def __init__(self, library: Path, control: Path, folder: Path) -> None:
+        """`control` is the file through which the process is led; it is made anew.
+
+        `folder` is the one whose files are of the kind `FOLDER`, by the path that the process opens.
+        """
         self._library = library
+        self._folder = folder
         self._path = control
         control.write_bytes(bytes(_SIZE))
         with control.open("r+b") as file:
@@ -100,7 +107,11 @@
     def environment(self) -> dict[str, str]:
         """Variables for the process to be started with."""
         loaded = [str(self._library), os.environ.get("LD_PRELOAD", "")]
-        return {"LD_PRELOAD": " ".join(filter(None, loaded)), "IRISSTACK_FAULTS": str(self._path)}
+        return {
+            "LD_PRELOAD": " ".join(filter(None, loaded)),
+            "IRISSTACK_FAULTS": str(self._path),
+            "IRISSTACK_FAULTS_FOLDER": str(self._folder),
+        }
 
     def set_wall_clock(self, seconds: float) -> None:
         """Let the wall clock be so far ahead of the true one; below zero it is behind."""
--- a/irisstack/node/decider.py
+++ b/irisstack/node/decider.py
@@ -29,6 +29,9 @@
 COME_AGAIN = 1.0
 """Seconds after which one that finds no room here may come again, where the settings allow such advice."""
 
+FOLDER_RETRY = 0.05
+"""Seconds between two looks at a folder that cannot be written."""
+
 log = structlog.get_logger()
 
 
@@ -83,6 +86,7 @@
 
     arrivals: dict[int, Arrival] = field(default_factory=dict)
     records: list[bytes] = field(default_factory=list)
+    ends: list[Entry] = field(default_factory=list)  # of which the platform is to hear
     answers: list[tuple[Arrival, HTTPStatus, float | None]] = field(default_factory=list)
     again: list[tuple[Arrival, int]] = field(default_factory=list)  # handed in before, under this number
     sends: list[api.Send] = field(default_factory=list)
@@ -126,6 +130,7 @@
         self._timers: list[tuple[float, int]] = []
         self._where: dict[int, tuple[api.Address, float]] = {}  # calls out: endpoint, sent at
         self._listed: dict[api.Address, api.Endpoint] = {}
+        self._untold: list[Entry] = []  # ended, but that is not on record yet
         self._gone: dict[api.Address, float] = {}  # of these, the ones no longer listed, and since when
         self._destinations: set[int] = set()
         self._turned = -1.0
@@ -232,6 +237,8 @@
 
     def _wait(self) -> list[Item]:
         wait = max(0.0, self._timers[0][0] - time.monotonic()) if self._timers else None
+        if self._store.failing:
+            wait = min(FOLDER_RETRY, wait or FOLDER_RETRY)
         try:
             return [self.mailbox.get(timeout=wait)]
         except Empty:
@@ -307,7 +314,7 @@
             arrival.from_dead_sender,
             arrival.body,
         )
-        if self.refusing or not store.fits(entry, self._clock.to_record(now)):
+        if self.refusing or not store.may_try or not store.fits(entry, self._clock.to_record(now)):
             self._counters.add("turned_away")
             turn.answers.append((arrival, HTTPStatus.SERVICE_UNAVAILABLE, self._come_again))
             return
@@ -450,11 +457,15 @@
             self._counters.add("refused" if result == "bounced" else "failed")
         else:
             turn.records.append(self._over(number, result, round((wait or 0.0) * 1000.0)))
-            self._notice(self._store.entries[number])
+            turn.ends.append(self._store.entries[number])
 
     def _carry_out(self, turn: _Turn, now: float) -> None:
         recorded = self._clock.to_record(now)
-        self._store.write([*(self._store.taken(n) for n in turn.arrivals), *turn.records], recorded)
+        self._store.note(turn.records)
+        if turn.arrivals and not self._store.admit(turn.arrivals, recorded):
+            self._refuse_unrecorded(turn)
+        written = self._store.flush(recorded)
+        self._tell_ends(turn.ends, written, now)
         gone: set[int] = set()
         for number, arrival in turn.arrivals.items():
             if arrival.client.answer(HTTPStatus.ACCEPTED):
@@ -472,6 +483,32 @@
             self._do(action)
         self._send(turn.sends, now)
 
+    def _refuse_unrecorded(self, turn: _Turn) -> None:
+        """Messages that could not be put on record were not taken on, whatever was decided for them."""
+        for number, arrival in turn.arrivals.items():
+            self._counters.add("turned_away")
+            log.debug("message_turned_away", id=arrival.id, reason="not_on_record")
+            turn.answers.append((arrival, HTTPStatus.SERVICE_UNAVAILABLE, self._come_again))
+            self._store.refuse(number)
+            self._next.append(api.MessageWithdrawn(number))
+        turn.arrivals.clear()
+
+    def _tell_ends(self, ends: list[Entry], written: bool, now: float) -> None:
+        """Post notices of ends that are on record.
+
+        Told before, an end could be undone by a restart, which would find the message owed and send it. Once
+        its time is up no life sends it any more, and its notice is due whatever the folder does.
+        """
+        self._untold += ends
+        if not self._untold:
+            return
+        untold, self._untold = self._untold, []
+        for entry in untold:
+            if written or self._clock.to_monotonic(entry.due) <= now:
+                self._notice(entry)
+            else:
+                self._untold.append(entry)
+
     def _do(self, action: api.Action) -> None:
         match action:
             case api.Cancel(number, attempt):
--- a/irisstack/node/endpoint.py
+++ b/irisstack/node/endpoint.py
@@ -6,6 +6,7 @@
 from collections.abc import Callable, Sequence
 from contextlib import suppress
 from dataclasses import dataclass
+from enum import Enum
 
 import gevent
 import structlog
@@ -29,6 +30,9 @@
 ANSWER_TIMEOUT = 2.0
 """Seconds from the first byte of an answer to its last."""
 
+RECORD_RETRY = 0.05
+"""Seconds until a call that could not be put on record tries that again."""
+
 log = structlog.get_logger()
 
 
@@ -130,6 +134,15 @@
     result: Result
 
 
+class Withheld(Enum):
+    """Why a call that was decided is not sent."""
+
+    RETIRED = "endpoint_left_the_list"
+    TOLD_TO_WAIT = "destination_asked_to_wait"
+    WINDOW_ENDED = "repeat_window_ended"
+    TIME_UP = "time_up_before_on_record"
+
+
 class _CalledOff(Exception):
     """The call was cancelled; raised inside its greenlet."""
 
@@ -374,18 +387,33 @@
     def _leaving(self, call: Call) -> bool:
         """Put the call on record before it is sent: from here on it may have run.
 
-        Returns false for a call that must not be sent: while it was connecting the endpoint began to drain,
-        the destination asked to wait, or the window ended in which a repeat of it is recognised.
+        Returns false for a call that must not be sent. One that cannot be put on record waits for that.
         """
-        now = time.monotonic()
-        if self._retired or now < self._held_until or now >= call.leave_by:
-            self._counters.add("calls_withheld")
-            return False
-        self._store.out([(m.number, m.attempt) for m in call.messages], call.sent_at, call.zone)
+        while True:
+            if (reason := self._withheld(call)) is not None:
+                self._counters.add("calls_withheld")
+                log.debug("call_withheld", ids=[m.id for m in call.messages], reason=reason.value)
+                return False
+            if self._store.out([(m.number, m.attempt) for m in call.messages], call.sent_at, call.zone):
+                break
+            gevent.sleep(RECORD_RETRY)  # a call that leaves with no record might be sent again by a restart
         self._counters.add("calls_sent")
         self._counters.add("messages_sent", len(call.messages))
         return True
 
+    def _withheld(self, call: Call) -> "Withheld | None":
+        """Why a call must not be sent now, if there is a reason."""
+        now = time.monotonic()
+        if self._retired:
+            return Withheld.RETIRED
+        if now < self._held_until:
+            return Withheld.TOLD_TO_WAIT
+        if now >= call.leave_by:
+            return Withheld.WINDOW_ENDED
+        if now >= call.until:
+            return Withheld.TIME_UP
+        return None
+
     def _end(self, message: Outgoing, result: Result) -> None:
         self._counters.add(f"ended_{result.outcome.name.lower()}")
         self._post(Ended(message.number, message.attempt, self.address, result))
--- a/irisstack/node/intake.py
+++ b/irisstack/node/intake.py
@@ -216,10 +216,11 @@
     def _write(self, status: HTTPStatus, body: bytes = b"", retry_after: float | None = None) -> None:
         headers = [("Retry-After", f"{retry_after:.3f}")] if retry_after else []
         data = http.answer(status, headers, body, self._ends)
-        # An answer is far smaller than a socket's buffer: one that does not fit finds nobody reading.
+        # The system may take an answer in parts. It is far smaller than a socket's buffer: one of which no
+        # more fits finds nobody reading.
         self._socket.settimeout(0.0)
-        if self._socket.send(data) < len(data):
-            raise BlockingIOError
+        while data:
+            data = data[self._socket.send(data) :]
         self._socket.settimeout(None)
 
     def turn_away(self) -> None:
--- a/irisstack/node/store.py
+++ b/irisstack/node/store.py
@@ -2,18 +2,23 @@
 
 Each segment begins with the anchor of the clock that the times in the folder are on. The oldest segment makes
 room by having what is still needed of it written anew; a torn record ends the reading of its segment.
+
+The folder may fail for a while. What has happened to messages that are owed is then kept in memory and
+written first once it can be; what needs its record beforehand (a new message, a call that leaves) is told
+that it has none.
 """
 
-import os
-from collections.abc import Iterable
+import time
+from collections.abc import Collection, Iterable
 from dataclasses import dataclass, fields
 from heapq import heappop, heappush
 from pathlib import Path
 
+import structlog
+
 from irisstack.node import record_clock, records
+from irisstack.node.segments import SegmentLog
 
-UNIT = 512
-"""Files count in whole units of this size."""
 SEGMENTS = 12
 """The folder's room is shared out among so many segments."""
 FREE = 3
@@ -22,6 +27,10 @@
 """Segments that owed messages may not fill, so that the free ones can always be had."""
 NOTE_ROOM = 512
 """Room counted for a message's notes beside its body."""
+FIRST_RETRY, LONGEST_RETRY = 0.05, 0.4
+"""Seconds from a write that failed to the next one; they double with each failure."""
+
+log = structlog.get_logger()
 
 
 @dataclass(slots=True)
@@ -70,40 +79,42 @@
 
     def __init__(self, folder: Path, disk_bytes: int, now: float | None = None) -> None:
         """`now` is the time on the clock of the records; by default what that clock says."""
-        self._folder = folder
         self._disk = disk_bytes
         self._segment_size = disk_bytes // SEGMENTS
-        self._sizes: dict[int, int] = {}
-        self._file = -1
-        self._current = 0
+        self._log = SegmentLog(folder)
+        self._unwritten: list[bytes] = []  # records of what has happened, oldest first
+        self._failed_since: float | None = None  # since when the folder cannot be written
+        self._retry_at = 0.0
+        self._retry_pause = FIRST_RETRY
         self._room = 0
         self._ended: list[tuple[float, int]] = []
         self.entries: dict[int, Entry] = {}
         self.by_id: dict[str, int] = {}
         self.next_number = 1
         self._anchor: record_clock.Anchor | None = None
-        self._read()
+        for segment, note, body in self._log.read():
+            self._replay(note, body, segment)
         self.clock = record_clock.resume(self._anchor)
+        self._log.head = records.encode(self.clock.note())
         if now is None:
             now = self.clock.now()
-        self._rotate()
-        self._make_room(now)
         # The process ended with these calls out: they may have run. That goes on record before anything else:
         # a later attempt, in this life or the next, must not stand for the first.
         out = [entry for entry in self.entries.values() if entry.out_at is not None]
-        self.write([self.end(entry.number, entry.attempts - 1, ran=True) for entry in out], now)
+        ends = [self.end(entry.number, entry.attempts - 1, ran=True) for entry in out]
+        self._begin(now)
+        self.write(ends, now)
+
+    def _begin(self, now: float) -> None:
+        """This life's first segment."""
+        try:
+            self._log.open_next()
+            self._make_room(now)
+        except OSError as error:
+            self._failed(error)
 
     # ---- reading ----
 
-    def _read(self) -> None:
-        for path in sorted(self._folder.glob("[0-9]" * 10 + ".log")):
-            segment = int(path.stem)
-            data = path.read_bytes()
-            self._sizes[segment] = len(data)
-            self._current = max(self._current, segment)
-            for note, body in records.decode(data):
-                self._replay(note, body, segment)
-
     def _replay(self, note: records.Note, body: bytes, segment: int) -> None:
         match note.pop("t"):
             case "clock":
@@ -180,7 +191,7 @@
     def taken(self, number: int) -> bytes:
         """The record of a message that was taken on, as it stands now."""
         entry = self.entries[number]
-        entry.segment = self._current
+        entry.segment = self._log.current
         return self._taken(entry)
 
     def refuse(self, number: int) -> None:
@@ -197,12 +208,27 @@
         self._over(self.entries[number], result, wait_ms)
         return records.encode({"t": "over", "n": number, "result": result, "wait_ms": wait_ms})
 
-    def out(self, attempts: Iterable[tuple[int, int]], at: float, zone: str = "") -> None:
-        """A call is about to leave for a zone with these messages; on record when this returns."""
+    def out(self, attempts: Iterable[tuple[int, int]], at: float, zone: str = "") -> bool:
+        """A call is about to leave for a zone with these messages; returns whether that is on record."""
         numbers = [(number, attempt) for number, attempt in attempts if number in self.entries]
+        if not self._append_all([records.encode({"t": "out", "n": numbers, "at": at, "in": zone})], at):
+            return False
         for number, attempt in numbers:
             self._out(self.entries[number], attempt, at, zone)
-        self.write([records.encode({"t": "out", "n": numbers, "at": at, "in": zone})], at)
+        return True
+
+    def admit(self, numbers: Collection[int], now: float) -> bool:
+        """Put messages that came in on record; returns whether they are, else they must be refused.
+
+        A failed write may have left the record of one that is refused: the next one takes it back.
+        """
+        if not self.may_try:
+            return False
+        if self._append_all([self.taken(number) for number in numbers], now):
+            return True
+        withdrawn = {"t": "over", "result": "withdrawn", "wait_ms": 0}
+        self._unwritten += [records.encode({**withdrawn, "n": number}) for number in numbers]
+        return False
 
     def told(self, numbers: Iterable[int], now: float) -> None:
         """The platform has taken these notices."""
@@ -222,23 +248,31 @@
         if entry is not None and not entry.to_tell:
             self._forget(entry)
 
-    def write(self, encoded: list[bytes], now: float) -> None:
-        """Append records with one write, unless they run over the end of a segment."""
-        left = self._segment_size - self._sizes[self._current]
-        batch: list[bytes] = []
-        for record in encoded:
-            if len(record) > left:
-                self._append(b"".join(batch))
-                batch.clear()
-                self._rotate()
-                self._make_room(now)
-                left = self._segment_size - self._sizes[self._current]
-            batch.append(record)
-            left -= len(record)
-        self._append(b"".join(batch))
+    def write(self, encoded: list[bytes], now: float) -> bool:
+        """Append records of what has happened; returns whether they are written, else they will be."""
+        self.note(encoded)
+        return self._append_all([], now)
+
+    def note(self, encoded: list[bytes]) -> None:
+        """Records of what has happened, to be written before the next that need not wait."""
+        self._unwritten += encoded
+
+    def flush(self, now: float) -> bool:
+        """Write what could not be written before; returns whether nothing is left of it."""
+        return self._append_all([], now)
+
+    @property
+    def failing(self) -> bool:
+        """Whether the last write to the folder failed."""
+        return self._failed_since is not None
+
+    @property
+    def may_try(self) -> bool:
+        """Whether a write is worth a try: the folder does not fail, or some time has passed since it did."""
+        return not self.failing or time.monotonic() >= self._retry_at
 
     def close(self) -> None:
-        os.close(self._file)
+        self._log.close()
 
     # ---- segments ----
 
@@ -246,39 +280,65 @@
     def _taken(entry: Entry) -> bytes:
         return records.encode({"t": "taken", **{name: getattr(entry, name) for name in NOTED}}, entry.body)
 
-    def _append(self, data: bytes) -> None:
-        self._sizes[self._current] += len(data)
-        while data:
-            data = data[os.write(self._file, data) :]
+    def _append_all(self, encoded: list[bytes], now: float) -> bool:
+        """Append what is left unwritten and then these; returns whether all of it is written.
 
-    def _path(self, segment: int) -> Path:
-        return self._folder / f"{segment:010d}.log"
+        After a failure a part may be written once more. That does no harm: no call leaves in between.
+        """
+        if not self.may_try:
+            return False
+        pending = [*self._unwritten, *encoded]
+        try:
+            # With nothing to write, one that is known already shows whether the folder can be written again.
+            self._append_some(pending or ([self._log.head] if self.failing else []), now)
+        except OSError as error:
+            self._failed(error)
+            return False
+        self._unwritten = []
+        self._recovered()
+        return True
+
+    def _append_some(self, encoded: list[bytes], now: float) -> None:
+        """Append records with one write for each segment that they fall into."""
+        batch: list[bytes] = []
+        left = self._segment_size - self._log.newest_size
+        for record in encoded:
+            if len(record) > left:
+                self._log.append(b"".join(batch))
+                batch.clear()
+                self._log.open_next()
+                self._make_room(now)
+                left = self._segment_size - self._log.newest_size
+            batch.append(record)
+            left -= len(record)
+        self._log.append(b"".join(batch))
 
-    def _rotate(self) -> None:
-        if self._file >= 0:
-            os.close(self._file)
-        self._current += 1
-        self._sizes[self._current] = 0
-        self._file = os.open(self._path(self._current), os.O_WRONLY | os.O_CREAT | os.O_APPEND, 0o600)
-        self._append(records.encode(self.clock.note()))
+    def _failed(self, error: OSError) -> None:
+        now = time.monotonic()
+        if self._failed_since is None:
+            self._failed_since, self._retry_pause = now, FIRST_RETRY
+            log.error("folder_not_written", error=str(error), unwritten=len(self._unwritten))
+        self._retry_at = now + self._retry_pause
+        self._retry_pause = min(2.0 * self._retry_pause, LONGEST_RETRY)
 
-    def _used(self) -> int:
-        return sum(-(-size // UNIT) * UNIT for size in self._sizes.values())
+    def _recovered(self) -> None:
+        if self._failed_since is not None:
+            log.info("folder_written_again", after_s=round(time.monotonic() - self._failed_since, 3))
+            self._failed_since = None
 
     def _make_room(self, now: float) -> None:
         """Drop what is no longer needed, then free the oldest segments while too few are free."""
         self.drop_ended(now)
-        for segment in sorted(self._sizes)[:-1]:
-            if self._used() + FREE * self._segment_size <= self._disk:
+        for segment in self._log.older:
+            if self._log.used + FREE * self._segment_size <= self._disk:
                 break
             for entry in [e for e in self.entries.values() if e.segment == segment]:
                 data = self._taken(entry)
-                if self._sizes[self._current] + len(data) > self._segment_size:
-                    self._rotate()
-                entry.segment = self._current
-                self._append(data)
-            self._path(segment).unlink()
-            del self._sizes[segment]
+                if self._log.newest_size + len(data) > self._segment_size:
+                    self._log.open_next()
+                self._log.append(data)
+                entry.segment = self._log.current
+            self._log.remove(segment)
 
     def _forget(self, entry: Entry) -> None:
         del self.entries[entry.number]
--- a/tests/node/fault_support.py
+++ b/tests/node/fault_support.py
@@ -27,7 +27,7 @@
 
     `window` is how many seconds a repeat of a keyed message is recognised.
     """
-    rig = fault_rig.Rig(build_library(folder), folder / "control")
+    rig = fault_rig.Rig(build_library(folder), folder / "control", folder / "state")
     platform = PlatformPeer()
     for number, peer in enumerate(endpoints, start=1):
         platform.list(peer, number, cell=1)
