Accepts, connects and reads that fail pass; ETIMEDOUT no longer spins

Cause: Python tells the system's ETIMEDOUT by the type of its own time-outs, so a read that waited for an answer read the same error over and over and gave nothing else a turn. An accept that failed at the end had the rest of the backlog reset; a failed accept paused for up to 1 s. What this machine lacked for a connect counted against the destination and used up a message's attempts. A folder that could not be read at the start ended the process. Change: raise_if_broken tells the two apart, in both places that wait in parts. A listener that passes over aborted connections, pauses 0.04 s at most, and accepts the backlog through failures. connect goes on for the message's time with errors of the own machine, then the call counts as not sent. The folder is read again for up to 20 s.

--- a/irisstack/lab/faults/preload.c
+++ b/irisstack/lab/faults/preload.c
@@ -24,7 +24,7 @@
 #include <unistd.h>
 
 enum { RULES = 16, DESCRIPTORS = 65536 };
-enum call { ACCEPT = 1, SOCKET, CONNECT, SEND, RECEIVE, WRITE, SYNC, OPEN_FILE, WAIT };
+enum call { ACCEPT = 1, SOCKET, CONNECT, SEND, RECEIVE, WRITE, SYNC, OPEN_FILE, WAIT, READ };
 enum kind { ANY = 0, CLIENT, PEER, ANY_FILE, FOLDER };
 enum { KILL = -1 }; /* in place of an errno: the process is killed, after the bytes that the limit allows */
 
@@ -247,6 +247,11 @@
     return written;
 }
 
+ssize_t read(int descriptor, void *bytes, size_t size) {
+    REAL(read);
+    return cut(READ, descriptor, &size) ? real(descriptor, bytes, size) : -1;
+}
+
 int fsync(int descriptor) {
     REAL(fsync);
     return fails(SYNC, descriptor) ? -1 : real(descriptor);
--- a/irisstack/lab/faults/rig.py
+++ b/irisstack/lab/faults/rig.py
@@ -45,6 +45,7 @@
     SYNC = 7
     OPEN = 8
     WAIT = 9
+    READ = 10
 
 
 class DescriptorKind(IntEnum):
--- a/irisstack/node/endpoint.py
+++ b/irisstack/node/endpoint.py
@@ -204,7 +204,7 @@
         except _CalledOff:
             ending = Ending.CALLED_OFF
             answer = self._received_answer() if reached is Reached.WRITTEN else None
-        except _Withheld:
+        except (_Withheld, sockets.OwnMachineError):
             ending = Ending.WITHHELD
         except TimeoutError:
             ending = Ending.GIVEN_UP
@@ -233,7 +233,7 @@
         left = give_up - time.monotonic()
         if left <= 0.0:
             raise TimeoutError
-        self._socket = sockets.connect(self._peer, min(left, self._connect_timeout or left))
+        self._socket = sockets.connect(self._peer, min(left, self._connect_timeout or left), left)
 
     def _write(self, call: Call) -> None:
         assert self._socket is not None
--- a/irisstack/node/intake.py
+++ b/irisstack/node/intake.py
@@ -1,5 +1,6 @@
 """Clients: their connections, the messages they hand in, and what they may ask of the node itself."""
 
+import errno
 import json
 import math
 import re
@@ -26,6 +27,14 @@
 BACKLOG = 512
 ACCEPTS = 16
 """Connections accepted in one step, so that a flood of them leaves the others their turn."""
+LONGEST_ACCEPT_PAUSE = 0.04
+"""Seconds from an accept that failed to the next at most: a client waits for its answer for a short time."""
+ABORTED = frozenset((errno.ECONNABORTED, errno.EPROTO, errno.EINTR))
+"""Of an accept: the client has gone, or nothing is wrong; the next may wait already."""
+MOST_ABORTED = 64
+"""So many of these in a row leave the others their turn."""
+ACCEPT_REST_WITHIN = 0.5
+"""Seconds in which the backlog has to be accepted at the end."""
 WHOLE_BY = 2.5
 """Seconds in which a request must be whole: the first from connecting, a later one from its first byte."""
 PAUSE = 0.1
@@ -93,7 +102,8 @@
 
     def serve(self) -> None:
         try:
-            self._socket.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+            with suppress(OSError):
+                self._socket.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
             self._serve()
             self._finish()
         except OSError:
@@ -260,6 +270,36 @@
             self._socket.shutdown(socket.SHUT_RD)
 
 
+class _Listener(StreamServer):
+    """Accepts connections, through failures that pass."""
+
+    max_accept = ACCEPTS
+    min_delay, max_delay = 0.005, LONGEST_ACCEPT_PAUSE
+
+    def do_read(self) -> Any:
+        """The next connection, or nothing if none waits; a client that gave up in the backlog is passed."""
+        for _ in range(MOST_ABORTED):
+            try:
+                return super().do_read()
+            except OSError as error:
+                if error.errno not in ABORTED:
+                    raise
+        return None
+
+    def accept_rest(self) -> None:
+        """Accept all that the system has let in; gives up on what keeps failing."""
+        end = time.monotonic() + ACCEPT_REST_WITHIN
+        while time.monotonic() < end:
+            try:
+                client = self.do_read()
+            except OSError:
+                gevent.sleep(self.min_delay)
+                continue
+            if client is None:
+                return
+            self.do_handle(*client)
+
+
 class Intake:
     """The listening socket and its connections."""
 
@@ -279,8 +319,7 @@
         )
         self._most = most
         self._connections: dict[int, _Connection] = {}
-        self._server = StreamServer(listen, self._serve, backlog=BACKLOG)
-        self._server.max_accept = ACCEPTS
+        self._server = _Listener(listen, self._serve, backlog=BACKLOG)
         self.counters = counters
         self.stage = Stage.ACCEPTING
 
@@ -323,9 +362,7 @@
         if self.stage is Stage.CLOSED:
             return
         self.stage = Stage.CLOSED
-        with suppress(OSError):  # no descriptor left, or a client that has gone
-            while (client := self._server.do_read()) is not None:
-                self._server.do_handle(*client)
+        self._server.accept_rest()
         self._server.close()
 
     def _serve(self, sock: socket.socket, _: Any) -> None:
--- a/irisstack/node/member_call.py
+++ b/irisstack/node/member_call.py
@@ -2,7 +2,7 @@
 
 import time
 from collections.abc import Iterator
-from contextlib import contextmanager, suppress
+from contextlib import contextmanager
 from http import HTTPStatus
 
 import gevent
@@ -176,8 +176,9 @@
             begun = time.monotonic()
             connection.settimeout(max(LEAST_WAIT_S, patience))
             try:
-                with suppress(TimeoutError):
-                    return self._buffer.receive(_Piece(connection))
+                return self._buffer.receive(_Piece(connection))
+            except TimeoutError as error:
+                sockets.raise_if_broken(error)
             finally:
                 self._patience_s = patience - (time.monotonic() - begun)
         connection.settimeout(None)
--- a/irisstack/node/service.py
+++ b/irisstack/node/service.py
@@ -40,6 +40,8 @@
 """Kept for the listening socket, clients in the doorway, the list, notices and the folder."""
 MOST_WAITING_LINES = 1024
 """Lines of the list that are kept until their kind is known, where kinds may come while the node runs."""
+FOLDER_READ_WITHIN, FOLDER_READ_PAUSE = 20.0, 0.2
+"""Seconds in which the folder has to be read at the start, and from a failure to the next try."""
 LOOK = 0.05
 """Seconds between two looks at what is left to end."""
 FOLLOWED = ("discovery", "known", "seed")
@@ -275,7 +277,15 @@
             from irisstack.dynamic_settings.snapshot import DISK_RESERVE_BYTES
 
             disk_bytes -= DISK_RESERVE_BYTES
-        return Store(self._config.state, disk_bytes)
+        end = time.monotonic() + FOLDER_READ_WITHIN
+        while True:
+            try:
+                return Store(self._config.state, disk_bytes)
+            except OSError as error:
+                log.error("folder_not_read", error=str(error))
+                if time.monotonic() >= end:
+                    raise ConfigError(f"state: {self._config.state}: {error.strerror}") from None
+            gevent.sleep(FOLDER_READ_PAUSE)
 
     def _start_dynamic_settings(self, source: DynamicSettings) -> None:
         """Take the settings of the life before, and get ready to follow those that come."""
--- a/irisstack/node/sockets.py
+++ b/irisstack/node/sockets.py
@@ -1,9 +1,10 @@
 """Helpers for the sockets to endpoints, clients and the platform."""
 
+import errno
 import select
 import time
-from contextlib import suppress
 
+import gevent
 from gevent import socket
 
 from irisstack.node.buffer import Buffer
@@ -12,12 +13,44 @@
 BROKEN = select.POLLHUP | select.POLLERR
 MIN_TIMEOUT = 0.001
 """Seconds. A socket's time-out of zero would make it non-blocking."""
+OWN_ERRORS = frozenset(
+    (errno.EADDRNOTAVAIL, errno.EMFILE, errno.ENETUNREACH, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM),
+)
+"""Of a connect: what this machine has run out of, or that it has no network, perhaps for a moment."""
+FIRST_PAUSE, LONGEST_PAUSE = 0.02, 0.2
+"""Seconds from such a failure to the next try; they double."""
 
 
-def connect(peer: HostPort, timeout: float) -> socket.socket:
-    """Open a TCP connection with TCP_NODELAY; raises `OSError`, `TimeoutError` after `timeout` seconds."""
+class OwnMachineError(OSError):
+    """No connection could be made for want of something on this machine; the peer may be well."""
+
+
+def connect(peer: HostPort, timeout: float, keep_trying: float | None = None) -> socket.socket:
+    """Open a TCP connection with TCP_NODELAY; raises `OSError`, `TimeoutError` after `timeout` seconds.
+
+    What this machine lacks for a moment is tried again, for `keep_trying` seconds (by default the same time);
+    then it is an `OwnMachineError`.
+    """
+    end, pause = time.monotonic() + (timeout if keep_trying is None else keep_trying), FIRST_PAUSE
+    while True:
+        try:
+            return _connect_once(peer, timeout)
+        except OSError as error:
+            if error.errno not in OWN_ERRORS:
+                raise
+            if time.monotonic() + pause >= end:
+                raise OwnMachineError(error.errno, error.strerror) from None
+        gevent.sleep(pause)
+        pause = min(2.0 * pause, LONGEST_PAUSE)
+
+
+def _connect_once(peer: HostPort, timeout: float) -> socket.socket:
     connection = socket.create_connection(peer, timeout=timeout)
-    connection.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+    try:
+        connection.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+    except OSError:
+        connection.close()
+        raise
     return connection
 
 
@@ -42,8 +75,20 @@
         if remaining <= 0.0 and quiet(connection):
             raise TimeoutError("nothing came by the deadline")
         connection.settimeout(max(MIN_TIMEOUT, remaining))
-        with suppress(TimeoutError):
+        try:
             return buffer.receive(connection)
+        except TimeoutError as error:
+            raise_if_broken(error)
+
+
+def raise_if_broken(error: TimeoutError) -> None:
+    """Raise `ConnectionResetError` for the system's ETIMEDOUT, which Python tells by the same type.
+
+    Our own time-out has no number. A connection that the system has timed out is broken for good: who waits
+    on for its answer would read the same error over and over.
+    """
+    if error.errno is not None:
+        raise ConnectionResetError(error.errno, error.strerror) from None
 
 
 def _polls(connection: socket.socket, events: int) -> bool:
--- a/tests/node/test_system_faults.py
+++ b/tests/node/test_system_faults.py
@@ -16,7 +16,7 @@
 
 from irisstack.lab.faults.rig import KILL, DescriptorKind, Rule, SystemCall
 from tests.node.fault_support import led_node
-from tests.node_support import PATIENCE, EndpointPeer, eventually, raw
+from tests.node_support import PATIENCE, EndpointPeer, eventually, message, raw
 
 NO_ROOM = Rule(SystemCall.WRITE, DescriptorKind.FOLDER, errno.ENOSPC)
 
@@ -138,3 +138,111 @@
         rig.fail()
         eventually(lambda: node.hand_in("m2").status == 202, "a message taken on")
         assert node.terminate() == 0
+
+
+TRANSIENT = [errno.ECONNABORTED, errno.ENFILE, errno.EMFILE, errno.ENOBUFS, errno.ENOMEM, errno.EPROTO]
+
+
+@pytest.mark.parametrize("error", TRANSIENT, ids=errno.errorcode.get)
+def test_clients_are_answered_behind_accepts_that_fail(tmp_path: Path, error: int) -> None:
+    """Within the 0.4 s that a client waits, also when ten calls in a row fail."""
+    with led_node(tmp_path, EndpointPeer(raw(200))) as (node, _, rig):
+        rig.fail(Rule(SystemCall.ACCEPT, error=error, count=10))
+        began = time.monotonic()
+        assert node.hand_in("m1").status == 202
+        assert time.monotonic() - began < 0.4
+        assert rig.hits() == 10
+
+
+@pytest.mark.parametrize("error", TRANSIENT, ids=errno.errorcode.get)
+def test_the_backlog_is_answered_at_the_end_though_accepts_fail(tmp_path: Path, error: int) -> None:
+    """Closed over, the connections that wait in it would be reset under requests that were written."""
+    with led_node(tmp_path, EndpointPeer(raw(200))) as (node, _, rig):
+        assert node.process is not None
+        rig.fail(Rule(SystemCall.ACCEPT, error=error))
+        clients = [node.connect() for _ in range(5)]
+        for number, client in enumerate(clients):
+            client.send(message(f"m{number}"))
+        node.process.send_signal(signal.SIGTERM)
+        time.sleep(0.7)
+        rig.fail(Rule(SystemCall.ACCEPT, error=error, count=3))
+        assert [client.answer().status for client in clients] == [503] * 5
+        assert node.process.wait(PATIENCE) == 0
+
+
+@pytest.mark.parametrize(
+    ("call", "error"),
+    [
+        (SystemCall.SOCKET, errno.ENOBUFS),
+        (SystemCall.SOCKET, errno.EMFILE),
+        (SystemCall.SOCKET, errno.ENFILE),
+        (SystemCall.SOCKET, errno.ENOMEM),
+        (SystemCall.CONNECT, errno.EADDRNOTAVAIL),
+        (SystemCall.CONNECT, errno.ENETUNREACH),
+        (SystemCall.CONNECT, errno.EAGAIN),
+    ],
+    ids=lambda value: value.name.lower() if isinstance(value, SystemCall) else errno.errorcode[value],
+)
+def test_the_own_machine_s_errors_do_not_count_against_a_destination(
+    tmp_path: Path, call: SystemCall, error: int
+) -> None:
+    """Nor do they use up attempts: messages wait for them, though each connect fails several times."""
+    with led_node(tmp_path, EndpointPeer(raw(200))) as (node, platform, rig):
+        rig.fail(Rule(call, error=error, count=40))
+        for number in range(8):
+            assert node.hand_in(f"m{number}", "unsafe", X_Timeout="5.000").status == 202
+        eventually(lambda: node.counters().get("delivered") == 8, "the deliveries")
+        assert not platform.notices
+        assert not node.counters().get("ended_connect_failed")
+        assert "open for" not in node.log.read_text()
+        assert rig.hits() > 8
+
+
+def test_calls_interrupted_by_signals_go_on(tmp_path: Path) -> None:
+    with led_node(tmp_path, EndpointPeer(raw(200))) as (node, _, rig):
+        rig.fail(Rule(SystemCall.WAIT, error=errno.EINTR, count=200))
+        for number in range(10):
+            assert node.hand_in(f"m{number}").status == 202
+        eventually(lambda: node.counters().get("delivered") == 10, "the deliveries")
+
+
+@pytest.mark.parametrize("kind", [DescriptorKind.CLIENT, DescriptorKind.PEER])
+def test_reads_and_writes_of_single_bytes_change_nothing(tmp_path: Path, kind: DescriptorKind) -> None:
+    with led_node(tmp_path, EndpointPeer(raw(200))) as (node, platform, rig):
+        rig.fail(
+            Rule(SystemCall.SEND, kind, limit=1),
+            Rule(SystemCall.RECEIVE, kind, limit=1),
+        )
+        for number in range(5):
+            assert node.hand_in(f"m{number}", "unsafe").status == 202
+        eventually(lambda: node.counters().get("delivered") == 5, "the deliveries")
+        assert not platform.notices
+
+
+@pytest.mark.parametrize(
+    "error", [errno.ETIMEDOUT, errno.EHOSTUNREACH, errno.ECONNRESET], ids=errno.errorcode.get
+)
+def test_a_connection_that_breaks_under_an_unsafe_call_leaves_one_final_answer(
+    tmp_path: Path, error: int
+) -> None:
+    """The request was written, so it may have run: it is not sent again."""
+    endpoint = EndpointPeer(None)
+    with led_node(tmp_path, endpoint) as (node, platform, rig):
+        eventually(lambda: platform.watchers, "the watch")
+        rig.fail(Rule(SystemCall.RECEIVE, DescriptorKind.PEER, error))
+        assert node.hand_in("m1", "unsafe").status == 202
+        eventually(lambda: node.counters().get("ended_reset") == 1, "the end of the call")
+        rig.fail()
+        assert eventually(lambda: platform.notice("m1"), "the notice")["result"] == "dead"
+        assert len(endpoint.requests) == 1
+
+
+def test_a_folder_that_cannot_be_read_at_once_is_read_again(tmp_path: Path) -> None:
+    with led_node(tmp_path, EndpointPeer(raw(429, "Retry-After: 8.000"))) as (node, _, rig):
+        assert node.hand_in("m1", "unsafe").status == 202
+        eventually(lambda: node.counters().get("ended_full"), "the first call's end")
+        node.kill()
+        rig.fail(Rule(SystemCall.READ, DescriptorKind.FOLDER, errno.EIO, count=3))
+        node.start()
+        assert rig.hits() == 3
+        assert node.counters()["recovered"] == 1
