--- a/irisstack/node/intake.py
+++ b/irisstack/node/intake.py
@@ -37,6 +37,8 @@
 """Seconds in which the backlog has to be accepted at the end."""
 WHOLE_BY = 2.5
 """Seconds in which a request must be whole: the first from connecting, a later one from its first byte."""
+REST_WITHIN = 1.0
+"""Seconds in which the rest of an answer that was begun has to be taken."""
 PAUSE = 0.1
 """Seconds until a connection that brought what cannot be taken is read from again."""
 LINGER = 3.0
@@ -101,6 +103,7 @@
         self._woken = False  # by that, with an error that means no more
         self.since = time.monotonic()
         self._reason = _CloseReason.CLIENT_ENDED
+        self._unsent = b""  # of an answer that was begun
 
     @property
     def _ends(self) -> bool:
@@ -134,6 +137,7 @@
                     self._write(HTTPStatus.SERVICE_UNAVAILABLE, retry_after=self._intake.come_again)
                 else:
                     self._handle(request)
+                self._send_rest()
                 if self._ends:
                     self._reason = _CloseReason.STOPPED if self.stopped else _CloseReason.LAST_ANSWER
                     return
@@ -241,13 +245,27 @@
     def _write(self, status: HTTPStatus, body: bytes = b"", retry_after: float | None = None) -> None:
         headers = [("Retry-After", f"{retry_after:.3f}")] if retry_after else []
         data = http.answer(status, headers, body, self._ends)
-        # The system may take an answer in parts. It is far smaller than a socket's buffer: one of which no
-        # more fits finds nobody reading.
+        # The system may take an answer in parts. It is far smaller than a socket's buffer: one that does not
+        # even begin finds nobody reading. The rest of one that was begun is sent by the connection's own
+        # greenlet, so that others do not wait for it.
         self._socket.settimeout(0.0)
-        while data:
-            data = data[self._socket.send(data) :]
+        size = len(data)
+        try:
+            while data:
+                data = data[self._socket.send(data) :]
+        except BlockingIOError:
+            if len(data) == size:
+                raise
+            self._unsent = data
         self._socket.settimeout(None)
 
+    def _send_rest(self) -> None:
+        """Send what the system did not take of an answer that was begun."""
+        rest, self._unsent = self._unsent, b""
+        if rest:
+            self._socket.settimeout(REST_WITHIN)
+            self._socket.sendall(rest)
+
     def turn_away(self) -> None:
         """No room for another client: one that sent its request at once may still read why."""
         try:
@@ -263,6 +281,7 @@
 
     def _finish(self) -> None:
         """End our side first and read what is under way, so that no answer is lost to a reset."""
+        self._send_rest()
         self._enter(_Phase.LEAVING)
         self._socket.shutdown(socket.SHUT_WR)
         end, left = self.since + LINGER, LINGER_BYTES
--- /dev/null
+++ b/tests/node/fault_soak.py
@@ -0,0 +1,408 @@
+"""A seeded soak: a real node under faults of its machine, and an audit of the rules.
+
+    python -m tests.node.fault_soak --seeds 50 --first 1000 --beside 4
+
+plays seeds by hand. It prints a line for each seed and, for one that fails, what broke and the faults played.
+"""
+
+import argparse
+import contextlib
+import errno
+import itertools
+import signal
+import socket
+import sys
+import tempfile
+import threading
+import time
+from collections.abc import Iterator
+from concurrent.futures import ThreadPoolExecutor
+from dataclasses import dataclass, field
+from pathlib import Path
+from random import Random
+
+from irisstack.lab.faults.rig import DescriptorKind, Rig, Rule, SystemCall
+from irisstack.node import http
+from tests.node.fault_support import led_node
+from tests.node_support import EndpointPeer, Node, PlatformPeer, message, raw
+
+PLAY_S = 7.0
+"""Seconds in which messages are handed in."""
+CLIENTS, CROWD = 5, 60
+KILL_AFTER_S = 3.7
+"""Seconds from SIGTERM to SIGKILL, the earliest that the protocol allows."""
+RESTART_AFTER_S = 0.6
+ANSWER_WITHIN_S = 2.5
+RESULT_SLACK_S = 0.35
+"""Seconds after a message's time within which its end must be known."""
+HARNESS_SLACK_S = 1.0
+"""What the harness itself may add on a busy machine; every step of the wall clock is longer."""
+READY_SLACK_S = 1.5
+"""Seconds after a restarted node is ready in which nothing is overdue."""
+WINDOW_S = 3.0
+"""In which the endpoint recognises a repeat of a keyed message."""
+STEPS_S = (-3600.0, -20.0, -3.0, 3.0, 20.0, 3600.0)
+UNEXPECTED = ('"part_failed"', '"call_failed"', '"request_failed"')
+"""Events of the log that tell of an error which the node did not foresee."""
+KINDS = ("safe", "keyed", "unsafe")
+
+
+@dataclass(slots=True)
+class Handed:
+    """A message that a client handed in."""
+
+    id: str
+    kind: str
+    sent: float
+    due: float
+    opened: float = 0.0
+    """When the connection was opened that it was last sent on."""
+    status: int | None = None
+    """Of the answer; None if the connection ended without one."""
+    ended: float = 0.0
+
+
+@dataclass(slots=True)
+class Received:
+    """A call that the endpoint received in whole."""
+
+    id: str
+    at: float
+    ran: bool
+    delivered: bool = False
+
+
+@dataclass(slots=True)
+class Play:
+    """What one seed has brought about."""
+
+    seed: int
+    faults: list[str] = field(default_factory=list)
+    handed: list[Handed] = field(default_factory=list)
+    calls: list[Received] = field(default_factory=list)
+    told: dict[str, float] = field(default_factory=dict)
+    downs: list[tuple[float, float]] = field(default_factory=list)
+    """From a signal that ends the node to when it is ready again."""
+    kills: list[tuple[float, float]] = field(default_factory=list)
+    """From SIGKILL to when the process was gone."""
+    broken: list[str] = field(default_factory=list)
+
+
+class _Endpoint(EndpointPeer):
+    """Serves most calls; refuses, fails, stays silent or closes on the others."""
+
+    def __init__(self, play: Play) -> None:
+        super().__init__()
+        self._play = play
+        self._random = Random(play.seed + 1)
+
+    def reply(self, connection: socket.socket, request: http.Message) -> None:
+        call = Received(request.headers["x-request-id"], time.monotonic(), ran=True)
+        self._play.calls.append(call)
+        draw, delay = self._random.random(), self._random.uniform(0.0, 0.05)
+        time.sleep(delay)
+        if draw < 0.03:
+            call.ran = False
+            connection.sendall(raw(429, f"Retry-After: {self._random.uniform(0.1, 0.6):.3f}"))
+        elif draw < 0.05:
+            connection.sendall(raw(500))
+        elif draw < 0.06:
+            connection.shutdown(socket.SHUT_RDWR)
+        elif draw >= 0.07:  # between the two it stays silent
+            with contextlib.suppress(OSError):
+                connection.sendall(raw(200))
+                call.delivered = True
+
+
+class _Platform(threading.Thread):
+    """Notes when notices came."""
+
+    def __init__(self, play: Play, platform: PlatformPeer) -> None:
+        super().__init__(daemon=True)
+        self._play, self._platform = play, platform
+        self.over = threading.Event()
+
+    def run(self) -> None:
+        read = 0
+        while not self.over.wait(0.01):
+            now = time.monotonic()
+            notices = self._platform.notices[read:]
+            read += len(notices)
+            for notice in notices:
+                self._play.told.setdefault(notice["ref"], now)
+
+
+class _Client(threading.Thread):
+    """Hands in one message after another on a connection that it keeps for as long as it stays open."""
+
+    def __init__(self, play: Play, node: Node, number: int, until: float) -> None:
+        super().__init__(daemon=True)
+        self._play, self._node, self._until = play, node, until
+        self._random = Random(play.seed * 100 + number)
+        self._ids = (f"{play.seed}-{number}-{count}" for count in itertools.count())
+        self._socket: socket.socket | None = None
+        self._used = False
+        self._opened = 0.0
+
+    def run(self) -> None:
+        while time.monotonic() < self._until:
+            time.sleep(self._random.uniform(0.0, 0.15))
+            if self._socket is None and not self._connect():
+                continue
+            kind, time_left = self._random.choice(KINDS), self._random.uniform(0.8, 5.0)
+            now = time.monotonic()
+            handed = Handed(next(self._ids), kind, now, now + time_left)
+            data = message(handed.id, kind, X_Timeout=f"{time_left:.3f}")
+            crossed = self._used
+            self._exchange(handed, data)
+            if handed.status is None and crossed and self._connect():
+                self._exchange(handed, data)  # the end of a connection at rest crossed the request
+            handed.ended = time.monotonic()
+            self._play.handed.append(handed)
+        self._close()
+
+    def _connect(self) -> bool:
+        self._close()
+        self._opened = time.monotonic()
+        try:
+            self._socket = socket.create_connection(("127.0.0.1", self._node.port), timeout=ANSWER_WITHIN_S)
+        except OSError:
+            time.sleep(0.05)
+            return False
+        return True
+
+    def _exchange(self, handed: Handed, data: bytes) -> None:
+        assert self._socket is not None
+        handed.opened = self._opened
+        got = b""
+        try:
+            self._socket.sendall(data)
+            while b"\r\n\r\n" not in got:
+                more = self._socket.recv(4096)
+                if not more:
+                    break
+                got += more
+        except OSError:
+            pass
+        if b"\r\n\r\n" in got:
+            handed.status = int(got.split(b" ", 2)[1])
+            self._used = True
+        if handed.status is None or b"connection: close" in got.lower():
+            self._close()
+
+    def _close(self) -> None:
+        if self._socket is not None:
+            self._socket.close()
+        self._socket, self._used = None, False
+
+
+def _folder_fault(random: Random) -> tuple[Rule, ...]:
+    error = random.choice((errno.ENOSPC, errno.EIO))
+    part = Rule(SystemCall.WRITE, DescriptorKind.FOLDER, limit=random.randint(1, 200), count=1)
+    return part, Rule(SystemCall.WRITE, DescriptorKind.FOLDER, error)
+
+
+def _rules(random: Random) -> tuple[Rule, ...]:
+    """One fault of the system's calls."""
+    match random.randrange(6):
+        case 0 | 1:
+            return _folder_fault(random)
+        case 2:
+            error = random.choice((errno.ECONNABORTED, errno.ENFILE, errno.EMFILE, errno.ENOBUFS))
+            return (Rule(SystemCall.ACCEPT, error=error, count=10),)
+        case 3:
+            error = random.choice((errno.EADDRNOTAVAIL, errno.ENETUNREACH, errno.ENOBUFS))
+            return (Rule(SystemCall.CONNECT, error=error),)
+        case 4:
+            return (Rule(SystemCall.WAIT, error=errno.EINTR, count=50),)
+        case _:
+            kind = random.choice((DescriptorKind.CLIENT, DescriptorKind.PEER))
+            limit = random.randint(1, 20)
+            return Rule(SystemCall.SEND, kind, limit=limit), Rule(SystemCall.RECEIVE, kind, limit=limit)
+
+
+class _Disturber:
+    """Plays a seed's faults: alone, in pairs, and beside the signals."""
+
+    def __init__(self, play: Play, node: Node, rig: Rig, until: float) -> None:
+        self._play, self._node, self._rig, self._until = play, node, rig, until
+        self._random = Random(play.seed)
+
+    def run(self) -> None:
+        restart_at = time.monotonic() + self._random.uniform(1.0, PLAY_S - 4.0)
+        restarted = False
+        while time.monotonic() < self._until:
+            time.sleep(self._random.uniform(0.1, 0.4))
+            if self._random.random() < 0.6:
+                self._step()
+            if self._random.random() < 0.7:
+                self._fail_for_a_while()
+            if not restarted and time.monotonic() >= restart_at:
+                restarted = True
+                self._restart()
+        self._rig.fail()
+
+    def _note(self, what: str) -> None:
+        self._play.faults.append(f"{time.monotonic():.3f} {what}")
+
+    def _step(self) -> None:
+        step = self._random.choice(STEPS_S)
+        self._note(f"wall clock {step:+.0f} s")
+        self._rig.set_wall_clock(step)
+
+    def _fail_for_a_while(self) -> None:
+        rules = _rules(self._random)
+        self._note(f"fails: {rules}")
+        self._rig.fail(*rules)
+        time.sleep(self._random.uniform(0.05, 0.8))
+        # Else it goes on beside what comes next; but with no connections nobody can be told anything in time.
+        if self._random.random() < 0.7 or rules[0].call is SystemCall.CONNECT:
+            self._rig.fail()
+
+    def _restart(self) -> None:
+        assert self._node.process is not None
+        began = time.monotonic()
+        how = self._random.choice(("kill", "term", "term twice", "hangups"))
+        self._note(f"signals: {how}")
+        if how == "hangups":
+            for _ in range(5):
+                self._node.process.send_signal(signal.SIGHUP)
+                time.sleep(self._random.uniform(0.0, 0.02))
+            return
+        if how != "kill":
+            for _ in range(1 + (how == "term twice")):
+                self._node.process.send_signal(signal.SIGTERM)
+            with contextlib.suppress(Exception):
+                self._node.process.wait(KILL_AFTER_S)
+        killed = time.monotonic()
+        self._node.kill()
+        self._play.kills.append((killed, time.monotonic()))
+        time.sleep(RESTART_AFTER_S)
+        self._node.start()
+        self._play.downs.append((began, time.monotonic()))
+
+
+@contextlib.contextmanager
+def _crowd(node: Node, size: int) -> Iterator[None]:
+    """Idle clients beside the others."""
+    idle: list[socket.socket] = []
+    try:
+        for _ in range(size):
+            with contextlib.suppress(OSError):
+                idle.append(socket.create_connection(("127.0.0.1", node.port), timeout=1.0))
+        yield
+    finally:
+        for each in idle:
+            each.close()
+
+
+def play(seed: int, folder: Path) -> Play:
+    """Play one seed and audit it."""
+    result = Play(seed)
+    endpoint = _Endpoint(result)
+    with led_node(folder, endpoint, window=WINDOW_S, sockets=128) as (node, platform, rig):
+        notices = _Platform(result, platform)
+        notices.start()
+        until = time.monotonic() + PLAY_S
+        clients = [_Client(result, node, number, until) for number in range(CLIENTS)]
+        with _crowd(node, CROWD if seed % 3 == 0 else 0):
+            for client in clients:
+                client.start()
+            _Disturber(result, node, rig, until).run()
+            for client in clients:
+                client.join()
+        last = max((handed.due for handed in result.handed), default=time.monotonic())
+        time.sleep(max(0.0, last - time.monotonic()) + RESULT_SLACK_S + HARNESS_SLACK_S)
+        notices.over.set()
+        notices.join()
+        assert node.process is not None
+        if node.process.poll() is not None:
+            result.broken.append(f"crash: the node ended by itself with {node.process.returncode}")
+        log = node.log.read_text()
+        result.broken += [
+            f"error: {line[:300]}" for line in log.splitlines() if any(event in line for event in UNEXPECTED)
+        ]
+    _audit(result)
+    return result
+
+
+def _audit(result: Play) -> None:
+    for handed in result.handed:
+        calls = [call for call in result.calls if call.id == handed.id]
+        result.broken += _final_answer(result, handed, calls)
+        result.broken += _effects(handed, calls)
+        told = result.told.get(handed.id)
+        if told is not None:
+            late = [call for call in calls if call.at > told + HARNESS_SLACK_S / 4]
+            result.broken += [
+                f"after the end: {handed.id} called {call.at - told:.3f} s later" for call in late
+            ]
+
+
+def _final_answer(result: Play, handed: Handed, calls: list[Received]) -> list[str]:
+    if handed.status is None:
+        killed = any(handed.opened <= gone and handed.ended >= kill for kill, gone in result.kills)
+        return [] if killed else [f"lost: {handed.id} ({handed.kind}) got no answer, sent {handed.sent:.3f}"]
+    if handed.status in (429, 503):
+        ran = [call for call in calls if call.ran]
+        return [f"refused and run: {handed.id} ({handed.kind}), {handed.status}"] if ran else []
+    if handed.status != 202 or any(call.delivered for call in calls):
+        return []
+    by = handed.due + RESULT_SLACK_S
+    for down, ready in result.downs:
+        if by >= down:
+            by = max(by, ready + READY_SLACK_S)
+    told = result.told.get(handed.id)
+    if told is None or told > by + HARNESS_SLACK_S:
+        when = "never" if told is None else f"{told - handed.due:+.3f} s after its time"
+        return [f"lost: {handed.id} ({handed.kind}) taken on at {handed.sent:.3f}, told {when}"]
+    return []
+
+
+def _effects(handed: Handed, calls: list[Received]) -> list[str]:
+    ran = [call for call in calls if call.ran]
+    if handed.kind == "unsafe" and len(ran) > 1:
+        return [f"duplicate: {handed.id} (unsafe) ran {len(ran)} times"]
+    if handed.kind == "keyed" and ran and ran[-1].at > ran[0].at + WINDOW_S:
+        return [f"duplicate: {handed.id} (keyed) ran {ran[-1].at - ran[0].at:.3f} s after its first run"]
+    return []
+
+
+def _report(result: Play) -> str:
+    taken = sum(handed.status == 202 for handed in result.handed)
+    head = f"seed {result.seed}: {'FAILED' if result.broken else 'passed'}, {len(result.handed)} handed in, "
+    head += f"{taken} taken on, {len(result.calls)} calls, {len(result.faults)} faults"
+    return "\n".join([head, *result.broken, *(result.faults if result.broken else ())])
+
+
+def play_all(seeds: range, folder: Path, beside: int) -> list[Play]:
+    """Play seeds, some beside each other, and print a line for each."""
+
+    def one(seed: int) -> Play:
+        own = folder / str(seed)
+        own.mkdir()
+        result = play(seed, own)
+        print(_report(result), flush=True)
+        return result
+
+    with ThreadPoolExecutor(beside) as pool:
+        return list(pool.map(one, seeds))
+
+
+def main() -> int:
+    """The soak by hand; 1 if a seed fails."""
+    parser = argparse.ArgumentParser(prog="python -m tests.node.fault_soak")
+    parser.add_argument("--seeds", type=int, default=50)
+    parser.add_argument("--first", type=int, default=1)
+    parser.add_argument("--beside", type=int, default=4)
+    options = parser.parse_args()
+    with tempfile.TemporaryDirectory(prefix="irisstack-soak-") as folder:
+        seeds = range(options.first, options.first + options.seeds)
+        results = play_all(seeds, Path(folder), options.beside)
+    failed = [result.seed for result in results if result.broken]
+    print(f"{len(results) - len(failed)} passed, {len(failed)} failed {failed or ''}")
+    return 1 if failed else 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- a/tests/node/test_system_faults.py
+++ b/tests/node/test_system_faults.py
@@ -30,6 +30,19 @@
         assert rig.hits() > 5
 
 
+@pytest.mark.parametrize("kind", ["unsafe", "malformed"])
+def test_an_answer_of_which_no_more_fits_for_a_moment_arrives(tmp_path: Path, kind: str) -> None:
+    endpoint = EndpointPeer(raw(200))
+    with led_node(tmp_path, endpoint) as (node, _, rig):
+        rig.fail(
+            Rule(SystemCall.SEND, DescriptorKind.CLIENT, limit=9, count=1),
+            Rule(SystemCall.SEND, DescriptorKind.CLIENT, errno.EAGAIN, count=1),
+        )
+        timeout = "5.000" if kind == "unsafe" else "soon"
+        assert node.hand_in("m1", "unsafe", X_Timeout=timeout).status == (202 if kind == "unsafe" else 400)
+        assert rig.hits(1) == 1
+
+
 def test_a_folder_that_is_full_for_a_while_loses_nothing(tmp_path: Path) -> None:
     endpoint = EndpointPeer(raw(429, "Retry-After: 0.800"), raw(200))
     with led_node(tmp_path, endpoint) as (node, platform, rig):
