Each attempt that got no answer names what broke it, in the log and the counts

Cause: one opening after CONNECT_FAILED in the last replay could not be traced: the log did not say how the connects broke. Change: Result.error, as the system names it, in attempt_ended (debug) and in a count for each outcome. Measured: tests of the node pass.

--- a/irisstack/node/decider.py
+++ b/irisstack/node/decider.py
@@ -372,6 +372,7 @@
                 attempt=ended.attempt,
                 outcome=result.outcome.name,
                 reached=result.reached.name,
+                error=result.error,
                 elapsed_s=round(now - sent, 3),
                 wait_s=result.retry_after,
                 report=result.report,
--- a/irisstack/node/endpoint.py
+++ b/irisstack/node/endpoint.py
@@ -5,7 +5,7 @@
 from collections import deque
 from collections.abc import Callable, Sequence
 from contextlib import suppress
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from enum import Enum
 
 import gevent
@@ -19,7 +19,16 @@
 from irisstack.node.config import HostPort, name_of
 from irisstack.node.counters import Counters
 from irisstack.node.mailbox import enlarge
-from irisstack.node.results import DELIVERED, Ending, Reached, Result, answered, answered_each, unanswered
+from irisstack.node.results import (
+    DELIVERED,
+    Ending,
+    Reached,
+    Result,
+    answered,
+    answered_each,
+    name_of_error,
+    unanswered,
+)
 from irisstack.node.store import Store
 
 LONG = 3600.0
@@ -181,7 +190,7 @@
     ) -> bool:
         """Carry one call and report each message's result; returns whether the connection can be kept."""
         ids = [message.id for message in call.messages]
-        reached, ending = Reached.NOTHING, Ending.BROKEN
+        reached, ending, broken_by = Reached.NOTHING, Ending.BROKEN, ""
         keep = False
         answer: http.Message | None = None
         try:
@@ -204,19 +213,21 @@
         except _CalledOff:
             ending = Ending.CALLED_OFF
             answer = self._received_answer() if reached is Reached.WRITTEN else None
-        except (_Withheld, sockets.OwnMachineError):
+        except _Withheld:
             ending = Ending.WITHHELD
-        except TimeoutError:
-            ending = Ending.GIVEN_UP
-        except (OSError, http.BadMessage):
-            ending = Ending.BROKEN
+        except sockets.OwnMachineError as error:
+            ending, broken_by = Ending.WITHHELD, name_of_error(error)
+        except TimeoutError as error:
+            ending, broken_by = Ending.GIVEN_UP, name_of_error(error)
+        except (OSError, http.BadMessage) as error:
+            ending, broken_by = Ending.BROKEN, name_of_error(error)
         except Exception as error:  # whatever it is, the messages' ends must be told
             log.error("call_failed", peer=name_of(self._peer), error=repr(error))
         call.over = True
         if answer is None and reached is Reached.WRITTEN and len(call.messages) == 1 and self._reader.says_ok:
             results = dict.fromkeys(ids, DELIVERED)
         elif answer is None:
-            results = dict.fromkeys(ids, unanswered(reached, ending))
+            results = dict.fromkeys(ids, replace(unanswered(reached, ending), error=broken_by))
         elif len(call.messages) == 1:
             results = dict.fromkeys(ids, answered(answer, self._fields))
         else:
@@ -425,4 +436,6 @@
 
     def _end(self, message: Outgoing, result: Result) -> None:
         self._counters.add(f"ended_{result.outcome.name.lower()}")
+        if result.error:
+            self._counters.add(f"ended_{result.outcome.name.lower()}_{result.error}")
         self._post(Ended(message.number, message.attempt, self.address, result))
--- a/irisstack/node/results.py
+++ b/irisstack/node/results.py
@@ -1,5 +1,6 @@
 """Results of attempts: the outcome of an answer, or of an attempt that ended without one. No decisions."""
 
+import errno
 import math
 from collections.abc import Sequence
 from dataclasses import dataclass, field, replace
@@ -39,6 +40,8 @@
     report: tuple[float, ...] = ()
     report_fields: tuple[str, ...] = field(default=(), compare=False)
     """What the numbers of the report are."""
+    error: str = field(default="", compare=False)
+    """What broke an attempt that ended without an answer, as the system names it (`ECONNREFUSED`)."""
 
 
 DELIVERED = Result(Outcome.OK, Reached.ANSWERED, over=True)
@@ -67,6 +70,12 @@
     return Result(OUTCOME_OF_SENT[ending], reached)
 
 
+def name_of_error(error: Exception) -> str:
+    """The system's name of an error, or its type where it has none."""
+    number = error.errno if isinstance(error, OSError) else None
+    return type(error).__name__ if number is None else errno.errorcode.get(number, str(number))
+
+
 def _positive_number(text: str | None) -> float | None:
     """A header's positive finite number; `None` if it has none."""
     try:
--- a/tests/node/test_system_faults.py
+++ b/tests/node/test_system_faults.py
@@ -244,7 +244,8 @@
         eventually(lambda: platform.watchers, "the watch")
         rig.fail(Rule(SystemCall.RECEIVE, DescriptorKind.PEER, error))
         assert node.hand_in("m1", "unsafe").status == 202
-        eventually(lambda: node.counters().get("ended_reset") == 1, "the end of the call")
+        name = f"ended_reset_{errno.errorcode[error]}"
+        eventually(lambda: node.counters().get(name) == 1, "the end of the call")
         rig.fail()
         assert eventually(lambda: platform.notice("m1"), "the notice")["result"] == "dead"
         assert len(endpoint.requests) == 1
