A start waits for sockets that the machine lacks for a moment

Cause: ENFILE or ENOBUFS at the listening socket, or at the one for gossip, ended the start. Change: sockets.persist, for 10 s. Measured: a node whose first four calls of socket fail starts and delivers; test_system_faults and test_node_notes pass.

--- a/irisstack/node/service.py
+++ b/irisstack/node/service.py
@@ -6,6 +6,7 @@
 import zlib
 from collections.abc import Mapping
 from dataclasses import fields, replace
+from functools import partial
 from typing import TYPE_CHECKING, Any
 
 import gevent
@@ -14,6 +15,7 @@
 
 from irisstack import interface as api
 from irisstack.common import logs
+from irisstack.node import sockets
 from irisstack.node.config import Config, ConfigError, DynamicSettings, load, name_of, peer_of
 from irisstack.node.counters import Counters
 from irisstack.node.decider import Decider, NewSettings
@@ -42,6 +44,8 @@
 """Lines of the list that are kept until their kind is known, where kinds may come while the node runs."""
 FOLDER_READ_WITHIN, FOLDER_READ_PAUSE = 20.0, 0.2
 """Seconds in which the folder has to be read at the start, and from a failure to the next try."""
+LISTEN_WITHIN = 10.0
+"""Seconds in which the node's own sockets have to be had at the start, where the machine lacks something."""
 LOOK = 0.05
 """Seconds between two looks at what is left to end."""
 FOLLOWED = ("discovery", "known", "seed")
@@ -94,7 +98,8 @@
         )
         self._peers: Peers | None = None
         if config.peers:
-            self._peers = Peers(config.listen, config.peers, self._decider.heard, self.counters)
+            peers = partial(Peers, config.listen, config.peers, self._decider.heard, self.counters)
+            self._peers = sockets.persist(peers, LISTEN_WITHIN)
         self._intake = Intake(
             config.listen, settings, self._decider.mailbox.put, self.counters, self._most_clients
         )
@@ -119,7 +124,7 @@
                 runs.append(self._peers.run)
             if self._settings_watch is not None:
                 runs.append(self._settings_watch.run)
-            self._intake.start()
+            sockets.persist(self._intake.start, LISTEN_WITHIN)
         except OSError as error:
             raise ConfigError(f"listen: {name_of(self._config.listen)}: {error.strerror}") from None
         parts = [gevent.spawn(run) for run in runs]
--- a/irisstack/node/sockets.py
+++ b/irisstack/node/sockets.py
@@ -3,6 +3,8 @@
 import errno
 import select
 import time
+from collections.abc import Callable
+from typing import TypeVar
 
 import gevent
 from gevent import socket
@@ -10,12 +12,14 @@
 from irisstack.node.buffer import Buffer
 from irisstack.node.config import HostPort
 
+Made = TypeVar("Made")
+
 BROKEN = select.POLLHUP | select.POLLERR
 MIN_TIMEOUT = 0.001
 """Seconds. A socket's time-out of zero would make it non-blocking."""
-OWN_ERRORS = frozenset(
-    (errno.EADDRNOTAVAIL, errno.EMFILE, errno.ENETUNREACH, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM),
-)
+SCARCE = frozenset((errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM))
+"""What this machine has run out of, perhaps for a moment."""
+OWN_ERRORS = SCARCE | {errno.EADDRNOTAVAIL, errno.ENETUNREACH}
 """Of a connect: what this machine has run out of, or that it has no network, perhaps for a moment."""
 FIRST_PAUSE, LONGEST_PAUSE = 0.02, 0.2
 """Seconds from such a failure to the next try; they double."""
@@ -44,6 +48,18 @@
         pause = min(2.0 * pause, LONGEST_PAUSE)
 
 
+def persist(make: Callable[[], Made], seconds: float) -> Made:
+    """Do what needs descriptors or buffers, again and again for a time while this machine lacks them."""
+    end = time.monotonic() + seconds
+    while True:
+        try:
+            return make()
+        except OSError as error:
+            if error.errno not in SCARCE or time.monotonic() >= end:
+                raise
+        gevent.sleep(LONGEST_PAUSE)
+
+
 def _connect_once(peer: HostPort, timeout: float) -> socket.socket:
     connection = socket.create_connection(peer, timeout=timeout)
     try:
--- a/tests/node/test_system_faults.py
+++ b/tests/node/test_system_faults.py
@@ -260,3 +260,14 @@
         node.start()
         assert rig.hits() == 3
         assert node.counters()["recovered"] == 1
+
+
+@pytest.mark.parametrize("error", [errno.ENFILE, errno.ENOBUFS], ids=errno.errorcode.get)
+def test_a_node_starts_though_it_gets_no_socket_at_first(tmp_path: Path, error: int) -> None:
+    with led_node(tmp_path, EndpointPeer(raw(200))) as (node, _, rig):
+        node.kill()
+        rig.fail(Rule(SystemCall.SOCKET, error=error, count=4))
+        node.start()
+        assert node.hand_in("m1").status == 202
+        eventually(lambda: node.counters().get("delivered"), "the delivery")
+        assert rig.hits() == 4
