--- a/tests/node/fault_support.py
+++ b/tests/node/fault_support.py
@@ -8,7 +8,7 @@
 import pytest
 
 from irisstack.lab.faults import rig as fault_rig
-from tests.node_support import EndpointPeer, Node, PlatformPeer
+from tests.node_support import EndpointPeer, Node, PlatformPeer, running
 
 
 def build_library(folder: Path) -> Path:
@@ -36,11 +36,7 @@
     node.raw["settings"] = copy.deepcopy(node.raw["settings"])
     node.raw["settings"]["lanes"][1]["window"] = window
     try:
-        yield node.start(), platform, rig
+        with running(node, platform, *endpoints):
+            yield node, platform, rig
     finally:
-        if node.process is not None and node.process.poll() is None:
-            node.kill()
         rig.close()
-        platform.close()
-        for endpoint in endpoints:
-            endpoint.close()
--- a/tests/node/test_system_faults.py
+++ b/tests/node/test_system_faults.py
@@ -148,7 +148,9 @@
     with led_node(tmp_path, endpoint) as (node, _, rig):
         rig.fail(Rule(SystemCall.WRITE, DescriptorKind.FILE, errno.ENOSPC))
         assert node.hand_in("m1").status == 503
+        assert rig.hits() > 1
         rig.fail()
+        assert "folder_not_written" not in node.log.read_text()
         eventually(lambda: node.hand_in("m2").status == 202, "a message taken on")
         assert node.terminate() == 0
 
@@ -178,6 +180,7 @@
             client.send(message(f"m{number}"))
         node.process.send_signal(signal.SIGTERM)
         time.sleep(0.7)
+        assert rig.hits() > 0
         rig.fail(Rule(SystemCall.ACCEPT, error=error, count=3))
         assert [client.answer().status for client in clients] == [503] * 5
         assert node.process.wait(PATIENCE) == 0
@@ -217,6 +220,7 @@
         for number in range(10):
             assert node.hand_in(f"m{number}").status == 202
         eventually(lambda: node.counters().get("delivered") == 10, "the deliveries")
+        assert rig.hits() > 10
 
 
 @pytest.mark.parametrize("kind", [DescriptorKind.CLIENT, DescriptorKind.PEER])
@@ -230,6 +234,7 @@
             assert node.hand_in(f"m{number}", "unsafe").status == 202
         eventually(lambda: node.counters().get("delivered") == 5, "the deliveries")
         assert not platform.notices
+        assert min(rig.hits(0), rig.hits(1)) > 5
 
 
 @pytest.mark.parametrize(
--- a/tests/node_support.py
+++ b/tests/node_support.py
@@ -337,11 +337,18 @@
     for number, peer in enumerate(endpoints, start=1):
         platform.list(peer, number, cell=1, flavor=flavor)
     node = Node(folder, platform, **limits)
+    with running(node, platform, *endpoints):
+        yield node, platform
+
+
+@contextlib.contextmanager
+def running(node: Node, *peers: Peer) -> Iterator[None]:
+    """Start a node; at the end it is killed, if it runs, and its peers are closed."""
     try:
-        yield node.start(), platform
+        node.start()
+        yield
     finally:
         if node.process is not None and node.process.poll() is None:
             node.kill()
-        platform.close()
-        for endpoint in endpoints:
-            endpoint.close()
+        for peer in peers:
+            peer.close()
