Log each call for the endpoint list, each update, and each endpoint that is retired

Need: the logs of the drain incident tell when a call for the list was given up, but not when one began, what it asked for, how long the list had not been confirmed, nor when an endpoint was retired. Change: list_call_begun, list_call_answered, list_call_ended, list_updated, endpoint_retired; counters list_calls, list_calls_failed and list_unconfirmed_longest_ms.

--- a/irisstack/node/counters.py
+++ b/irisstack/node/counters.py
@@ -13,6 +13,10 @@
         """Increase a counter, which begins at 0."""
         self._counts[name] += count
 
+    def raise_to(self, name: str, value: int) -> None:
+        """Keep the largest value that was seen under a name."""
+        self._counts[name] = max(self._counts[name], value)
+
     def snapshot(self) -> dict[str, int]:
         """All counters so far, sorted by name."""
         return dict(sorted(self._counts.items()))
--- a/irisstack/node/discovery.py
+++ b/irisstack/node/discovery.py
@@ -14,7 +14,8 @@
 from irisstack import interface as api
 from irisstack.node import http, sockets
 from irisstack.node.buffer import Buffer
-from irisstack.node.config import HostPort, host_port, name_of
+from irisstack.node.config import HostPort, host_port, name_of, peer_of
+from irisstack.node.counters import Counters
 from irisstack.node.objects import ObjectStream
 from irisstack.node.record_clock import RecordClock, resume
 
@@ -31,6 +32,9 @@
 What is missed from the last word on has to be here 6 s later: this, the pause and the next answer included.
 """
 
+MOST_NAMED = 8
+"""Endpoints that one line of the log names at most."""
+
 UNNAMED_ZONES = 1 << 16
 """The number of the first zone that the settings do not name; theirs stay below, also as zones are added."""
 
@@ -169,7 +173,10 @@
         post: Callable[[api.EndpointsUpdated], None],
         revision: int,
         pushed: bool,
+        counters: Counters | None = None,
     ) -> None:
+        self._counters = counters or Counters()
+        self._confirmed_at = time.monotonic()  # when the list that is held was last known to be the newest
         self._peer = peer
         self._reader = reader
         self._post = post
@@ -218,15 +225,26 @@
     def _ask(self, query: str, watch: bool) -> None:
         """One call to discovery, to its end; a failure or the end of a watch is told."""
         connection, word = None, _Word(time.monotonic())
+        began_at = word.heard_at
+        self._counters.add("list_calls")
+        call = self._counters.snapshot()["list_calls"]
+        log.info(
+            "list_call_begun",
+            call=call,
+            watch=watch,
+            revision=self._revision,
+            unconfirmed_s=self._unconfirmed_s(),
+        )
         try:
             connection = sockets.connect(self._peer, SILENCE)
             connection.sendall(http.request("GET", f"/v1/servers{query}", name_of(self._peer)))
             if watch:
-                self._follow(connection, word)
+                self._follow(connection, word, call, began_at)
             else:
                 answer = self._whole(connection, word)
                 if answer.status == 200:
                     self._tell(bytes(answer.body))
+                    self._confirmed(word)
                     return
                 log.info("list_not_had", status=answer.status)
         except Exception as error:  # whatever it is, the module must hear of it, or it never asks again
@@ -235,6 +253,13 @@
             if connection is not None:
                 connection.close()
         unheard = time.monotonic() - word.heard_at if connection is not None else 0.0
+        self._counters.add("list_calls_failed")
+        log.info(
+            "list_call_ended",
+            call=call,
+            unheard_s=round(unheard, 3),
+            unconfirmed_s=self._unconfirmed_s(),
+        )
         self._post(api.EndpointsUpdated(api.UpdateScope.FAILED, self._revision, (), unheard))
         if watch and self._pushed:
             gevent.sleep(PAUSE)
@@ -250,8 +275,19 @@
                 break
         return answer
 
-    def _follow(self, connection: socket.socket, word: "_Word") -> None:
+    def _unconfirmed_s(self) -> float:
+        """Seconds since the list that is held was last known to be the newest."""
+        return round(time.monotonic() - self._confirmed_at, 3)
+
+    def _confirmed(self, word: "_Word") -> None:
+        """Discovery was heard in full: what it has not told by now is not known to it."""
+        word.heard_at = time.monotonic()
+        self._counters.raise_to("list_unconfirmed_longest_ms", round(self._unconfirmed_s() * 1000.0))
+        self._confirmed_at = word.heard_at
+
+    def _follow(self, connection: socket.socket, word: "_Word", call: int, began_at: float) -> None:
         """Hand on each object of a watch until it ends."""
+        answered = False
         buffer, reader = Buffer(), http.AnswerReader(http.MAX_LIST)
         objects = ObjectStream(http.MAX_LIST)
         while word.receive(connection, buffer):
@@ -261,9 +297,13 @@
                 body = bytes(ended.body) if ended is not None else reader.take_body()
                 for whole in objects.feed(body):
                     self._tell(whole)
-                    word.heard_at = time.monotonic()
+                    self._confirmed(word)
                 if objects.between and b"\n" in body:
-                    word.heard_at = time.monotonic()
+                    self._confirmed(word)
+                if not answered and word.heard_at > began_at:
+                    answered = True
+                    after_s = round(word.heard_at - began_at, 3)
+                    log.info("list_call_answered", call=call, after_s=after_s, revision=self._revision)
             if ended is not None or (reader.head_done and status != 200):
                 log.info("watch_ended", status=status)
                 return
@@ -271,6 +311,14 @@
     def _tell(self, whole: bytes) -> None:
         """Hand on what one object says. Only then is it known: a watch ended meanwhile is told it again."""
         update = self._reader.update(json.loads(whole))
+        not_offered = [e.address for e in update.endpoints if e.state is not api.EndpointState.READY]
+        log.info(
+            "list_updated",
+            scope=update.scope.name,
+            revision=update.version,
+            lines=len(update.endpoints),
+            not_offered=[name_of(peer_of(address)) for address in not_offered[:MOST_NAMED]],
+        )
         self._post(update)
         self._revision = update.version
 
--- a/irisstack/node/service.py
+++ b/irisstack/node/service.py
@@ -79,6 +79,7 @@
             self._listed,
             known.version,
             pushed=not settings.discovery_on_request,
+            counters=self.counters,
         )
         self._endpoints: dict[api.Address, Endpoint] = {}
         self._retired: list[Endpoint] = []  # no longer offered, their last calls still out
@@ -227,6 +228,7 @@
             self._retire(self._endpoints.pop(address))
 
     def _retire(self, endpoint: Endpoint) -> None:
+        log.info("endpoint_retired", endpoint=name_of(peer_of(endpoint.address)))
         endpoint.mailbox.put(Retire())
         self._retired = [*(old for old in self._retired if not old.worker.dead), endpoint]
 
