Move the reader of the endpoint list to a module of its own

Need: discovery.py holds the reader of the list and the calls for it; the calls are about to change. Change: node/list_reader.py, moved as it was; the new test's endpoint notes its times in a class of its own.

--- a/benchmarks/list_reader.py
+++ b/benchmarks/list_reader.py
@@ -19,7 +19,7 @@
 from irisstack.lab.node_settings import decision_settings
 from irisstack.lab.sockets.platform import Platform
 from irisstack.lab.sockets.run_context import RunContext
-from irisstack.node.discovery import ListReader
+from irisstack.node.list_reader import ListReader
 
 RESULTS = Path(__file__).resolve().parents[1] / "docs" / "measurements" / "capacity"
 DESTINATIONS = (100, 1_000, 10_000, 100_000)
--- a/irisstack/node/discovery.py
+++ b/irisstack/node/discovery.py
@@ -2,9 +2,8 @@
 
 import json
 import time
-from collections.abc import Callable, Iterable, Mapping
-from dataclasses import dataclass, replace
-from typing import Any
+from collections.abc import Callable
+from dataclasses import dataclass
 
 import gevent
 import structlog
@@ -14,16 +13,11 @@
 from irisstack import interface as api
 from irisstack.node import http, sockets
 from irisstack.node.buffer import Buffer
-from irisstack.node.config import HostPort, host_port, name_of, peer_of
+from irisstack.node.config import HostPort, name_of, peer_of
 from irisstack.node.counters import Counters
+from irisstack.node.list_reader import ListReader
 from irisstack.node.objects import ObjectStream
-from irisstack.node.record_clock import RecordClock, resume
 
-STATES = {
-    "SERVING": api.EndpointState.READY,
-    "DRAINING": api.EndpointState.DRAINING,
-    "DELETED": api.EndpointState.GONE,
-}
 PAUSE = 0.5
 """Seconds until a watch that ended is held anew, where the list comes unasked."""
 SILENCE = 3.5
@@ -35,124 +29,9 @@
 MOST_NAMED = 8
 """Endpoints that one line of the log names at most."""
 
-UNNAMED_ZONES = 1 << 16
-"""The number of the first zone that the settings do not name; theirs stay below, also as zones are added."""
-
 log = structlog.get_logger()
 
 
-class ListReader:
-    """The list's JSON as `EndpointsUpdated`; a line that cannot be read is logged and passed over."""
-
-    def __init__(
-        self, settings: api.Settings, most_waiting: int = 0, clock: RecordClock | None = None
-    ) -> None:
-        """`clock` is what the list's Unix times are read by; by default the wall clock as it is now."""
-        self._clock = clock or resume(None)
-        self._kinds = {kind.name: i for i, kind in enumerate(settings.kinds)}
-        self._most_waiting = most_waiting
-        self._waiting: dict[str, Mapping[str, Any]] = {}  # lines of kinds not known yet, by id
-        self._revision = 0
-        self._zones = {name: i for i, name in enumerate(settings.zones)}
-        self._addresses: dict[str, api.Address] = {}
-        self._owners: dict[api.Address, str] = {}  # the id that stands for each address
-
-    def update(self, raw: Mapping[str, Any], scope: api.UpdateScope | None = None) -> api.EndpointsUpdated:
-        """One object of discovery's; raises `ValueError` or `KeyError` if it is none."""
-        revision, members = int(raw["revision"]), raw["members"]
-        if scope is None:
-            scope = api.UpdateScope.FULL if raw["complete"] else api.UpdateScope.DELTA
-        if scope is not api.UpdateScope.DELTA:
-            self._waiting.clear()
-        self._revision = revision
-        endpoints = self._read(members)
-        if scope is not api.UpdateScope.DELTA:  # what the whole list leaves out is forgotten
-            here = {endpoint.address for endpoint in endpoints}
-            self._addresses = {id_: address for id_, address in self._addresses.items() if address in here}
-            self._owners = {address: id_ for address, id_ in self._owners.items() if address in here}
-        return api.EndpointsUpdated(scope, revision, tuple(endpoints))
-
-    def follow(self, settings: api.Settings) -> api.EndpointsUpdated | None:
-        """Go by other settings; returns what can be read now of the lines that waited for their kind."""
-        self._kinds = {kind.name: i for i, kind in enumerate(settings.kinds)}
-        for i, name in enumerate(settings.zones):
-            self._zones.setdefault(name, i)
-        ready = [line for line in self._waiting.values() if line["flavor"] in self._kinds]
-        if not ready:
-            return None
-        return api.EndpointsUpdated(api.UpdateScope.DELTA, self._revision, tuple(self._read(ready)))
-
-    def _read(self, members: Iterable[Mapping[str, Any]]) -> list[api.Endpoint]:
-        endpoints: list[api.Endpoint] = []
-        for member in members:
-            try:
-                if not self._waits(member):
-                    endpoints.extend(self._endpoints(member))
-            except Exception as error:  # a single bad line must not cost the rest of the list
-                log.warning("list_line_unread", line=str(member)[:200], error=repr(error))
-        return endpoints
-
-    def _waits(self, member: Mapping[str, Any]) -> bool:
-        """Whether a line is kept until its kind is known; the newest of each id counts."""
-        if not self._most_waiting:
-            return False
-        id_ = str(member["id"])
-        self._waiting.pop(id_, None)
-        if member["flavor"] in self._kinds or STATES[member["phase"]] is api.EndpointState.GONE:
-            return False
-        if len(self._waiting) >= self._most_waiting:
-            return False
-        self._waiting[id_] = member
-        log.info("list_line_waits_for_its_kind", id=id_, kind=member["flavor"])
-        return True
-
-    def _zone(self, name: object) -> int:
-        """A zone's number. One that the settings do not name gets its own: it must not pass for another."""
-        return self._zones.setdefault(str(name), UNNAMED_ZONES + len(self._zones))
-
-    def _endpoints(self, member: Mapping[str, Any]) -> list[api.Endpoint]:
-        """What a line says, place by place: an address under another id is another endpoint.
-
-        The one there before is gone then, and what the list may still say of it means that place no more.
-        """
-        id_ = str(member["id"])
-        state = STATES[member["phase"]]
-        before = self._addresses.get(id_)
-        if state is api.EndpointState.GONE and "host_port" not in member and before is not None:
-            address = before
-        else:
-            host, port = host_port(member["host_port"], "host_port")
-            address = (socket.inet_aton(host), port)
-        since = float(member.get("up_since_ms", 0)) / 1000.0
-        endpoint = api.Endpoint(
-            address,
-            state,
-            self._kinds[member["flavor"]],
-            int(member["cell"]),
-            self._zone(member.get("locality", "")),
-            float(member.get("size", 1.0)),
-            self._clock.to_monotonic(since) if since else None,
-        )
-        owner = self._owners.get(address)
-        lines: list[api.Endpoint] = []
-        if before is not None and before != address and self._owners.get(before) == id_:
-            del self._owners[before]
-            lines.append(replace(endpoint, address=before, state=api.EndpointState.GONE))
-        if state is api.EndpointState.GONE:
-            self._addresses.pop(id_, None)
-        else:
-            self._addresses[id_] = address
-        if owner is not None and owner != id_:
-            if state is not api.EndpointState.READY:
-                return lines
-            lines.append(replace(endpoint, state=api.EndpointState.GONE))
-        if state is api.EndpointState.GONE:
-            self._owners.pop(address, None)
-        else:
-            self._owners[address] = id_
-        return [*lines, endpoint]
-
-
 @dataclass(slots=True, frozen=True)
 class Moved:
     """Discovery is at another address from now on."""
--- a/irisstack/node/service.py
+++ b/irisstack/node/service.py
@@ -19,9 +19,10 @@
 from irisstack.node.config import Config, ConfigError, DynamicSettings, load, name_of, peer_of
 from irisstack.node.counters import Counters
 from irisstack.node.decider import Decider, NewSettings
-from irisstack.node.discovery import Discovery, ListReader, Moved
+from irisstack.node.discovery import Discovery, Moved
 from irisstack.node.endpoint import Call, ChangeTerms, Command, Endpoint, Retire
 from irisstack.node.intake import Intake, Stage
+from irisstack.node.list_reader import ListReader
 from irisstack.node.notices import Notices
 from irisstack.node.peers import Peers
 from irisstack.node.store import Store
--- a/tests/node/list_support.py
+++ b/tests/node/list_support.py
@@ -7,7 +7,7 @@
 from enum import Enum, auto
 
 from irisstack.node import http
-from tests.node_support import PlatformPeer, raw
+from tests.node_support import EndpointPeer, PlatformPeer, raw
 
 BUSY_S = 1.0
 """Seconds that a call waits in a crowded service until it is answered 503."""
@@ -90,3 +90,15 @@
                 connection.shutdown(socket.SHUT_RDWR)
             case CallFate.SPOILT:
                 connection.sendall(HEAD + b'b\r\n{"members":}\r\n')
+
+
+class TimedPeer(EndpointPeer):
+    """An endpoint that keeps when each call came."""
+
+    def __init__(self) -> None:
+        self.received_at: list[float] = []
+        super().__init__()
+
+    def reply(self, connection: socket.socket, request: http.Message) -> None:
+        self.received_at.append(time.monotonic())
+        super().reply(connection, request)
--- a/tests/node/test_list_age.py
+++ b/tests/node/test_list_age.py
@@ -23,9 +23,10 @@
 
 from irisstack import interface as api
 from irisstack.choice import Sender
-from irisstack.node.discovery import Discovery, ListReader
+from irisstack.node.discovery import Discovery
+from irisstack.node.list_reader import ListReader
 from irisstack.settings import Reader, read
-from tests.node.list_support import CallFate, ScriptedDiscovery
+from tests.node.list_support import CallFate, ScriptedDiscovery, TimedPeer
 from tests.node_support import SETTINGS, EndpointPeer, Node, eventually, running
 
 TOLD_AFTER_S = 6.0
@@ -46,15 +47,12 @@
     tmp_path: Path,
 ) -> None:
     """The staging run on real processes; with 24 nodes the third call is never in time by chance."""
-    staying, draining = EndpointPeer(), EndpointPeer()
+    staying, draining = EndpointPeer(), TimedPeer()
     platform = ScriptedDiscovery(CallFate.REFUSED, CallFate.SILENT)
     platform.list(staying, 1, cell=1)
     line = platform.list(draining, 2, cell=1)
     node = Node(tmp_path, platform)
     node.raw["settings"] = settings_for(24)
-    received: list[float] = []
-    reply = draining.reply
-    draining.reply = lambda *call: (received.append(time.monotonic()), reply(*call))[-1]  # type: ignore[method-assign]
     with running(node, platform, staying, draining):
         eventually(lambda: len(platform.called_at) == 2, "a second call for the list")
         line["phase"] = "DRAINING"
@@ -65,9 +63,9 @@
             count += 1
             node.hand_in(f"m{count}")
             time.sleep(0.02)
-    assert any(at < changed_at + TOLD_AFTER_S for at in received)
-    late = [round(at - changed_at, 3) for at in received if at > changed_at + TOLD_AFTER_S + GRACE_S]
-    assert late == []
+    assert any(at < changed_at + TOLD_AFTER_S for at in draining.received_at)
+    after = [round(at - changed_at, 3) for at in draining.received_at]
+    assert [at for at in after if at > TOLD_AFTER_S + GRACE_S] == []
 
 
 class Follower:
--- a/tests/node/test_list_clock.py
+++ b/tests/node/test_list_clock.py
@@ -13,7 +13,8 @@
 
 from irisstack import interface as api
 from irisstack.node import discovery
-from irisstack.node.discovery import PAUSE, SILENCE, Discovery, ListReader, Moved
+from irisstack.node.discovery import PAUSE, SILENCE, Discovery, Moved
+from irisstack.node.list_reader import ListReader
 from irisstack.settings import Reader, read
 from tests.node.support import listening, until
 from tests.node_support import SETTINGS
--- a/tests/node/test_settings_parts.py
+++ b/tests/node/test_settings_parts.py
@@ -16,9 +16,9 @@
 from irisstack.node.config import ConfigError, DynamicSettings, load
 from irisstack.node.counters import Counters
 from irisstack.node.decider import Decider, NewSettings
-from irisstack.node.discovery import ListReader
 from irisstack.node.endpoint import Call, ChangeTerms, Ended, Endpoint, Outgoing
 from irisstack.node.intake import Intake
+from irisstack.node.list_reader import ListReader
 from irisstack.node.live_settings import LiveSettings
 from irisstack.node.results import Reached, Result
 from irisstack.node.store import Store
--- a/tests/test_node_parts.py
+++ b/tests/test_node_parts.py
@@ -20,9 +20,10 @@
 from irisstack.node.config import ConfigError, load
 from irisstack.node.counters import Counters
 from irisstack.node.decider import Decider
-from irisstack.node.discovery import Discovery, ListReader
+from irisstack.node.discovery import Discovery
 from irisstack.node.endpoint import Call, CallOff, Ended, Endpoint, Hold, Outgoing, Retire
 from irisstack.node.intake import Intake
+from irisstack.node.list_reader import ListReader
 from irisstack.node.record_clock import wall_clock
 from irisstack.node.results import Ending, Reached, answered, answered_each, unanswered
 from irisstack.node.store import Entry, Store
