Hold every call for the list within the 6 s of its news, and ask beside a call that is late

Cause: the pause between two failed calls was reckoned from the last call, and a second one that had waited lifted its bound; a silent call or watch was waited on for 3.5 s. A node could be without a drain when it counted as told. Change: the pause goes by the age of the list (irisstack/list_refresh.py, pure); a call is late after 1.2 s, a watch after 2.6 s, and another is begun beside it (node/list_call.py, discovery.py). The hollow fleet's client does likewise. Fleets of 30 and more keep the pauses for a service that lets calls wait. Tests of the pause now say how old the list is, since the decision goes by that; the figures they ask for are the same.

--- a/irisstack/choice.py
+++ b/irisstack/choice.py
@@ -12,6 +12,7 @@
 
 from irisstack import interface as api
 from irisstack.interface import Effect, Outcome
+from irisstack.list_refresh import ListRefresh
 
 WINDOW = 10.0  # seconds in which failures are counted together
 THRESHOLD = 3  # the failure that opens
@@ -41,9 +42,6 @@
 STALE_BACK = 0.4  # of a lost call is made good by one that succeeded on an idle connection
 IDLE_PART = 0.1  # of the keep-alive time; a connection idle for less says nothing
 SLOT_PART = 3  # a destination holds at most one part in so many of the slots, two at least
-RESUBSCRIBE = 0.2  # seconds for each sender before the first renewed subscription after a failure; doubles
-NEWS = 4.5  # and so many at most since its service was heard, whose news is due within 6; but see the pause
-SPREAD = 0.25  # of that time in which the senders first subscribe
 
 FAILED, SERVED, CROWDED = b"F", b"S", b"C"  # what notes to the other senders say
 
@@ -193,10 +191,10 @@
         self._expiry: list[tuple[float, int]] = []
         self._overdue: list[tuple[float, int, _Call]] = []
         self._stuck: list[_Call] = []  # overdue at a silent destination, oldest first
-        self._sequence = self._timers = self._failed_asks = 0
+        self._sequence = self._timers = 0
         self._keys: dict[int, deque[_Message]] = {}
         self._resting: list[tuple[float, int]] = []
-        self._subscribe_at = 0.0 if settings.discovery_on_request else NEVER
+        self._list_refresh = ListRefresh(settings, self._random)
         self._wake = NEVER
 
     def turn(self, now: float, events: Collection[api.Event]) -> list[api.Action]:
@@ -225,15 +223,16 @@
         while self._resting and self._resting[0][0] <= now:
             self._next_of_key(heappop(self._resting)[1])
         self._expire()
-        if now >= self._subscribe_at:
-            self._subscribe_at = NEVER
+        if now >= self._list_refresh.next_at:
+            self._list_refresh.next_at = NEVER
             self._out.append(api.Subscribe(True))
-        self._set_timer(min(self._subscribe_at, self._dispatch()))
+        self._set_timer(min(self._list_refresh.next_at, self._dispatch()))
         return self._out
 
     def _adopt(self, settings: api.Settings) -> None:
         """Decide by other settings from here on; messages that are held keep the terms of their class."""
         self._set, self._slots = settings, max(2, settings.max_calls // SLOT_PART)
+        self._list_refresh.adopt(settings)
         self._home = settings.zone if settings.cross_zone_price else None
         kinds = {kind.name: kind for kind in settings.kinds}
         for destination in self._destinations.values():
@@ -649,13 +648,11 @@
 
     def _updated(self, event: api.EndpointsUpdated) -> None:
         if event.scope is api.UpdateScope.FAILED:
-            if self._set.discovery_on_request:
-                self._subscribe_at = self._now + self._ask_pause(0.5, 1.5, event.unheard)
-                self._failed_asks += 1
+            self._list_refresh.failed(self._now, event)
             return
-        self._failed_asks = 0
-        if event.scope is api.UpdateScope.CACHED and self._set.discovery_on_request:  # a start
-            self._subscribe_at = self._now + self._ask_pause(0.0, SPREAD)
+        self._list_refresh.succeeded()
+        if event.scope is api.UpdateScope.CACHED:
+            self._list_refresh.started(self._now)
         if event.scope is not api.UpdateScope.DELTA:
             for address in set(self._where) - {endpoint.address for endpoint in event.endpoints}:
                 self._remove(address)
@@ -675,13 +672,6 @@
                 self._where[endpoint.address] = endpoint.destination
             destination.routes[endpoint.address].limit.listed = endpoint.rate * self._set.listed_rates
 
-    def _ask_pause(self, least: float, most: float, since: float = -NEVER) -> float:
-        """Seconds between two calls for the list of this sender while they fail."""
-        # Guards a service that lets one call after another wait: it works through them, given up ones too.
-        news = NEVER if since > RESUBSCRIBE and self._failed_asks else max(RESUBSCRIBE, (NEWS - since) / most)
-        pause = RESUBSCRIBE * self._set.senders * 2.0 ** min(self._failed_asks, 4)
-        return min(pause, news, self._set.ask_within or WINDOW) * self._random.uniform(least, most)
-
     def _remove(self, address: api.Address) -> None:
         """Draining or gone: nothing new goes there from this turn on."""
         if address in self._where:
--- a/irisstack/interface.py
+++ b/irisstack/interface.py
@@ -164,6 +164,8 @@
 
     What it is where nobody can tell stands for that.
     """
+    list_age: float = math.inf
+    """Of one that failed: seconds since the list was last known to be the newest, by any call; as above."""
 
 
 @dataclass(slots=True, frozen=True)
--- a/irisstack/lab/scale/list_client.py
+++ b/irisstack/lab/scale/list_client.py
@@ -1,6 +1,6 @@
-"""How a node asks for the endpoint list: one watch, its time-out, and what is told of its end.
+"""How a node asks for the endpoint list: its watches, their times, and what is told of their failures.
 
-The times are those of `irisstack.node.discovery`, which a hollow node stands in for; a test compares them.
+The times are those of `irisstack.node.list_call`, which a hollow node stands in for; a test compares them.
 """
 
 from collections.abc import Callable
@@ -11,10 +11,14 @@
 from irisstack.lab.scale.network import Network
 from irisstack.lab.virtual.clock import Clock
 
+ANSWER_LATE_S = 1.2
+"""Seconds after which a call without an answer is late: another may be begun beside it."""
+WORD_LATE_S = 2.6
+"""Seconds without a word after which a watch is late."""
 SILENCE_S = 3.5
-"""Seconds without a word after which a call or a watch counts as broken."""
+"""Seconds without a word after which a call or a watch ends."""
 PUSHED_PAUSE_S = 0.5
-"""Seconds until a watch that ended is held anew, where the list comes unasked."""
+"""Seconds until a watch that ended or is late is held anew, where the list comes unasked."""
 
 
 @dataclass(slots=True)
@@ -25,8 +29,22 @@
     failures: int = 0
 
 
+@dataclass(slots=True, eq=False)
+class _Watch:
+    """A call that is out, and once it is answered the watch that it has become."""
+
+    call: ListCall
+    heard_at: float
+    reached: bool = True
+    answered: bool = False
+    late: bool = False
+
+
 class ListClient:
-    """Holds at most one watch; tells `updated` of answers and `failed` of a watch's end."""
+    """Holds a watch; tells `updated` of answers, and `failed` of a watch that fails or is late.
+
+    `failed` is called with the time, the seconds since the service was heard, and the age of the list.
+    """
 
     def __init__(
         self,
@@ -37,7 +55,7 @@
         service: ListService,
         service_member: int,
         updated: Callable[[float, int], None],
-        failed: Callable[[float, float], None],
+        failed: Callable[[float, float, float], None],
     ) -> None:
         self.number = number
         self.known_version = known_version
@@ -48,41 +66,54 @@
         self._service_member = service_member
         self._updated = updated
         self._failed = failed
-        self._call: ListCall | None = None
-        self._heard_at = 0.0
+        self._watches: list[_Watch] = []
+        self._confirmed_at = clock.now
 
     @property
     def watching(self) -> bool:
         """Whether a watch is held that has been answered."""
-        return self._call is not None and self._heard_at > 0.0
+        return any(watch.answered for watch in self._watches)
 
     def subscribe(self, now: float, on: bool) -> None:
-        """Hold a watch, unless one is held; or end it."""
+        """Hold a watch, unless there is one that is not late; or end it."""
         if not on:
             self.stop()
-        elif self._call is None:
+        elif all(watch.late for watch in self._watches):
             self._ask(now)
 
     def stop(self) -> None:
-        """End the watch; nothing is told of it any more."""
-        if self._call is not None:
-            self._call.open = False
-            self._call = None
+        """End all watches; nothing is told of them any more."""
+        for watch in list(self._watches):
+            self._drop(watch)
+
+    def _drop(self, watch: _Watch) -> None:
+        watch.call.open = False
+        self._watches.remove(watch)
+
+    def _find(self, call: ListCall) -> _Watch | None:
+        return next((watch for watch in self._watches if watch.call is call), None)
 
     def _ask(self, now: float) -> None:
-        call = self._call = ListCall(self.number, self.known_version, self._answered, self._broken)
-        self._heard_at = 0.0
+        watch = _Watch(ListCall(self.number, self.known_version, self._answered, self._broken), now)
+        self._watches.append(watch)
         self.counts.calls += 1
-        reached = self._network.deliver(
-            self.number, self._service_member, REQUEST_BYTES, self._service.call, call
+        watch.reached = self._network.deliver(
+            self.number, self._service_member, REQUEST_BYTES, self._service.call, watch.call
         )
-        # A connection that does not come up takes as long to be given up as an answer that does not come.
-        unheard = SILENCE_S if reached else 0.0
-        self._clock.at(now + SILENCE_S, self._no_answer, call, unheard)
+        self._clock.at(now + ANSWER_LATE_S, self._not_answered, watch)
+        self._clock.at(now + SILENCE_S, self._given_up, watch)
+
+    def _not_answered(self, now: float, watch: _Watch) -> None:
+        if watch in self._watches and not watch.answered:
+            self._tell_late(now, watch)
+
+    def _given_up(self, now: float, watch: _Watch) -> None:
+        if watch in self._watches and not watch.answered:
+            self._drop(watch)
 
-    def _no_answer(self, now: float, call: ListCall, unheard: float) -> None:
-        if call is self._call and not self.watching:
-            self._end(now, unheard)
+    def _tell_late(self, now: float, watch: _Watch) -> None:
+        watch.late = True
+        self._tell_failure(now, now - watch.heard_at)
 
     def _answered(self, now: float, call: ListCall, version: int) -> None:
         """The service has written; an answer on its way when regions are cut off is lost."""
@@ -91,35 +122,50 @@
         self._clock.after(self._network.delay(), self._arrived, call, version)
 
     def _arrived(self, now: float, call: ListCall, version: int) -> None:
-        if call is not self._call:
+        watch = self._find(call)
+        if watch is None:
             return
-        self._heard_at = now
+        for other in [each for each in self._watches if each is not watch]:
+            self._drop(other)
+        watch.heard_at = self._confirmed_at = now
+        watch.answered, watch.late = True, False
         self.known_version = version
         self._updated(now, version)
 
     def _broken(self, now: float, call: ListCall) -> None:
         """The connection was refused, or closed by the service."""
-        if call is self._call:
+        if self._find(call) is not None:
             self._clock.after(self._network.delay(), self._closed, call)
 
     def _closed(self, now: float, call: ListCall) -> None:
-        if call is self._call:
-            since_beat = (now - self._heard_at) % BEAT_S if self.watching else 0.0
-            self._end(now, since_beat)
+        watch = self._find(call)
+        if watch is None:
+            return
+        self._drop(watch)
+        if watch.answered:
+            self._confirmed_at = now - self._since_beat(now, watch)
+        if not watch.late:
+            self._tell_failure(now, self._since_beat(now, watch) if watch.answered else 0.0)
+
+    def _since_beat(self, now: float, watch: _Watch) -> float:
+        return (now - watch.heard_at) % BEAT_S
 
     def lose_contact(self, now: float) -> None:
-        """From now on no beat of the watch comes through; it breaks when none has come for too long."""
-        if self._call is not None and self.watching:
-            last_beat = now - (now - self._heard_at) % BEAT_S
-            self._clock.at(last_beat + SILENCE_S, self._beats_missed, self._call)
-
-    def _beats_missed(self, now: float, call: ListCall) -> None:
-        if call is self._call:
-            self._end(now, SILENCE_S)
-
-    def _end(self, now: float, unheard: float) -> None:
-        assert self._call is not None
-        self._call.open = False
-        self._call = None
+        """From now on no beat of the watch comes through: it is late after a while, and ends later."""
+        for watch in self._watches:
+            if watch.answered:
+                self._confirmed_at = watch.heard_at = now - self._since_beat(now, watch)
+                self._clock.at(watch.heard_at + WORD_LATE_S, self._beats_missed, watch, watch.heard_at)
+                self._clock.at(watch.heard_at + SILENCE_S, self._fallen_silent, watch, watch.heard_at)
+
+    def _beats_missed(self, now: float, watch: _Watch, heard_at: float) -> None:
+        if watch in self._watches and watch.heard_at == heard_at and not watch.late:
+            self._tell_late(now, watch)
+
+    def _fallen_silent(self, now: float, watch: _Watch, heard_at: float) -> None:
+        if watch in self._watches and watch.heard_at == heard_at:
+            self._drop(watch)
+
+    def _tell_failure(self, now: float, unheard: float) -> None:
         self.counts.failures += 1
-        self._failed(now, unheard)
+        self._failed(now, unheard, now - self._confirmed_at)
--- a/irisstack/lab/scale/list_fleet.py
+++ b/irisstack/lab/scale/list_fleet.py
@@ -90,7 +90,7 @@
             self.service,
             SERVICE,
             lambda at, version: self._updated(at, node, version),
-            lambda at, unheard: self._failed(at, node, unheard),
+            lambda at, unheard, age: self._failed(at, node, unheard, age),
         )
         self._nodes[number], self.clients[number] = node, client
         node.turn(now, api.EndpointsUpdated(api.UpdateScope.CACHED, known_version, ()))
@@ -107,8 +107,8 @@
             self._without.discard(node.number)
             self._last_at = now
 
-    def _failed(self, now: float, node: HollowNode, unheard: float) -> None:
-        node.turn(now, api.EndpointsUpdated(api.UpdateScope.FAILED, 0, (), unheard))
+    def _failed(self, now: float, node: HollowNode, unheard: float, list_age: float) -> None:
+        node.turn(now, api.EndpointsUpdated(api.UpdateScope.FAILED, 0, (), unheard, list_age))
         if self._mode is Mode.PUSHED:
             self.clock.after(PUSHED_PAUSE_S, self._hold_again, node)
 
--- /dev/null
+++ b/irisstack/list_refresh.py
@@ -0,0 +1,98 @@
+"""Decides when a node asks for the endpoint list again after a call for it has failed.
+
+A change of the list counts as told `NEWS_DUE` seconds after its service had it, whatever became of the calls
+that should have brought it. So what bounds the next call is the time since the list was last known to be
+the newest, and not how the last call failed. Only once that time is over do pauses grow as the service needs
+it to work off its queue.
+"""
+
+import math
+from random import Random
+
+from irisstack import interface as api
+
+LOAD_PAUSE = 0.2
+"""Seconds for each sender of a fleet, before its first renewed call after a failure; doubles with each."""
+MOST_DOUBLINGS = 4
+START_SPREAD = 0.25
+"""Of that pause, in which the senders of a fleet first ask."""
+NEWS_DUE = 6.0
+"""Seconds after which news of the list counts as told."""
+LAST_CALL = 5.0
+"""Seconds after which no call should have to begin that brings such news: its answer takes time as well."""
+TRIES_LEFT = 3.0
+"""The time that is left is shared out among so many further calls, since each of them may fail."""
+SHORTEST_PAUSE = 0.2
+SHORTEST_PAUSE_EACH = 0.005
+"""Seconds for each sender, where that is longer: so that a large fleet does not hammer its service."""
+LONGEST_PAUSE = 10.0
+"""Seconds between two calls where the settings do not tell how often to ask."""
+AT_ONCE = 0.2
+"""Seconds: a call that failed sooner was not kept waiting, so its service was not at work on it."""
+
+
+class ListRefresh:
+    """Follows the calls of one sender and knows when the next one is due."""
+
+    def __init__(self, settings: api.Settings, random: Random) -> None:
+        """The pauses are drawn from `random`, the sender's own."""
+        self._random = random
+        self._failures = self._waits = 0
+        self._confirmed_at = -math.inf
+        self._unavailable_at = -math.inf
+        self.adopt(settings)
+        self.next_at = 0.0 if self._asks else math.inf
+        """When to ask, on the sender's clock; infinity while nothing is due."""
+
+    def adopt(self, settings: api.Settings) -> None:
+        """Go by these settings from here on."""
+        self._asks = settings.discovery_on_request
+        self._senders = settings.senders
+        self._longest = settings.ask_within or LONGEST_PAUSE
+
+    def started(self, now: float) -> None:
+        """The process has just started with the list as it was last held."""
+        self._failures = self._waits = 0
+        if self._asks:
+            self.next_at = now + self._load_pause() * self._random.uniform(0.0, START_SPREAD)
+
+    def succeeded(self) -> None:
+        """A list or a change of it has come."""
+        self._failures = self._waits = 0
+
+    def failed(self, now: float, update: api.EndpointsUpdated) -> None:
+        """A call failed, a watch ended, or either has kept the sender waiting for too long."""
+        if not self._asks:
+            return
+        confirmed_at = now - update.list_age
+        if confirmed_at > self._confirmed_at:  # a watch was held since the last failure
+            self._confirmed_at = confirmed_at
+            self._failures = self._waits = 0
+        if AT_ONCE < update.unheard < update.list_age - AT_ONCE:  # a call that was not answered, and no watch
+            self._waits += 1
+        if update.unheard == -math.inf:  # nobody can tell what was missed
+            pause = self._load_pause()
+        else:
+            # Reckoned from the last list that came: a failed call must not begin the 6 s of its news anew.
+            pause = min(self._load_pause(), self._news_pause(now, update.unheard))
+        self.next_at = now + pause * self._random.uniform(0.5, 1.5)
+        self._failures += 1
+
+    def _load_pause(self) -> float:
+        """The pause that lets a service which works through calls in turn catch up with all senders."""
+        doubled = 2.0 ** min(self._failures, MOST_DOUBLINGS)
+        return min(LOAD_PAUSE * self._senders * doubled, self._longest)
+
+    def _news_pause(self, now: float, unheard: float) -> float:
+        """The longest pause with which news of now can still be had in time; infinity if none can be."""
+        left = self._confirmed_at + LAST_CALL - now
+        if now > self._confirmed_at + NEWS_DUE:  # what was missed first is overdue, what came later is not
+            if unheard <= AT_ONCE:
+                self._unavailable_at = now  # no news could be had before
+            left = self._unavailable_at + LAST_CALL - now
+            if now > self._unavailable_at + NEWS_DUE:
+                return math.inf
+        if self._waits > 1 and LOAD_PAUSE * self._senders >= NEWS_DUE:
+            return math.inf  # so large a fleet cannot be served in time by a service that lets calls wait
+        shortest = max(SHORTEST_PAUSE, SHORTEST_PAUSE_EACH * self._senders)
+        return max(shortest, left / TRIES_LEFT)
--- a/irisstack/node/discovery.py
+++ b/irisstack/node/discovery.py
@@ -1,31 +1,28 @@
 """The actor of the endpoint list: asks discovery when told to, and hands on what it says."""
 
-import json
 import time
 from collections.abc import Callable
 from dataclasses import dataclass
+from typing import Any
 
 import gevent
 import structlog
-from gevent import socket
 from gevent.queue import Queue
 
 from irisstack import interface as api
-from irisstack.node import http, sockets
-from irisstack.node.buffer import Buffer
 from irisstack.node.config import HostPort, name_of, peer_of
 from irisstack.node.counters import Counters
+from irisstack.node.list_call import CallFailure, ListCall, Query
 from irisstack.node.list_reader import ListReader
-from irisstack.node.objects import ObjectStream
 
 PAUSE = 0.5
-"""Seconds until a watch that ended is held anew, where the list comes unasked."""
-SILENCE = 3.5
-"""Seconds without a word, due every 2 s, after which a watch counts as broken; calls wait as long.
-
-What is missed from the last word on has to be here 6 s later: this, the pause and the next answer included.
-"""
-
+"""Seconds until a watch that ended or is late is held anew, where the list comes unasked."""
+MOST_WATCHES = 3
+"""Calls for a watch that may be out at once: the oldest goes first."""
+NEWS_DUE = 6.0
+"""Seconds after which news of the list counts as told."""
+NEWS_DUE_AFTER_MOVE = 4.0
+"""And after discovery has moved."""
 MOST_NAMED = 8
 """Endpoints that one line of the log names at most."""
 
@@ -40,9 +37,10 @@
 
 
 class Discovery:
-    """Holds at most one watch and one fetch.
+    """Holds a watch and at most one fetch.
 
-    Where the list comes unasked (`pushed`) the module never subscribes, and the watch is held all along.
+    While a call for a watch is late, another may be out beside it; the first that brings a word is kept.
+    Where the list comes unasked (`pushed`) the module never subscribes, and a watch is held all along.
     """
 
     def __init__(
@@ -55,40 +53,74 @@
         counters: Counters | None = None,
     ) -> None:
         self._counters = counters or Counters()
-        self._confirmed_at = time.monotonic()  # when the list that is held was last known to be the newest
         self._peer = peer
         self._reader = reader
         self._post = post
         self._revision = revision
         self._pushed = pushed
-        self._watch: gevent.Greenlet[..., None] | None = None
-        self._fetch: gevent.Greenlet[..., None] | None = None
+        self._calls_begun = 0
+        self._confirmed_at = time.monotonic()  # when the list that is held was last known to be the newest
+        self._watches: list[ListCall] = []
+        self._fetch: ListCall | None = None
         self._wanted = False  # the module's last word on the watch
         self.mailbox: Queue[api.Action | Moved] = Queue(64)
 
     def run(self) -> None:
+        """Follow the mailbox. Nothing is handed on from here: the way to the module may be full."""
         if self._pushed:
             self.mailbox.put(api.Subscribe(True))
         while True:
             match self.mailbox.get():
-                case api.Subscribe(on):
-                    self._wanted = on
-                    # One that is held already, since discovery has moved meanwhile, is as good as another.
-                    if not on or self._watch is None or self._watch.dead:
-                        self._hold_watch()
+                case api.Subscribe(True):
+                    self._wanted = True
+                    self._hold_watch()
+                case api.Subscribe(False):
+                    self._wanted = False
+                    self._end_watches()
                 case api.FetchEndpoints():
-                    if self._fetch is None or self._fetch.dead:
-                        self._fetch = gevent.spawn(self._ask, "", False)
+                    if self._fetch is None or not self._fetch.current:
+                        self._begin_fetch()
                 case Moved(peer):
                     self._move(peer)
 
+    def close(self) -> None:
+        """End all calls."""
+        self._end_watches()
+        if self._fetch is not None:
+            self._fetch.end()
+
+    # ---- calls ----
+
+    def _begin(self, query: Query) -> ListCall:
+        self._calls_begun += 1
+        self._counters.add("list_calls")
+        log.info(
+            "list_call_begun",
+            call=self._calls_begun,
+            query=query.value,
+            revision=self._revision,
+            list_age_s=round(self._list_age, 3),
+        )
+        return ListCall(self._calls_begun, self._peer, query, self._revision, self)
+
     def _hold_watch(self) -> None:
-        """End the watch that is held, and hold a new one if one is wanted."""
-        if self._watch is not None:
-            self._watch.kill()
-            self._watch = None
-        if self._wanted:
-            self._watch = gevent.spawn(self._ask, f"?watch=1&from={self._revision}", True)
+        """Begin a call for a watch, unless there is one that is not late: that is as good as another."""
+        self._watches = [watch for watch in self._watches if not watch.ended]
+        if any(watch.current for watch in self._watches):
+            return
+        while len(self._watches) >= MOST_WATCHES:
+            self._watches.pop(0).end()
+        self._watches.append(self._begin(Query.WATCH))
+
+    def _end_watches(self) -> None:
+        for watch in self._watches:
+            watch.end()
+        self._watches.clear()
+
+    def _begin_fetch(self) -> None:
+        if self._fetch is not None:
+            self._fetch.end()
+        self._fetch = self._begin(Query.FETCH)
 
     def _move(self, peer: HostPort) -> None:
         """Ask at another address at once; the list that is held stays until the new one comes.
@@ -96,103 +128,27 @@
         Revisions may be counted otherwise there, so the whole list is asked for.
         """
         self._peer, self._revision = peer, 0
-        self._hold_watch()
-        if self._fetch is not None and not self._fetch.dead:
-            self._fetch.kill()
-            self._fetch = gevent.spawn(self._ask, "", False)
-
-    def _ask(self, query: str, watch: bool) -> None:
-        """One call to discovery, to its end; a failure or the end of a watch is told."""
-        connection, word = None, _Word(time.monotonic())
-        began_at = word.heard_at
-        self._counters.add("list_calls")
-        call = self._counters.snapshot()["list_calls"]
-        log.info(
-            "list_call_begun",
-            call=call,
-            watch=watch,
-            revision=self._revision,
-            unconfirmed_s=self._unconfirmed_s(),
-        )
-        try:
-            connection = sockets.connect(self._peer, SILENCE)
-            connection.sendall(http.request("GET", f"/v1/servers{query}", name_of(self._peer)))
-            if watch:
-                self._follow(connection, word, call, began_at)
-            else:
-                answer = self._whole(connection, word)
-                if answer.status == 200:
-                    self._tell(bytes(answer.body))
-                    self._confirmed(word)
-                    return
-                log.info("list_not_had", status=answer.status)
-        except Exception as error:  # whatever it is, the module must hear of it, or it never asks again
-            log.info("list_not_had", error=repr(error))
-        finally:
-            if connection is not None:
-                connection.close()
-        unheard = time.monotonic() - word.heard_at if connection is not None else 0.0
-        self._counters.add("list_calls_failed")
-        log.info(
-            "list_call_ended",
-            call=call,
-            unheard_s=round(unheard, 3),
-            unconfirmed_s=self._unconfirmed_s(),
-        )
-        self._post(api.EndpointsUpdated(api.UpdateScope.FAILED, self._revision, (), unheard))
-        if watch and self._pushed:
-            gevent.sleep(PAUSE)
-            self.mailbox.put(api.Subscribe(True))
+        self._confirmed_at = time.monotonic() - (NEWS_DUE - NEWS_DUE_AFTER_MOVE)
+        self._end_watches()
+        if self._wanted:
+            self._hold_watch()
+        if self._fetch is not None and not self._fetch.ended:
+            self._begin_fetch()
 
-    def _whole(self, connection: socket.socket, word: "_Word") -> http.Message:
-        buffer, reader = Buffer(), http.AnswerReader(http.MAX_LIST)
-        while (answer := reader.advance(buffer)) is None:
-            if not word.receive(connection, buffer):
-                answer = reader.ended()
-                if answer is None:
-                    raise ConnectionResetError("the answer ended early")
-                break
-        return answer
-
-    def _unconfirmed_s(self) -> float:
+    # ---- what calls tell ----
+
+    @property
+    def _list_age(self) -> float:
         """Seconds since the list that is held was last known to be the newest."""
-        return round(time.monotonic() - self._confirmed_at, 3)
-
-    def _confirmed(self, word: "_Word") -> None:
-        """Discovery was heard in full: what it has not told by now is not known to it."""
-        word.heard_at = time.monotonic()
-        self._counters.raise_to("list_unconfirmed_longest_ms", round(self._unconfirmed_s() * 1000.0))
-        self._confirmed_at = word.heard_at
-
-    def _follow(self, connection: socket.socket, word: "_Word", call: int, began_at: float) -> None:
-        """Hand on each object of a watch until it ends."""
-        answered = False
-        buffer, reader = Buffer(), http.AnswerReader(http.MAX_LIST)
-        objects = ObjectStream(http.MAX_LIST)
-        while word.receive(connection, buffer):
-            ended = reader.advance(buffer)
-            status = (ended or reader.message).status
-            if status == 200:
-                body = bytes(ended.body) if ended is not None else reader.take_body()
-                for whole in objects.feed(body):
-                    self._tell(whole)
-                    self._confirmed(word)
-                if objects.between and b"\n" in body:
-                    self._confirmed(word)
-                if not answered and word.heard_at > began_at:
-                    answered = True
-                    after_s = round(word.heard_at - began_at, 3)
-                    log.info("list_call_answered", call=call, after_s=after_s, revision=self._revision)
-            if ended is not None or (reader.head_done and status != 200):
-                log.info("watch_ended", status=status)
-                return
-
-    def _tell(self, whole: bytes) -> None:
+        return time.monotonic() - self._confirmed_at
+
+    def on_object(self, call: ListCall, said: Any) -> None:
         """Hand on what one object says. Only then is it known: a watch ended meanwhile is told it again."""
-        update = self._reader.update(json.loads(whole))
+        update = self._reader.update(said)
         not_offered = [e.address for e in update.endpoints if e.state is not api.EndpointState.READY]
         log.info(
             "list_updated",
+            call=call.number,
             scope=update.scope.name,
             revision=update.version,
             lines=len(update.endpoints),
@@ -201,17 +157,32 @@
         self._post(update)
         self._revision = update.version
 
-
-@dataclass(slots=True)
-class _Word:
-    """When discovery was last heard in full: a call's begin, a whole object, an empty line.
-
-    Bytes that make none of these are no word, however many come.
-    """
-
-    heard_at: float
-
-    def receive(self, connection: socket.socket, buffer: Buffer) -> int:
-        """Read once; raises `TimeoutError` when no word has come for too long and nothing is unread."""
-        gevent.sleep(0)  # a flood must not keep the others from their turn
-        return sockets.receive_before(connection, buffer, self.heard_at + SILENCE)
+    def on_word(self, call: ListCall) -> None:
+        """The list is known to be the newest; other calls for a watch are not needed any more."""
+        self._counters.raise_to("list_age_longest_ms", round(self._list_age * 1000.0))
+        self._confirmed_at = time.monotonic()
+        if call not in self._watches:
+            return
+        for other in self._watches:
+            if other is not call:
+                other.end()
+        self._watches = [call]
+
+    def on_failure(self, call: ListCall, failure: CallFailure) -> None:
+        """Tell the module, which decides when to ask again."""
+        self._counters.add("list_calls_failed")
+        log.info(
+            "list_call_failed",
+            call=call.number,
+            reason=failure.reason,
+            unheard_s=round(failure.unheard, 3),
+            list_age_s=round(self._list_age, 3),
+        )
+        self._post(
+            api.EndpointsUpdated(
+                api.UpdateScope.FAILED, self._revision, (), failure.unheard, list_age=self._list_age
+            )
+        )
+        if self._pushed and call in self._watches:
+            gevent.sleep(PAUSE)
+            self.mailbox.put(api.Subscribe(True))
--- /dev/null
+++ b/irisstack/node/list_call.py
@@ -0,0 +1,208 @@
+"""One call for the endpoint list: a fetch of the whole list, or a watch on its changes."""
+
+import json
+import math
+import time
+from dataclasses import dataclass
+from enum import Enum
+from typing import Any, Protocol
+
+import gevent
+import structlog
+from gevent import socket
+
+from irisstack.node import http, sockets
+from irisstack.node.buffer import Buffer
+from irisstack.node.config import HostPort, name_of
+from irisstack.node.objects import ObjectStream
+
+ANSWER_LATE = 1.2
+"""Seconds from its begin after which a call without a word is late: another may be begun beside it."""
+COMING_LATE = 1.8
+"""The same for one whose bytes are coming."""
+COMING = 0.6
+"""Seconds from a byte to the next for which they count as coming."""
+WORD_LATE = 2.6
+"""Seconds without a word after which a watch is late; one is due every 2 s.
+
+What is missed from the last word on has to be here 6 s later, also where the next call is late too.
+"""
+SILENCE = 3.5
+"""Seconds without a word after which a call ends."""
+STILL_LATE = 0.2
+"""Seconds between two looks at a call that is late, or has bytes that nobody has read yet."""
+
+log = structlog.get_logger()
+
+
+class Query(Enum):
+    """What is asked."""
+
+    FETCH = "fetch"
+    WATCH = "watch"
+
+
+@dataclass(slots=True, frozen=True)
+class CallFailure:
+    """Why a call brings nothing any more, or not in time."""
+
+    unheard: float
+    """Seconds since discovery, which took the call, was heard; 0 if it was not reached."""
+    reason: str
+
+
+class Listener(Protocol):
+    """Who made the call."""
+
+    def on_object(self, call: "ListCall", said: Any) -> None:
+        """Discovery has said this; raises if it is no list."""
+
+    def on_word(self, call: "ListCall") -> None:
+        """Discovery was heard in full: the list that the call has brought so far is the newest."""
+
+    def on_failure(self, call: "ListCall", failure: CallFailure) -> None:
+        """The call has failed, or is late. It is told once, and anew only after a word in between."""
+
+
+class ListCall:
+    """Runs in two greenlets: one reads, the other tells when the call is late.
+
+    Bytes that make no whole object and no empty line are no word, however many come.
+    """
+
+    def __init__(self, number: int, peer: HostPort, query: Query, revision: int, listener: Listener) -> None:
+        """`number` names the call in the log; a watch is told what has changed since `revision`."""
+        self.number = number
+        self.began_at = self._heard_at = time.monotonic()
+        self._peer = peer
+        self._query = query
+        self._revision = revision
+        self._listener = listener
+        self._connection: socket.socket | None = None
+        self._buffer = Buffer()
+        self._answered = False
+        self._bytes_at = -math.inf
+        self._late = False
+        self.ended = False
+        """Whether nothing is told of the call any more."""
+        self._greenlets = [gevent.spawn(self._run), gevent.spawn(self._watch_the_time)]
+
+    @property
+    def current(self) -> bool:
+        """Whether the call goes on and is not late."""
+        return not self.ended and not self._late
+
+    def end(self) -> None:
+        """End the call; nothing is told of it any more."""
+        self.ended = True
+        gevent.killall(self._greenlets, block=False)
+
+    # ---- reading ----
+
+    def _run(self) -> None:
+        try:
+            reason = self._ask()
+        except Exception as error:  # whatever it is, the caller must hear of it, or it never asks again
+            reason = repr(error)
+        finally:
+            if self._connection is not None:
+                self._connection.close()
+        if self.ended:
+            return
+        self.ended = True
+        if reason and not self._late:
+            self._listener.on_failure(self, CallFailure(self._unheard, reason))
+
+    @property
+    def _unheard(self) -> float:
+        return time.monotonic() - self._heard_at if self._connection is not None or self._late else 0.0
+
+    def _ask(self) -> str:
+        """Make the call; returns why it failed or how a watch ended; empty for a fetch that was answered."""
+        self._connection = sockets.connect(self._peer, SILENCE)
+        query = f"?watch=1&from={self._revision}" if self._query is Query.WATCH else ""
+        self._connection.sendall(http.request("GET", f"/v1/servers{query}", name_of(self._peer)))
+        if self._query is Query.WATCH:
+            return f"ended with status {self._follow()}"
+        answer = self._whole()
+        if answer.status != 200:
+            return f"ended with status {answer.status}"
+        self._tell(bytes(answer.body))
+        self._heard()
+        return ""
+
+    def _whole(self) -> http.Message:
+        reader = http.AnswerReader(http.MAX_LIST)
+        while (answer := reader.advance(self._buffer)) is None:
+            if not self._receive():
+                answer = reader.ended()
+                if answer is None:
+                    raise ConnectionResetError("the answer ended early")
+                break
+        return answer
+
+    def _follow(self) -> int:
+        """Hand on each object of a watch until it ends; returns the status of its answer, 0 if none came."""
+        reader, objects = http.AnswerReader(http.MAX_LIST), ObjectStream(http.MAX_LIST)
+        while self._receive():
+            ended = reader.advance(self._buffer)
+            status = (ended or reader.message).status
+            if status == 200:
+                body = bytes(ended.body) if ended is not None else reader.take_body()
+                for whole in objects.feed(body):
+                    self._tell(whole)
+                    self._heard()
+                if objects.between and b"\n" in body:
+                    self._heard()
+            if ended is not None or (reader.head_done and status != 200):
+                return status
+        return reader.message.status
+
+    def _receive(self) -> int:
+        """Read once; raises `TimeoutError` when no word has come for too long and nothing is unread."""
+        assert self._connection is not None
+        gevent.sleep(0)  # a flood must not keep the others from their turn
+        received = sockets.receive_before(self._connection, self._buffer, self._heard_at + SILENCE)
+        self._bytes_at = time.monotonic()
+        return received
+
+    def _tell(self, whole: bytes) -> None:
+        if not self.ended:
+            self._listener.on_object(self, json.loads(whole))
+
+    def _heard(self) -> None:
+        if self.ended:
+            return
+        self._heard_at = time.monotonic()
+        self._late = False
+        if not self._answered:
+            self._answered = True
+            after_s = round(self._heard_at - self.began_at, 3)
+            log.info("list_call_answered", call=self.number, after_s=after_s)
+        self._listener.on_word(self)
+
+    # ---- the time ----
+
+    def _watch_the_time(self) -> None:
+        """Tell when the call is late, and again when it is so after it has been heard once more."""
+        while not self.ended:
+            wait = self._late_at - time.monotonic()
+            if wait > 0.0:
+                gevent.sleep(wait)
+            elif self._late or self._unread:
+                gevent.sleep(STILL_LATE)
+            else:
+                self._late = True
+                self._listener.on_failure(self, CallFailure(self._unheard, "late"))
+
+    @property
+    def _late_at(self) -> float:
+        if self._answered:
+            return self._heard_at + WORD_LATE
+        coming = time.monotonic() < self._bytes_at + COMING
+        return self.began_at + (COMING_LATE if coming else ANSWER_LATE)
+
+    @property
+    def _unread(self) -> bool:
+        """Whether bytes lie there that came while this process stood still."""
+        return self._connection is not None and not sockets.quiet(self._connection)
--- a/tests/lab/scale/test_list_service.py
+++ b/tests/lab/scale/test_list_service.py
@@ -7,7 +7,7 @@
 from irisstack.lab.scale.list_lines import FRAME_BYTES, HEAD_BYTES, LINE_BYTES
 from irisstack.lab.scale.list_service import Costs, ListCall, ListService, State
 from irisstack.lab.virtual.clock import Clock
-from irisstack.node import discovery, http
+from irisstack.node import discovery, http, list_call
 
 
 class Client:
@@ -37,7 +37,9 @@
 
 
 def test_its_times_are_those_of_the_real_node() -> None:
-    assert list_client.SILENCE_S == discovery.SILENCE
+    assert list_client.SILENCE_S == list_call.SILENCE
+    assert list_client.ANSWER_LATE_S == list_call.ANSWER_LATE
+    assert list_client.WORD_LATE_S == list_call.WORD_LATE
     assert list_client.PUSHED_PAUSE_S == discovery.PAUSE
 
 
--- a/tests/node/test_list_age.py
+++ b/tests/node/test_list_age.py
@@ -112,7 +112,7 @@
 
     def close(self) -> None:
         gevent.killall(self._greenlets)
-        gevent.killall([each for each in (self.discovery._watch, self.discovery._fetch) if each])
+        self.discovery.close()
         self.service.close()
         self._endpoint.close()
 
--- a/tests/node/test_list_clock.py
+++ b/tests/node/test_list_clock.py
@@ -12,8 +12,9 @@
 from gevent.event import Event
 
 from irisstack import interface as api
-from irisstack.node import discovery
-from irisstack.node.discovery import PAUSE, SILENCE, Discovery, Moved
+from irisstack.node import list_call
+from irisstack.node.discovery import PAUSE, Discovery, Moved
+from irisstack.node.list_call import SILENCE, WORD_LATE
 from irisstack.node.list_reader import ListReader
 from irisstack.settings import Reader, read
 from tests.node.support import listening, until
@@ -57,9 +58,7 @@
         worker = gevent.spawn(part.run)
         yield part, server
         worker.kill()
-        for each in (part._watch, part._fetch):
-            if each is not None:
-                each.kill()
+        part.close()
 
 
 def accept(server: socket.socket) -> tuple[socket.socket, bytes]:
@@ -74,7 +73,7 @@
     with suppress(OSError):
         for byte in data:
             connection.sendall(bytes([byte]))
-            gevent.sleep(discovery.SILENCE / 10)
+            gevent.sleep(list_call.SILENCE / 10)
 
 
 ENDLESS = b'{"revision": 5, "members": ["' + b"x" * 100_000
@@ -95,7 +94,7 @@
 def test_a_call_that_falls_silent_is_given_up_however_its_bytes_trickle(
     monkeypatch: pytest.MonkeyPatch, at_once: bytes, then: bytes, watch: bool
 ) -> None:
-    monkeypatch.setattr(discovery, "SILENCE", 0.3)
+    monkeypatch.setattr(list_call, "SILENCE", 0.3)
     told: list[api.EndpointsUpdated] = []
     with follower(told.append) as (part, server):
         part.mailbox.put(api.Subscribe(True) if watch else api.FetchEndpoints())
@@ -105,13 +104,13 @@
             feeding = gevent.spawn(trickle, connection, then)
             failed = until(lambda: told and told[-1].scope is api.UpdateScope.FAILED and told[-1])
             feeding.kill()
-        assert failed.unheard >= discovery.SILENCE
+        assert failed.unheard >= list_call.SILENCE
         part.mailbox.put(api.Subscribe(True) if watch else api.FetchEndpoints())
         accept(server)[0].close()  # nothing keeps the next call from starting
 
 
 def test_empty_lines_and_objects_keep_a_watch(monkeypatch: pytest.MonkeyPatch) -> None:
-    monkeypatch.setattr(discovery, "SILENCE", 0.3)
+    monkeypatch.setattr(list_call, "SILENCE", 0.3)
     told: list[api.EndpointsUpdated] = []
     with follower(told.append) as (part, server):
         part.mailbox.put(api.Subscribe(True))
@@ -186,7 +185,7 @@
         connection.sendall(HEAD + chunk(document(9)))
         assert reading.wait(20.0)
         part.mailbox.put(api.Subscribe(False))
-        until(lambda: part._watch is None)
+        until(lambda: not part._watches)
         way.set()
         part.mailbox.put(api.Subscribe(True))
         again, request = accept(server)
@@ -279,7 +278,7 @@
         driver = Driver(endpoint(1), discovery_on_request=True, ask_within=10.0, senders=senders, seed=seed)
         driver.turn(50.0)
         before = len(driver.subscribed)
-        driver.turn(60.0, api.EndpointsUpdated(api.UpdateScope.FAILED, 1, (), unheard))
+        driver.turn(60.0, api.EndpointsUpdated(api.UpdateScope.FAILED, 1, (), unheard, list_age=unheard))
         driver.turn(90.0)
         waits.append(driver.subscribed[before] - 60.0)
     assert unheard + max(waits) + ANSWER <= 6.0
@@ -312,4 +311,4 @@
 
 
 def test_where_the_list_comes_unasked_a_silent_watch_is_made_good_in_time() -> None:
-    assert SILENCE + PAUSE + ANSWER < 6.0
+    assert WORD_LATE + PAUSE + ANSWER < 6.0
--- a/tests/test_design.py
+++ b/tests/test_design.py
@@ -368,7 +368,7 @@
                 ends.remove((at, number, fine))
                 told[number] |= fine
                 scope = api.UpdateScope.DELTA if fine else api.UpdateScope.FAILED
-                driver.turn(now, api.EndpointsUpdated(scope, 2, (), 0.0 if fine else patience))
+                driver.turn(now, api.EndpointsUpdated(scope, 2, (), 0.0 if fine else patience, list_age=now))
             driver.turn(now)
             if len(driver.subscribed) > asked[number]:
                 asked[number] += 1
--- a/tests/test_module_limits.py
+++ b/tests/test_module_limits.py
@@ -3,7 +3,10 @@
 import ast
 from pathlib import Path
 
-MODULE = Path(__file__).resolve().parent.parent / "irisstack" / "choice.py"
+import pytest
+
+PACKAGE = Path(__file__).resolve().parent.parent / "irisstack"
+MODULE, LIST_REFRESH = PACKAGE / "choice.py", PACKAGE / "list_refresh.py"
 LINES = 720
 COLUMNS = 110
 PURE = {
@@ -13,6 +16,7 @@
     "heapq",
     "irisstack",
     "irisstack.interface",
+    "irisstack.list_refresh",
     "itertools",
     "math",
     "random",
@@ -30,9 +34,10 @@
     assert any("irisstack/interface.py" in line for line in head)
 
 
-def test_imports_nothing_that_could_reach_a_clock_a_file_or_a_socket() -> None:
+@pytest.mark.parametrize("module", [MODULE, LIST_REFRESH], ids=lambda module: module.name)
+def test_imports_nothing_that_could_reach_a_clock_a_file_or_a_socket(module: Path) -> None:
     imported = set()
-    for node in ast.walk(ast.parse(MODULE.read_text())):
+    for node in ast.walk(ast.parse(module.read_text())):
         if isinstance(node, ast.Import):
             imported |= {alias.name for alias in node.names}
         elif isinstance(node, ast.ImportFrom):
--- a/tests/test_node_clients.py
+++ b/tests/test_node_clients.py
@@ -204,7 +204,7 @@
         eventually(lambda: platform.watchers)
         crowd = [socket.create_connection(("127.0.0.1", node.port)) for _ in range(200)]
         platform.close()
-        eventually(lambda: '"event": "list_not_had"' in node.log.read_text())
+        eventually(lambda: '"event": "list_call_failed"' in node.log.read_text())
         crowd += [socket.create_connection(("127.0.0.1", node.port)) for _ in range(200)]
         assert eventually(lambda: node.hand_in("m1").status == 202)
         eventually(lambda: old.calls_with("m1"))
