Failing tests: drains at the service's return where lists are pushed, and after a move

Cause: two more spans that the calls for the list do not keep. Where lists are pushed, what is had at the return of the service counts at once, and the watch was held anew 0.5 s later. After a SIGHUP that moves discovery what is had there counts 4 s later, and calls went by the age of the list from the old address.

--- a/irisstack/node/discovery.py
+++ b/irisstack/node/discovery.py
@@ -19,10 +19,6 @@
 """Seconds until a watch that ended or is late is held anew, where the list comes unasked."""
 MOST_WATCHES = 3
 """Calls for a watch that may be out at once: the oldest goes first."""
-NEWS_DUE = 6.0
-"""Seconds after which news of the list counts as told."""
-NEWS_DUE_AFTER_MOVE = 4.0
-"""And after discovery has moved."""
 MOST_NAMED = 8
 """Endpoints that one line of the log names at most."""
 
@@ -128,7 +124,6 @@
         Revisions may be counted otherwise there, so the whole list is asked for.
         """
         self._peer, self._revision = peer, 0
-        self._confirmed_at = time.monotonic() - (NEWS_DUE - NEWS_DUE_AFTER_MOVE)
         self._end_watches()
         if self._wanted:
             self._hold_watch()
--- a/tests/node/test_list_age.py
+++ b/tests/node/test_list_age.py
@@ -16,6 +16,7 @@
 """
 
 import copy
+import socket
 import time
 from pathlib import Path
 
@@ -23,7 +24,8 @@
 
 from irisstack import interface as api
 from irisstack.choice import Sender
-from irisstack.node.discovery import Discovery
+from irisstack.node.discovery import Discovery, Moved
+from irisstack.node.list_call import ANSWER_LATE
 from irisstack.node.list_reader import ListReader
 from irisstack.settings import Reader, read
 from tests.node.list_support import CallFate, ScriptedDiscovery, TimedPeer
@@ -31,6 +33,8 @@
 
 TOLD_AFTER_S = 6.0
 """Seconds after which a node counts as told of what the service has, whether or not it has heard."""
+TOLD_AFTER_MOVE_S = 4.0
+"""And after the node was told to look for its list elsewhere."""
 GRACE_S = 0.3
 """Seconds in which calls to a draining endpoint may still begin then."""
 STANDSTILL_S = 0.15
@@ -148,3 +152,45 @@
         for follower in followers:
             follower.close()
     assert late == {}
+
+
+def test_what_the_service_has_at_its_return_is_known_at_once_where_lists_are_pushed() -> None:
+    """The node's agent counts what it gets at the return of its service as told in that very moment."""
+    followers = [Follower(2, seed, (), pushed=True) for seed in range(8)]
+    try:
+        for follower in followers:
+            follower.service.script = [R] * 1000
+        for watcher in [watcher for each in followers for watcher in each.service.watchers]:
+            watcher.shutdown(socket.SHUT_RDWR)
+        gevent.sleep(1.0)
+        for follower in followers:
+            gevent.sleep(0.07)
+            follower.drain()
+            follower.service.script.clear()
+        gevent.sleep(1.5)
+        waits = [round(each.told_at - each.had_at, 3) for each in followers]
+    finally:
+        for follower in followers:
+            follower.close()
+    assert min(waits) >= 0.0
+    assert max(waits) <= GRACE_S - STANDSTILL_S
+
+
+def test_after_a_move_the_list_of_the_new_address_is_had_within_four_seconds() -> None:
+    """What is had at the address that a SIGHUP names counts as told 4 s after it."""
+    followers = [Follower(24, seed, (), pushed=seed < 4) for seed in range(20)]
+    elsewhere = {follower: ScriptedDiscovery(S, R, S) for follower in followers}
+    try:
+        gevent.sleep(3.0)
+        for follower, service in elsewhere.items():
+            service.members = [{**line, "phase": "DRAINING"} for line in follower.service.members]
+            follower.had_at = time.monotonic()
+            follower.discovery.mailbox.put(Moved(("127.0.0.1", service.port)))
+        gevent.sleep(TOLD_AFTER_MOVE_S + 2.0)
+        waits = [round(each.told_at - each.had_at, 3) for each in followers]
+    finally:
+        for follower, service in elsewhere.items():
+            follower.close()
+            service.close()
+    assert min(waits) > 2.0 * ANSWER_LATE
+    assert max(waits) <= TOLD_AFTER_MOVE_S + GRACE_S - STANDSTILL_S
