--- a/tests/node/test_notices.py
+++ b/tests/node/test_notices.py
@@ -1,5 +1,6 @@
 """Notices to a platform whose answer is late, cut or endless."""
 
+import time
 from contextlib import suppress
 from pathlib import Path
 
@@ -13,6 +14,10 @@
 from tests.node.support import listening, until
 from tests.test_node_parts import take
 
+NOTICE_DUE_S = 0.35
+"""Seconds after a message's time in which its notice has to come."""
+STANDSTILL_S = 0.15
+"""Seconds for which the node may be held up meanwhile."""
 NO_ANSWERS = {
     "nothing": b"",
     "half a line": b"HTTP/1.1 20",
@@ -53,3 +58,29 @@
         for each in (first, second):
             each.close()
     assert store.entries[1].told
+
+
+def test_a_connection_that_has_fallen_silent_does_not_make_a_notice_late(tmp_path: Path) -> None:
+    """A notice is due 0.3 s after its message's time, and the connection was kept from the notice before."""
+    store = Store(tmp_path, 3_000_000, 1000.0)
+    for number in (1, 2):
+        take(store, number)
+        store.write([store.over(number, "dead")], 1000.0)
+    with listening() as server:
+        part = Notices(server.getsockname(), store, Counters())
+        worker = gevent.spawn(part.run)
+        part.owe(store.entries[1])
+        first, _ = server.accept()
+        assert first.recv(65536)
+        first.sendall(b"HTTP/1.1 204 No Content\r\n\r\n")
+        until(lambda: part.idle)
+        owed_at = time.monotonic()
+        part.owe(store.entries[2])
+        with gevent.Timeout(20.0, AssertionError("not told anew")):
+            second, _ = server.accept()
+            assert b'{"ref": "m2", "result": "dead"}' in second.recv(65536)
+        told_after = time.monotonic() - owed_at
+        worker.kill()
+        for each in (first, second):
+            each.close()
+    assert told_after <= NOTICE_DUE_S - STANDSTILL_S
