Heed a drain in a line that is spoilt elsewhere; leave a silent notice connection after 0.1 s

Change: the reader keeps what it last read of each endpoint by id and falls back on it where a line says that it drains or is gone.

--- a/irisstack/node/list_reader.py
+++ b/irisstack/node/list_reader.py
@@ -35,7 +35,7 @@
         self._waiting: dict[str, Mapping[str, Any]] = {}  # lines of kinds not known yet, by id
         self._revision = 0
         self._zones = {name: i for i, name in enumerate(settings.zones)}
-        self._addresses: dict[str, api.Address] = {}
+        self._known: dict[str, api.Endpoint] = {}  # by id, as last read
         self._owners: dict[api.Address, str] = {}  # the id that stands for each address
 
     def update(self, raw: Mapping[str, Any], scope: api.UpdateScope | None = None) -> api.EndpointsUpdated:
@@ -49,7 +49,7 @@
         endpoints = self._read(members)
         if scope is not api.UpdateScope.DELTA:  # what the whole list leaves out is forgotten
             here = {endpoint.address for endpoint in endpoints}
-            self._addresses = {id_: address for id_, address in self._addresses.items() if address in here}
+            self._known = {id_: known for id_, known in self._known.items() if known.address in here}
             self._owners = {address: id_ for address, id_ in self._owners.items() if address in here}
         return api.EndpointsUpdated(scope, revision, tuple(endpoints))
 
@@ -67,19 +67,36 @@
         endpoints: list[api.Endpoint] = []
         for member in members:
             try:
-                if not self._waits(member):
-                    endpoints.extend(self._endpoints(member))
+                if self._waits(member):
+                    continue
+                said: tuple[str, api.Endpoint] | None = str(member["id"]), self._endpoint(member)
             except Exception as error:  # a single bad line must not cost the rest of the list
                 log.warning("list_line_unread", line=str(member)[:200], error=repr(error))
+                # That an endpoint drains or is gone is heeded all the same: all else of it is known.
+                said = self._no_longer_offered(member)
+            if said is not None:
+                endpoints.extend(self._place(*said))
         return endpoints
 
+    def _no_longer_offered(self, member: Any) -> tuple[str, api.Endpoint] | None:
+        """What an unreadable line still says of an endpoint that is known, if that drains or is gone."""
+        if not isinstance(member, Mapping):
+            return None
+        id_, state = str(member.get("id")), STATES.get(str(member.get("phase")))
+        known = self._known.get(id_)
+        if known is None or state is None or state is api.EndpointState.READY:
+            return None
+        return id_, replace(known, state=state)
+
     def _waits(self, member: Mapping[str, Any]) -> bool:
         """Whether a line is kept until its kind is known; the newest of each id counts."""
         if not self._most_waiting:
             return False
-        id_ = str(member["id"])
+        id_, state = str(member["id"]), STATES[member["phase"]]
         self._waiting.pop(id_, None)
-        if member["flavor"] in self._kinds or STATES[member["phase"]] is api.EndpointState.GONE:
+        if member["flavor"] in self._kinds or state is api.EndpointState.GONE:
+            return False
+        if id_ in self._known and state is not api.EndpointState.READY:
             return False
         if len(self._waiting) >= self._most_waiting:
             return False
@@ -91,21 +108,17 @@
         """A zone's number. One that the settings do not name gets its own: it must not pass for another."""
         return self._zones.setdefault(str(name), UNNAMED_ZONES + len(self._zones))
 
-    def _endpoints(self, member: Mapping[str, Any]) -> list[api.Endpoint]:
-        """What a line says, place by place: an address under another id is another endpoint.
-
-        The one there before is gone then, and what the list may still say of it means that place no more.
-        """
-        id_ = str(member["id"])
+    def _endpoint(self, member: Mapping[str, Any]) -> api.Endpoint:
+        """What a line says; raises what a field that cannot be read raises."""
         state = STATES[member["phase"]]
-        before = self._addresses.get(id_)
-        if state is api.EndpointState.GONE and "host_port" not in member and before is not None:
-            address = before
+        known = self._known.get(str(member["id"]))
+        if state is api.EndpointState.GONE and "host_port" not in member and known is not None:
+            address = known.address
         else:
             host, port = host_port(member["host_port"], "host_port")
             address = (socket.inet_aton(host), port)
         since = float(member.get("up_since_ms", 0)) / 1000.0
-        endpoint = api.Endpoint(
+        return api.Endpoint(
             address,
             state,
             self._kinds[member["flavor"]],
@@ -114,15 +127,23 @@
             float(member.get("size", 1.0)),
             self._clock.to_monotonic(since) if since else None,
         )
+
+    def _place(self, id_: str, endpoint: api.Endpoint) -> list[api.Endpoint]:
+        """What a line means place by place: an address under another id is another endpoint.
+
+        The one there before is gone then, and what the list may still say of it means that place no more.
+        """
+        address, state = endpoint.address, endpoint.state
+        known = self._known.get(id_)
         owner = self._owners.get(address)
         lines: list[api.Endpoint] = []
-        if before is not None and before != address and self._owners.get(before) == id_:
-            del self._owners[before]
-            lines.append(replace(endpoint, address=before, state=api.EndpointState.GONE))
+        if known is not None and known.address != address and self._owners.get(known.address) == id_:
+            del self._owners[known.address]
+            lines.append(replace(endpoint, address=known.address, state=api.EndpointState.GONE))
         if state is api.EndpointState.GONE:
-            self._addresses.pop(id_, None)
+            self._known.pop(id_, None)
         else:
-            self._addresses[id_] = address
+            self._known[id_] = endpoint
         if owner is not None and owner != id_:
             if state is not api.EndpointState.READY:
                 return lines
--- a/irisstack/node/notices.py
+++ b/irisstack/node/notices.py
@@ -15,10 +15,10 @@
 from irisstack.node.counters import Counters
 from irisstack.node.store import Entry, Store
 
-REQUEST_TIMEOUT = 1.0
-"""Seconds for one request, from the connect to the end of its answer."""
+FIRST_TIMEOUT, REQUEST_TIMEOUT = 0.1, 1.0
+"""Seconds for one request, from the connect to the end of its answer: at first, and at most. They double."""
 RETRY_PAUSE = 0.1
-"""Seconds from a failed request to the next."""
+"""Seconds from the begin of a failed request to the next, at least."""
 MAX_BATCH = 200
 """Notices in one request; a body holds 64 KiB at most."""
 
@@ -35,6 +35,7 @@
         self._pending: dict[int, Entry] = {}
         self._wake = Event()
         self._socket: socket.socket | None = None
+        self._timeout = FIRST_TIMEOUT
 
     def owe(self, entry: Entry) -> None:
         """Post a notice of this message."""
@@ -61,8 +62,9 @@
             self._wake.clear()
             while self._pending:
                 batch = list(self._pending.values())[:MAX_BATCH]
+                began_at = time.monotonic()
                 if not self._post_batch(batch):
-                    gevent.sleep(RETRY_PAUSE)
+                    gevent.sleep(max(0.0, began_at + RETRY_PAUSE - time.monotonic()))
 
     def _post_batch(self, batch: list[Entry]) -> bool:
         """Post some notices; returns whether all are settled: acknowledged, or refused as unreadable."""
@@ -84,12 +86,13 @@
     def _post(self, body: bytes) -> int:
         """The status of one POST; 0 if no whole answer came."""
         buffer, reader = Buffer(), http.AnswerReader()
-        deadline = time.monotonic() + REQUEST_TIMEOUT
+        timeout = min(self._timeout, REQUEST_TIMEOUT)
+        deadline = time.monotonic() + timeout
         try:
             if self._socket is not None and not sockets.quiet(self._socket):
                 self._close()
             peer = self._peer
-            connection = self._socket = self._socket or sockets.connect(peer, REQUEST_TIMEOUT)
+            connection = self._socket = self._socket or sockets.connect(peer, timeout)
             if peer != self._peer:
                 raise ConnectionAbortedError("the platform has moved")
             connection.settimeout(max(0.001, deadline - time.monotonic()))
@@ -102,7 +105,10 @@
         except (OSError, http.BadMessage) as error:
             log.info("notice_connection_lost", error=repr(error))
             self._close()
+            # A notice is due 0.3 s after its message's time: a silent connection must leave time for another.
+            self._timeout = 2.0 * timeout
             return 0
+        self._timeout = FIRST_TIMEOUT
         if not answer.keep_alive:
             self._close()
         return answer.status
