The soak plays drains and calls for the list that fail, and judges them

Change: two endpoints, of which one drains or goes now and then; calls for the list that are refused, kept waiting, cut, spoilt or silent, two in a row at most; fleets of 2 and 24; the audit of drains, by what was written to the node and by the 6 s. Plays last 12 s instead of 7. Records and audit in a module of their own.

--- a/tests/node/fault_soak.py
+++ b/tests/node/fault_soak.py
@@ -15,95 +15,43 @@
 import tempfile
 import threading
 import time
-from collections.abc import Iterator
+from collections.abc import Iterator, Sequence
 from concurrent.futures import ThreadPoolExecutor
-from dataclasses import dataclass, field
 from pathlib import Path
 from random import Random
 
 from irisstack.lab.faults.rig import DescriptorKind, Rig, Rule, SystemCall
 from irisstack.node import http
 from tests.node.fault_support import led_node
+from tests.node.soak_audit import HARNESS_SLACK_S, RESULT_SLACK_S, WINDOW_S, Handed, Play, Received, audit
+from tests.node.soak_discovery import Drainer, SoakDiscovery
 from tests.node_support import EndpointPeer, Node, PlatformPeer, message, raw
 
-PLAY_S = 7.0
+PLAY_S = 12.0
 """Seconds in which messages are handed in."""
 CLIENTS, CROWD = 5, 60
+FLEETS = (2, 24)
+"""Nodes that the settings tell of; the pauses between calls for the list go by them."""
 KILL_AFTER_S = 3.7
 """Seconds from SIGTERM to SIGKILL, the earliest that the protocol allows."""
 RESTART_AFTER_S = 0.6
 ANSWER_WITHIN_S = 2.5
-RESULT_SLACK_S = 0.35
-"""Seconds after a message's time within which its end must be known."""
-HARNESS_SLACK_S = 1.0
-"""What the harness itself may add on a busy machine; every step of the wall clock is longer."""
-WAIT_SLACK_S = 0.25
-"""Seconds after a wait was told in which calls that were under way may still come."""
-END_SLACK_S = 0.05
-"""Seconds by which the node may read of a wait before the endpoint has noted it."""
-READY_SLACK_S = 1.5
-"""Seconds after a restarted node is ready in which nothing is overdue."""
-WINDOW_S = 3.0
-"""In which the endpoint recognises a repeat of a keyed message."""
 STEPS_S = (-3600.0, -20.0, -3.0, 3.0, 20.0, 3600.0)
 UNEXPECTED = ('"part_failed"', '"call_failed"', '"request_failed"')
 """Events of the log that tell of an error which the node did not foresee."""
 KINDS = ("safe", "keyed", "unsafe")
 
 
-@dataclass(slots=True)
-class Handed:
-    """A message that a client handed in."""
-
-    id: str
-    kind: str
-    sent: float
-    due: float
-    opened: float = 0.0
-    """When the connection was opened that it was last sent on."""
-    status: int | None = None
-    """Of the answer; None if the connection ended without one."""
-    ended: float = 0.0
-
-
-@dataclass(slots=True)
-class Received:
-    """A call that the endpoint received in whole."""
-
-    id: str
-    at: float
-    ran: bool
-    delivered: bool = False
-
-
-@dataclass(slots=True)
-class Play:
-    """What one seed has brought about."""
-
-    seed: int
-    faults: list[str] = field(default_factory=list)
-    handed: list[Handed] = field(default_factory=list)
-    calls: list[Received] = field(default_factory=list)
-    told: dict[str, float] = field(default_factory=dict)
-    downs: list[tuple[float, float]] = field(default_factory=list)
-    """From a signal that ends the node to when it is ready again."""
-    waits: list[tuple[float, float]] = field(default_factory=list)
-    """From when the endpoint had told to wait, and until when."""
-    kills: list[tuple[float, float]] = field(default_factory=list)
-    """From SIGKILL to when the process was gone."""
-    broken: list[str] = field(default_factory=list)
-
-
 class _Endpoint(EndpointPeer):
     """Serves most calls; refuses, fails, stays silent or closes on the others."""
 
-    def __init__(self, play: Play) -> None:
+    def __init__(self, play: Play, number: int) -> None:
         super().__init__()
-        self._play = play
-        self._random = Random(play.seed + 1)
+        self._play, self._number = play, number
+        self._random = Random(play.seed * 10 + number)
 
     def reply(self, connection: socket.socket, request: http.Message) -> None:
-        call = Received(request.headers["x-request-id"], time.monotonic(), ran=True)
+        call = Received(request.headers["x-request-id"], time.monotonic(), ran=True, endpoint=self._number)
         self._play.calls.append(call)
         draw, delay = self._random.random(), self._random.uniform(0.0, 0.05)
         time.sleep(delay)
@@ -238,7 +186,7 @@
         self._random = Random(play.seed)
 
     def run(self) -> None:
-        restart_at = time.monotonic() + self._random.uniform(1.0, PLAY_S - 4.0)
+        restart_at = time.monotonic() + self._random.uniform(1.0, PLAY_S - 5.0)
         restarted = False
         while time.monotonic() < self._until:
             time.sleep(self._random.uniform(0.1, 0.4))
@@ -308,10 +256,18 @@
 def play(seed: int, folder: Path) -> Play:
     """Play one seed and audit it."""
     result = Play(seed)
-    endpoint = _Endpoint(result)
-    with led_node(folder, endpoint, window=WINDOW_S, sockets=128) as (node, platform, rig):
-        notices = _Platform(result, platform)
+    discovery = SoakDiscovery(result)
+    endpoints = [_Endpoint(result, number) for number in (1, 2)]
+    senders = FLEETS[seed % len(FLEETS)]
+    with led_node(folder, *endpoints, platform=discovery, window=WINDOW_S, senders=senders, sockets=128) as (
+        node,
+        _,
+        rig,
+    ):
+        notices = _Platform(result, discovery)
         notices.start()
+        drainer = Drainer(result, discovery, 2, discovery.members[1])
+        drainer.start()
         until = time.monotonic() + PLAY_S
         clients = [_Client(result, node, number, until) for number in range(CLIENTS)]
         with _crowd(node, CROWD if seed % 3 == 0 else 0):
@@ -322,8 +278,9 @@
                 client.join()
         last = max((handed.due for handed in result.handed), default=time.monotonic())
         time.sleep(max(0.0, last - time.monotonic()) + RESULT_SLACK_S + HARNESS_SLACK_S)
-        notices.over.set()
-        notices.join()
+        for part in (drainer, notices):
+            part.over.set()
+            part.join()
         assert node.process is not None
         if node.process.poll() is not None:
             result.broken.append(f"crash: the node ended by itself with {node.process.returncode}")
@@ -331,64 +288,10 @@
         result.broken += [
             f"error: {line[:300]}" for line in log.splitlines() if any(event in line for event in UNEXPECTED)
         ]
-    _audit(result)
+    audit(result)
     return result
 
 
-def _audit(result: Play) -> None:
-    result.broken += _told_waits(result)
-    for handed in result.handed:
-        calls = [call for call in result.calls if call.id == handed.id]
-        result.broken += _final_answer(result, handed, calls)
-        result.broken += _effects(handed, calls)
-        told = result.told.get(handed.id)
-        if told is not None:
-            late = [call for call in calls if call.at > told + HARNESS_SLACK_S / 4]
-            result.broken += [
-                f"after the end: {handed.id} called {call.at - told:.3f} s later" for call in late
-            ]
-
-
-def _told_waits(result: Play) -> list[str]:
-    """Calls that came although the endpoint had told to wait; a restart ends a wait."""
-    broken: list[str] = []
-    for told, until in result.waits:
-        until = min([until, *(kill for kill, _ in result.kills if kill > told)])
-        for call in result.calls:
-            if told + WAIT_SLACK_S < call.at < until - END_SLACK_S:
-                broken.append(f"wait: {call.id} called {until - call.at:.3f} s before its end")
-    return broken
-
-
-def _final_answer(result: Play, handed: Handed, calls: list[Received]) -> list[str]:
-    if handed.status is None:
-        killed = any(handed.opened <= gone and handed.ended >= kill for kill, gone in result.kills)
-        return [] if killed else [f"lost: {handed.id} ({handed.kind}) got no answer, sent {handed.sent:.3f}"]
-    if handed.status in (429, 503):
-        ran = [call for call in calls if call.ran]
-        return [f"refused and run: {handed.id} ({handed.kind}), {handed.status}"] if ran else []
-    if handed.status != 202 or any(call.delivered for call in calls):
-        return []
-    by = handed.due + RESULT_SLACK_S
-    for down, ready in result.downs:
-        if by >= down:
-            by = max(by, ready + READY_SLACK_S)
-    told = result.told.get(handed.id)
-    if told is None or told > by + HARNESS_SLACK_S:
-        when = "never" if told is None else f"{told - handed.due:+.3f} s after its time"
-        return [f"lost: {handed.id} ({handed.kind}) taken on at {handed.sent:.3f}, told {when}"]
-    return []
-
-
-def _effects(handed: Handed, calls: list[Received]) -> list[str]:
-    ran = [call for call in calls if call.ran]
-    if handed.kind == "unsafe" and len(ran) > 1:
-        return [f"duplicate: {handed.id} (unsafe) ran {len(ran)} times"]
-    if handed.kind == "keyed" and ran and ran[-1].at > ran[0].at + WINDOW_S:
-        return [f"duplicate: {handed.id} (keyed) ran {ran[-1].at - ran[0].at:.3f} s after its first run"]
-    return []
-
-
 def _report(result: Play) -> str:
     taken = sum(handed.status == 202 for handed in result.handed)
     head = f"seed {result.seed}: {'FAILED' if result.broken else 'passed'}, {len(result.handed)} handed in, "
@@ -396,7 +299,7 @@
     return "\n".join([head, *result.broken, *(result.faults if result.broken else ())])
 
 
-def play_all(seeds: range, folder: Path, beside: int) -> list[Play]:
+def play_all(seeds: Sequence[int], folder: Path, beside: int) -> list[Play]:
     """Play seeds, some beside each other, and print a line for each."""
 
     def one(seed: int) -> Play:
--- a/tests/node/fault_support.py
+++ b/tests/node/fault_support.py
@@ -21,20 +21,27 @@
 
 @contextlib.contextmanager
 def led_node(
-    folder: Path, *endpoints: EndpointPeer, window: float = 15.0, **limits: float
+    folder: Path,
+    *endpoints: EndpointPeer,
+    platform: PlatformPeer | None = None,
+    window: float = 15.0,
+    senders: int = 2,
+    **limits: float,
 ) -> Iterator[tuple[Node, PlatformPeer, fault_rig.Rig]]:
-    """A node that the rig leads and a platform that lists the endpoints, all of destination 1.
+    """A node that the rig leads and a platform, one of its own by default, that lists the endpoints.
 
-    `window` is how many seconds a repeat of a keyed message is recognised.
+    All of these are of destination 1.
+    `window` is how many seconds a repeat of a keyed message is recognised, `senders` the size of the fleet.
     """
     rig = fault_rig.Rig(build_library(folder), folder / "control", folder / "state")
-    platform = PlatformPeer()
+    platform = platform or PlatformPeer()
     for number, peer in enumerate(endpoints, start=1):
         platform.list(peer, number, cell=1)
     node = Node(folder, platform, **limits)
     node.environment = rig.environment
     node.raw["settings"] = copy.deepcopy(node.raw["settings"])
     node.raw["settings"]["lanes"][1]["window"] = window
+    node.raw["settings"]["balancers"] = senders
     try:
         with running(node, platform, *endpoints):
             yield node, platform, rig
