Large fleets ask less often for the list once a call was kept waiting

Change: from 30 nodes on the time that is left is shared out among 1.5 further calls, not 3, once one was kept waiting.

--- a/irisstack/list_refresh.py
+++ b/irisstack/list_refresh.py
@@ -22,6 +22,8 @@
 """Seconds after which no call should have to begin that brings such news: its answer takes time as well."""
 TRIES_LEFT = 3.0
 """The time that is left is shared out among so many further calls, since each of them may fail."""
+CROWDED_TRIES_LEFT = 1.5
+"""The same for a large fleet once a call was kept waiting: its service may answer that one yet."""
 SHORTEST_PAUSE = 0.2
 SHORTEST_PAUSE_EACH = 0.005
 """Seconds for each sender, where that is longer: so that a large fleet does not hammer its service."""
@@ -92,7 +94,8 @@
             left = self._unavailable_at + LAST_CALL - now
             if now > self._unavailable_at + NEWS_DUE:
                 return math.inf
-        if self._waits > 1 and LOAD_PAUSE * self._senders >= NEWS_DUE:
+        crowded = self._waits > 0 and LOAD_PAUSE * self._senders >= NEWS_DUE
+        if crowded and self._waits > 1:
             return math.inf  # so large a fleet cannot be served in time by a service that lets calls wait
         shortest = max(SHORTEST_PAUSE, SHORTEST_PAUSE_EACH * self._senders)
-        return max(shortest, left / TRIES_LEFT)
+        return max(shortest, left / (CROWDED_TRIES_LEFT if crowded else TRIES_LEFT))
--- a/tests/node/test_list_age.py
+++ b/tests/node/test_list_age.py
@@ -129,10 +129,13 @@
     *((W, S), (W, R, S), (W, S, R), (W, B), (W, B, R), (W, R, R, R), (W, H), (W, T), (W, C, J)),
 )
 """How calls for the list go wrong one after another, before one is served."""
+LARGE_FLEET_CHAINS = ((R, S), (S, R), (W,), (W, R), (B,), (S,))
+"""Those that a fleet of 200 has to outlive: its pauses are longer, for its service's sake."""
 
 
 def test_news_is_had_in_time_whatever_becomes_of_the_calls_before() -> None:
     followers = [Follower(senders, senders, chain) for senders in (2, 6, 24) for chain in CHAINS]
+    followers += [Follower(200, seed, chain) for seed in range(3) for chain in LARGE_FLEET_CHAINS]
     try:
         waiting = list(followers)
         while waiting:
