--- a/irisstack/node/discovery.py
+++ b/irisstack/node/discovery.py
@@ -26,6 +26,8 @@
 """And after discovery has moved."""
 MOST_NAMED = 8
 """Endpoints that one line of the log names at most."""
+LOGGED_FAILURES, LOGGED_EVERY = 5, 50
+"""Calls without a word in between whose failures are all logged, and which of the later ones are."""
 
 log = structlog.get_logger()
 
@@ -60,6 +62,7 @@
         self._revision = revision
         self._pushed = pushed
         self._calls_begun = 0
+        self._failures = 0  # since the last word
         self._confirmed_at = time.monotonic()  # when the list that is held was last known to be the newest
         self._watches: list[ListCall] = []
         self._fetch: ListCall | None = None
@@ -95,7 +98,7 @@
     def _begin(self, query: Query) -> ListCall:
         self._calls_begun += 1
         self._counters.add("list_calls")
-        log.info(
+        self._log(
             "list_call_begun",
             call=self._calls_begun,
             query=query.value,
@@ -137,6 +140,13 @@
         if self._fetch is not None and not self._fetch.ended:
             self._begin_fetch()
 
+    def _log(self, event: str, **fields: Any) -> None:
+        """Log a call; in a long outage most of them at the level for debugging."""
+        write = log.info
+        if self._failures > LOGGED_FAILURES and self._failures % LOGGED_EVERY:
+            write = log.debug
+        write(event, **fields)
+
     # ---- what calls tell ----
 
     @property
@@ -163,6 +173,7 @@
         """The list is known to be the newest; other calls for a watch are not needed any more."""
         self._counters.raise_to("list_age_longest_ms", round(self._list_age * 1000.0))
         self._confirmed_at = time.monotonic()
+        self._failures = 0
         if call not in self._watches:
             return
         for other in self._watches:
@@ -173,7 +184,8 @@
     def on_failure(self, call: ListCall, failure: CallFailure) -> None:
         """Tell the module, which decides when to ask again."""
         self._counters.add("list_calls_failed")
-        log.info(
+        self._failures += 1
+        self._log(
             "list_call_failed",
             call=call.number,
             reason=failure.reason,
