--- a/tests/node/test_shutdown.py
+++ b/tests/node/test_shutdown.py
@@ -19,7 +19,7 @@
 from irisstack.node.config import load
 from irisstack.node.counters import Counters
 from irisstack.node.decider import Arrival
-from irisstack.node.intake import Intake, Stage
+from irisstack.node.intake import Intake, Stage, _Listener
 from irisstack.node.service import Service
 from irisstack.settings import Reader, read
 from tests.node.support import rest_of, until
@@ -161,6 +161,28 @@
             socket.create_connection(address)
 
 
+def test_no_connection_is_let_in_between_the_last_accept_and_the_close(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """The system would reset it, and a request with it; one that does not come up is tried elsewhere."""
+    let_in: list[socket.socket] = []
+    accept_rest = _Listener.accept_rest
+
+    def then_a_client_comes(listener: _Listener) -> None:
+        accept_rest(listener)
+        with suppress(OSError):
+            let_in.append(socket.create_connection(part.address, timeout=0.2))
+
+    monkeypatch.setattr(_Listener, "accept_rest", then_a_client_comes)
+    with doorway([HTTPStatus.SERVICE_UNAVAILABLE]) as (part, _):
+        part.drain()
+        part.close()
+        for client in let_in:
+            with client:
+                client.sendall(message("m1"))
+                assert client.recv(65536).startswith(b"HTTP/1.1 503 ")
+
+
 # ---- the node ----
 
 
