Let nobody in any more before the last accept of a node that ends

Change: node/listen_filter.py drops first segments at the listening socket, 0.05 s before the rest is accepted; then it is closed. Where the system knows no such filter nothing changes.

--- a/irisstack/node/intake.py
+++ b/irisstack/node/intake.py
@@ -23,6 +23,7 @@
 from irisstack.node.config import HostPort
 from irisstack.node.counters import Counters
 from irisstack.node.decider import Arrival, come_again
+from irisstack.node.listen_filter import let_nobody_in
 
 BACKLOG = 512
 ACCEPTS = 16
@@ -35,6 +36,8 @@
 """So many of these in a row leave the others their turn."""
 ACCEPT_REST_WITHIN = 0.5
 """Seconds in which the backlog has to be accepted at the end."""
+HANDSHAKE_WITHIN = 0.05
+"""Seconds in which a connection that has been begun by then comes up."""
 WHOLE_BY = 2.5
 """Seconds in which a request must be whole: the first from connecting, a later one from its first byte."""
 REST_WITHIN = 1.0
@@ -321,7 +324,10 @@
         return None
 
     def accept_rest(self) -> None:
-        """Accept all that the system has let in; gives up on what keeps failing."""
+        """Have the system let nobody in, and accept all that it has; gives up on what keeps failing."""
+        # Whoever came between the last accept and the close would be reset, and a request lost with it.
+        let_nobody_in(self.socket)
+        gevent.sleep(HANDSHAKE_WITHIN)
         end = time.monotonic() + ACCEPT_REST_WITHIN
         while time.monotonic() < end:
             try:
