The soak breaks connections to endpoints and discovery as the network does

Need: ETIMEDOUT, EHOSTUNREACH and ECONNRESET on a connection that is waited on were tried at single places alone. Change: a fault of the soak's that fails three reads so.

--- a/tests/node/fault_soak.py
+++ b/tests/node/fault_soak.py
@@ -161,7 +161,7 @@
 
 def _rules(random: Random) -> tuple[Rule, ...]:
     """One fault of the system's calls."""
-    match random.randrange(6):
+    match random.randrange(7):
         case 0 | 1:
             return _folder_fault(random)
         case 2:
@@ -172,6 +172,9 @@
             return (Rule(SystemCall.CONNECT, error=error),)
         case 4:
             return (Rule(SystemCall.WAIT, error=errno.EINTR, count=50),)
+        case 5:
+            error = random.choice((errno.ETIMEDOUT, errno.EHOSTUNREACH, errno.ECONNRESET))
+            return (Rule(SystemCall.RECEIVE, DescriptorKind.PEER, error, count=3),)
         case _:
             kind = random.choice((DescriptorKind.CLIENT, DescriptorKind.PEER))
             limit = random.randint(1, 20)
