One loop for what is tried again for a time

Need: three loops did the same, each with its own errors. Change: node/retry.py; sockets.connect, sockets.persist and the reading of the folder at the start use it. They give up where the next pause would pass the end, as connect did before. Measured: test_sockets, test_system_faults, test_list_clock and test_restarts pass.

--- a/irisstack/node/service.py
+++ b/irisstack/node/service.py
@@ -25,6 +25,7 @@
 from irisstack.node.list_reader import ListReader
 from irisstack.node.notices import Notices
 from irisstack.node.peers import Peers
+from irisstack.node.retry import retry
 from irisstack.node.store import Store
 from irisstack.settings import SettingsError
 
@@ -285,15 +286,22 @@
             from irisstack.dynamic_settings.snapshot import DISK_RESERVE_BYTES
 
             disk_bytes -= DISK_RESERVE_BYTES
-        end = time.monotonic() + FOLDER_READ_WITHIN
-        while True:
-            try:
-                return Store(self._config.state, disk_bytes)
-            except OSError as error:
-                log.error("folder_not_read", error=str(error))
-                if time.monotonic() >= end:
-                    raise ConfigError(f"state: {self._config.state}: {error.strerror}") from None
-            gevent.sleep(FOLDER_READ_PAUSE)
+        state = self._config.state
+
+        def failed(error: OSError) -> bool:
+            log.error("folder_not_read", error=str(error))
+            return True
+
+        try:
+            return retry(
+                lambda _: Store(state, disk_bytes),
+                failed,
+                FOLDER_READ_WITHIN,
+                FOLDER_READ_PAUSE,
+                FOLDER_READ_PAUSE,
+            )
+        except OSError as error:
+            raise ConfigError(f"state: {state}: {error.strerror}") from None
 
     def _start_dynamic_settings(self, source: DynamicSettings) -> None:
         """Take the settings of the life before, and get ready to follow those that come."""
--- a/irisstack/node/sockets.py
+++ b/irisstack/node/sockets.py
@@ -4,15 +4,12 @@
 import select
 import time
 from collections.abc import Callable
-from typing import TypeVar
 
-import gevent
 from gevent import socket
 
 from irisstack.node.buffer import Buffer
 from irisstack.node.config import HostPort
-
-Made = TypeVar("Made")
+from irisstack.node.retry import Made, retry
 
 BROKEN = select.POLLHUP | select.POLLERR
 MIN_TIMEOUT = 0.001
@@ -35,29 +32,23 @@
     What this machine lacks for a moment is tried again, for `keep_trying` seconds (by default the same time);
     then it is an `OwnMachineError`.
     """
-    end, pause = time.monotonic() + (timeout if keep_trying is None else keep_trying), FIRST_PAUSE
-    while True:
-        try:
-            return _connect_once(peer, max(MIN_TIMEOUT, min(timeout, end - time.monotonic())))
-        except OSError as error:
-            if error.errno not in OWN_ERRORS:
-                raise
-            if time.monotonic() + pause >= end:
-                raise OwnMachineError(error.errno, error.strerror) from None
-        gevent.sleep(pause)
-        pause = min(2.0 * pause, LONGEST_PAUSE)
+    try:
+        return retry(
+            lambda left: _connect_once(peer, max(MIN_TIMEOUT, min(timeout, left))),
+            lambda error: error.errno in OWN_ERRORS,
+            timeout if keep_trying is None else keep_trying,
+            FIRST_PAUSE,
+            LONGEST_PAUSE,
+        )
+    except OSError as error:
+        if error.errno not in OWN_ERRORS:
+            raise
+        raise OwnMachineError(error.errno, error.strerror) from None
 
 
 def persist(make: Callable[[], Made], seconds: float) -> Made:
     """Do what needs descriptors or buffers, again and again for a time while this machine lacks them."""
-    end = time.monotonic() + seconds
-    while True:
-        try:
-            return make()
-        except OSError as error:
-            if error.errno not in SCARCE or time.monotonic() >= end:
-                raise
-        gevent.sleep(LONGEST_PAUSE)
+    return retry(lambda _: make(), lambda error: error.errno in SCARCE, seconds, LONGEST_PAUSE, LONGEST_PAUSE)
 
 
 def _connect_once(peer: HostPort, timeout: float) -> socket.socket:
