Failing test: a call that a slow record holds up leaves after a drain was told

A write that takes long holds the whole node up, and what it was told meanwhile is read only after the call has left. Measured: with a record that takes 0.3 s the call leaves behind a drain, a wait and the end of its window.

--- a/tests/node/test_repeats.py
+++ b/tests/node/test_repeats.py
@@ -15,7 +15,7 @@
 from irisstack.node import sockets
 from irisstack.node.counters import Counters
 from irisstack.node.decider import Decider
-from irisstack.node.endpoint import Call, Ended, Endpoint, Outgoing
+from irisstack.node.endpoint import Call, Ended, Endpoint, Hold, Outgoing, Retire
 from irisstack.node.results import Reached
 from irisstack.node.store import Store
 from irisstack.settings import Reader, read
@@ -93,6 +93,46 @@
         assert store.entries[1].out_at is None
 
 
+def tell_later(part: Endpoint, told: Retire | Hold) -> None:
+    gevent.sleep(0.1)
+    part.mailbox.put(told)
+
+
+def test_a_call_that_a_slow_record_holds_up_is_looked_at_once_more_before_it_leaves(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """The whole node stands still while it writes; what it was told meanwhile it reads only then."""
+    on_record = Store.out
+
+    def slowly(*given: Any) -> bool:
+        time.sleep(0.3)
+        return on_record(*given)
+
+    monkeypatch.setattr(Store, "out", slowly)
+    left: list[str] = []
+    for number, told in enumerate((Retire(), Hold(FOREVER), "the window ends")):
+        folder = tmp_path / str(number)
+        folder.mkdir()
+        ended: list[Ended] = []
+        store = Store(folder, 3_000_000, 1000.0)
+        take(store, 1)
+        with listening() as server:
+            part = actor(server, ended, store)
+            leave_by = FOREVER
+            if isinstance(told, str):
+                leave_by = time.monotonic() + 0.1
+            else:
+                gevent.spawn(tell_later, part, told)
+            part.mailbox.put(Call([Outgoing(1, 1, "m1", "k", b"", FOREVER, FOREVER, leave_by)], 1001.0))
+            connection, _ = server.accept()
+            with connection:
+                until(lambda: ended or not sockets.quiet(connection))
+                if not ended or ended[0].result.outcome is not Outcome.NOT_SENT:
+                    left.append(str(told))
+            part.worker.kill()
+    assert left == []
+
+
 @pytest.mark.parametrize("seed", range(8))
 def test_a_message_sent_ahead_of_its_line_goes_again_in_its_zone_alone(seed: int) -> None:
     """On an unproven destination it passes one that may not be repeated, and leaves no place behind."""
