--- a/irisstack/list_refresh.py
+++ b/irisstack/list_refresh.py
@@ -29,6 +29,8 @@
 """Seconds for each sender, where that is longer: so that a large fleet does not hammer its service."""
 LONGEST_PAUSE = 10.0
 """Seconds between two calls where the settings do not tell how often to ask."""
+CONFIRMED_ANEW = 0.2
+"""Seconds by which a list is newer that came since the last failure: what is less is lateness."""
 AT_ONCE = 0.2
 """Seconds: a call that failed sooner was not kept waiting, so its service was not at work on it."""
 
@@ -67,7 +69,8 @@
         if not self._asks:
             return
         confirmed_at = now - update.list_age
-        if confirmed_at > self._confirmed_at:  # a watch was held since the last failure
+        # Failures are heard of some milliseconds late, by which a time reckoned back from them moves on.
+        if confirmed_at > self._confirmed_at + CONFIRMED_ANEW:  # a watch was held since the last failure
             self._confirmed_at = confirmed_at
             self._failures = self._waits = 0
         if AT_ONCE < update.unheard < update.list_age - AT_ONCE:  # a call that was not answered, and no watch
--- a/tests/node/test_list_clock.py
+++ b/tests/node/test_list_clock.py
@@ -137,6 +137,18 @@
     assert told[0].unheard == 0.0
 
 
+def test_nor_did_one_that_is_late_and_has_reached_nobody_yet(monkeypatch: pytest.MonkeyPatch) -> None:
+    """A connection that does not come up costs the service nothing, however long it is waited for."""
+    monkeypatch.setattr(list_call, "ANSWER_LATE", 0.3)
+    monkeypatch.setattr("irisstack.node.sockets.connect", lambda *_: gevent.sleep(60.0))
+    told: list[api.EndpointsUpdated] = []
+    with follower(told.append) as (part, _):
+        part.mailbox.put(api.Subscribe(True))
+        until(lambda: told)
+    assert told[0].unheard == 0.0
+    assert told[0].list_age >= list_call.ANSWER_LATE
+
+
 @pytest.mark.parametrize("seed", range(5))
 def test_an_indented_list_on_a_watch_is_followed_wherever_it_is_cut(seed: int) -> None:
     random, told = Random(seed), list[api.EndpointsUpdated]()
