A call for the list that reaches nobody is not one that its service lets wait

A call is looked at once more when its record took 0.1 s, not 0.02, which a node with a small share of a core may need for any record; it then waits 0.01 s.

--- a/irisstack/lab/scale/list_client.py
+++ b/irisstack/lab/scale/list_client.py
@@ -113,7 +113,7 @@
 
     def _tell_late(self, now: float, watch: _Watch) -> None:
         watch.late = True
-        self._tell_failure(now, now - watch.heard_at)
+        self._tell_failure(now, now - watch.heard_at if watch.reached else 0.0)
 
     def _answered(self, now: float, call: ListCall, version: int) -> None:
         """The service has written; an answer on its way when regions are cut off is lost."""
--- a/irisstack/node/endpoint.py
+++ b/irisstack/node/endpoint.py
@@ -42,8 +42,8 @@
 RECORD_RETRY = 0.05
 """Seconds until a call that could not be put on record tries that again."""
 
-HELD_UP = 0.02
-"""Seconds for which a call may be put on record before it is looked at once more."""
+HELD_UP, CATCH_UP = 0.1, 0.01
+"""Seconds that it may take to put a call on record before it is looked at once more, and until then."""
 
 log = structlog.get_logger()
 
@@ -425,7 +425,7 @@
             on_record = True
             if time.monotonic() < checked_at + HELD_UP:
                 break
-            gevent.sleep(HELD_UP)  # the node stood still: what it was told meanwhile is read first
+            gevent.sleep(CATCH_UP)  # the node stood still: what it was told meanwhile is read first
         self._counters.add("calls_sent")
         self._counters.add("messages_sent", len(call.messages))
         return True
--- a/irisstack/node/list_call.py
+++ b/irisstack/node/list_call.py
@@ -115,7 +115,8 @@
 
     @property
     def _unheard(self) -> float:
-        return time.monotonic() - self._heard_at if self._connection is not None or self._late else 0.0
+        # A connection that does not come up has not reached the service, however late it is.
+        return time.monotonic() - self._heard_at if self._connection is not None else 0.0
 
     def _ask(self) -> str:
         """Make the call; returns why it failed or how a watch ended; empty for a fetch that was answered."""
