The soak does not hold the node to a wait whose answer may have been lost on its way

Change: waits that are told while such a fault is in force, or 0.2 s before, are not judged; all others are as before.

--- a/tests/node/soak_audit.py
+++ b/tests/node/soak_audit.py
@@ -15,6 +15,8 @@
 """Seconds after a restarted node is ready in which nothing is overdue."""
 WINDOW_S = 3.0
 """In which the endpoint recognises a repeat of a keyed message."""
+UNREAD_S = 0.2
+"""Seconds for which an answer that was written may still be unread."""
 NEWS_DUE_S = 6.0
 """Seconds after which a node counts as told of what discovery has, whether or not it has heard."""
 DRAIN_GRACE_S = 0.3
@@ -60,6 +62,18 @@
     """When discovery wrote it to a watch that the node held."""
 
 
+@dataclass(slots=True)
+class BrokenReads:
+    """A time in which the node's reads from endpoints may break, and answers be lost with them."""
+
+    began: float
+    ended: float = math.inf
+
+    def may_break(self, written: float) -> bool:
+        """Whether the node may not have heard an answer that was written then."""
+        return self.began - UNREAD_S <= written <= self.ended
+
+
 @dataclass(slots=True)
 class Play:
     """What one seed has brought about."""
@@ -76,6 +90,7 @@
     kills: list[tuple[float, float]] = field(default_factory=list)
     """From SIGKILL to when the process was gone."""
     drains: list[Drain] = field(default_factory=list)
+    broken_reads: list[BrokenReads] = field(default_factory=list)
     broken: list[str] = field(default_factory=list)
 
 
@@ -99,6 +114,8 @@
     """Calls that came although the endpoint had told to wait; a restart ends a wait."""
     broken: list[str] = []
     for told, until in result.waits:
+        if any(reads.may_break(told) for reads in result.broken_reads):
+            continue  # what the node cannot have heard does not bind it
         until = min([until, *(kill for kill, _ in result.kills if kill > told)])
         for call in result.calls:
             if told + WAIT_SLACK_S < call.at < until - END_SLACK_S:
