Failing test: refused requests with notices let a silent one wait longer

Cause: found in reading the change once more: every failure doubles the time of the next request, also a refusal that took none, so that after a platform that was away the first silent connection makes notices a second late.

--- a/tests/node/test_notices.py
+++ b/tests/node/test_notices.py
@@ -84,3 +84,28 @@
         for each in (first, second):
             each.close()
     assert told_after <= NOTICE_DUE_S - STANDSTILL_S
+
+
+def test_requests_that_are_refused_leave_a_silent_one_as_little_time_as_before(tmp_path: Path) -> None:
+    """A platform that is away for a while refuses at once; that says nothing of how long answers take."""
+    store = Store(tmp_path, 3_000_000, 1000.0)
+    take(store, 1)
+    store.write([store.over(1, "dead")], 1000.0)
+    with listening() as server:
+        part = Notices(server.getsockname(), store, Counters())
+        worker = gevent.spawn(part.run)
+        part.owe(store.entries[1])
+        for _ in range(5):
+            refused, _ = server.accept()
+            refused.recv(65536)
+            refused.close()
+        silent, _ = server.accept()
+        assert silent.recv(65536)
+        silent_at = time.monotonic()
+        with gevent.Timeout(20.0, AssertionError("not told anew")):
+            second, _ = server.accept()
+        told_after = time.monotonic() - silent_at
+        worker.kill()
+        for each in (silent, second):
+            each.close()
+    assert told_after <= NOTICE_DUE_S - STANDSTILL_S
