--- a/irisstack/node/notices.py
+++ b/irisstack/node/notices.py
@@ -16,7 +16,11 @@
 from irisstack.node.store import Entry, Store
 
 FIRST_TIMEOUT, REQUEST_TIMEOUT = 0.1, 1.0
-"""Seconds for one request, from the connect to the end of its answer: at first, and at most. They double."""
+"""Seconds for one request, from the connect to the end of its answer: at first, and at most.
+
+They double with each that is silent. A notice is due 0.3 s after its message's time, so that the first silent
+connection has to leave time for another.
+"""
 RETRY_PAUSE = 0.1
 """Seconds from the begin of a failed request to the next, at least."""
 MAX_BATCH = 200
@@ -105,8 +109,8 @@
         except (OSError, http.BadMessage) as error:
             log.info("notice_connection_lost", error=repr(error))
             self._close()
-            # A notice is due 0.3 s after its message's time: a silent connection must leave time for another.
-            self._timeout = 2.0 * timeout
+            if isinstance(error, TimeoutError):  # the platform may be slow; a refusal says nothing of that
+                self._timeout = 2.0 * timeout
             return 0
         self._timeout = FIRST_TIMEOUT
         if not answer.keep_alive:
