--- a/irisstack/node/discovery.py
+++ b/irisstack/node/discovery.py
@@ -11,6 +11,7 @@
 from gevent.queue import Queue
 
 from irisstack import interface as api
+from irisstack.list_refresh import NEWS_DUE
 from irisstack.node.config import HostPort, name_of, peer_of
 from irisstack.node.counters import Counters
 from irisstack.node.list_call import CallFailure, ListCall, Query
@@ -20,10 +21,8 @@
 """Seconds, on average, until a watch that ended or is late is held anew, where the list comes unasked."""
 MOST_WATCHES = 3
 """Calls for a watch that may be out at once: the oldest goes first."""
-NEWS_DUE = 6.0
-"""Seconds after which news of the list counts as told."""
 NEWS_DUE_AFTER_MOVE = 4.0
-"""And after discovery has moved."""
+"""Seconds, in place of `NEWS_DUE`, after which news of the list counts as told once discovery has moved."""
 MOST_NAMED = 8
 """Endpoints that one line of the log names at most."""
 LOGGED_FAILURES, LOGGED_EVERY = 5, 50
