Failing test: a move of discovery right behind a broken watch

Cause: found in reading the change once more: a move makes the list older by 2 s, so that what the new address has is had in 4 s. The decision takes the age over only where it makes the list newer, so behind a failure less than 2 s before the move it goes on by the old time.

--- a/tests/test_list_refresh.py
+++ b/tests/test_list_refresh.py
@@ -1,5 +1,6 @@
 """When the list is asked for again: by its age, and by what its service can bear."""
 
+import itertools
 from dataclasses import replace
 from random import Random
 
@@ -48,3 +49,13 @@
         decisions.failed(at, failure(at, 1.2))
     decisions.failed(100.0, failure(2.6, 2.6))
     assert decisions.next_at <= 100.0 + 2.4
+
+
+def test_a_list_that_has_become_older_at_a_move_is_asked_for_sooner() -> None:
+    """A watch broke right after a word; then discovery moved, which makes the list older by 2 s."""
+    for senders, seed in itertools.product((2, 6, 24), range(20)):
+        decisions = refresh(senders, seed)
+        decisions.failed(50.0, failure(0.1, 0.1))
+        for at in (51.7, 53.4):  # two calls at the new address, where all is due by 54.5, 4 s after the move
+            decisions.failed(at, failure(at - 48.5, 1.2))
+        assert decisions.next_at <= 53.4 + 0.3
