The time of the last list moves back with a move of discovery

Cause: as the test tells. Measured: tests of the list's refresh, age and clock, test_design and the hollow fleets' growth pass.

--- a/irisstack/list_refresh.py
+++ b/irisstack/list_refresh.py
@@ -30,7 +30,7 @@
 LONGEST_PAUSE = 10.0
 """Seconds between two calls where the settings do not tell how often to ask."""
 CONFIRMED_ANEW = 0.2
-"""Seconds by which a list is newer that came since the last failure: what is less is lateness."""
+"""Seconds by which the time of the last list has to move to be another one: what is less is lateness."""
 AT_ONCE = 0.2
 """Seconds: a call that failed sooner was not kept waiting, so its service was not at work on it."""
 
@@ -69,8 +69,9 @@
         if not self._asks:
             return
         confirmed_at = now - update.list_age
-        # Failures are heard of some milliseconds late, by which a time reckoned back from them moves on.
-        if confirmed_at > self._confirmed_at + CONFIRMED_ANEW:  # a watch was held since the last failure
+        # Failures are heard of some milliseconds late, by which a time reckoned back from them moves on. More
+        # than that is a watch held since the last failure, or a move of the service: it makes the list older.
+        if abs(confirmed_at - self._confirmed_at) > CONFIRMED_ANEW:
             self._confirmed_at = confirmed_at
             self._failures = self._waits = 0
         if AT_ONCE < update.unheard < update.list_age - AT_ONCE:  # a call that was not answered, and no watch
