The state of a sender in a module of its own, delivery_state.py

Need: choice.py was at its size limit and held what is known beside what is decided. Change: the classes of breakers, limits, routes, lines, calls and messages move as they are, with public names; no decision moves.

--- a/irisstack/choice.py
+++ b/irisstack/choice.py
@@ -6,11 +6,20 @@
 
 from collections import Counter, deque
 from collections.abc import Collection
-from dataclasses import dataclass, field
 from heapq import heappop, heappush
 from random import Random
 
 from irisstack import interface as api
+from irisstack.delivery_state import (
+    NEVER,
+    Call,
+    CircuitBreaker,
+    Destination,
+    Limit,
+    Line,
+    Message,
+    Route,
+)
 from irisstack.interface import Effect, Outcome
 from irisstack.list_refresh import ListRefresh
 
@@ -45,129 +54,9 @@
 
 FAILED, SERVED, CROWDED = b"F", b"S", b"C"  # what notes to the other senders say
 
-NEVER = float("inf")
 NOT_RUN = frozenset((Outcome.FULL, Outcome.CONNECT_FAILED, Outcome.NOT_SENT))
 
 
-@dataclass(slots=True, eq=False)
-class _CircuitBreaker:
-    """The circuit breaker of one destination (or route): everything that is known of its trouble."""
-
-    count: int = 0
-    shared: int = 0  # of these, the ones that all senders were told of
-    successes: int = 0  # calls that succeeded in the same window
-    window_end: float = 0.0
-    open_until: float = 0.0
-    slowdown_steps: float = 0.0  # refusals as full not yet made good by successes: how far calls are slowed
-    next_at: float = 0.0  # while spaced: the earliest time of the next call
-    warmup_budget_used: float = 0.0  # of the fail-back budget since then, beside what the next call weighs
-    warmup_budget_at: float = 0.0
-    unreachable_since: float = NEVER  # since when calls were turned away with none taken
-    cold_until: float = 0.0  # until when it may be cold from an outage; NEVER before a call has succeeded
-
-
-@dataclass(slots=True, eq=False)
-class _Limit:
-    """What calls to a destination, or to one of its routes apart, have in common: breaker, limit, outages."""
-
-    key: bytes  # names it in notes: the destination's number, or the route's address
-    destination: "_Destination"
-    listed: float = 0.0
-    reported_limit: float = 0.0  # calls a second, as it reports them
-    ok_sent: float = -NEVER  # when the newest call that succeeded was sent
-    refused_at: "dict[_Route, float]" = field(default_factory=dict)  # failed connects, unless in an outage
-
-
-@dataclass(slots=True, eq=False)
-class _Route:
-    """One endpoint of a destination, and what this sender has there."""
-
-    address: api.Address
-    zone: int
-    limit: _Limit
-    calls: int = 0
-    connections: int = 0  # believed open
-    all_used: float = 0.0  # when all of its connections were last in use
-    failed: dict[int, float] = field(default_factory=dict)  # until when it is second choice, by class
-
-
-@dataclass(slots=True, eq=False)
-class _Destination:
-    """A destination's routes, waiting messages and what its calls have shown."""
-
-    number: int
-    kind: api.DestinationKind = field(default_factory=lambda: api.DestinationKind("unknown"))
-    routes: dict[api.Address, _Route] = field(default_factory=dict)
-    lines: "dict[int | None, _Line]" = field(default_factory=dict)  # by the zone that they are held to
-    usual: dict[int, float] = field(default_factory=dict)
-    flow: float = 0.0  # messages a second of late for it that came to this sender
-    flow_at: float = 0.0
-    calls: int = 0
-
-    def line(self, zone: int | None) -> "_Line":
-        return self.lines.get(zone) or self.lines.setdefault(zone, _Line(self, zone))
-
-
-@dataclass(slots=True, eq=False)
-class _Line:
-    """Messages that wait for any route of a destination, or for one in the zone that drops their repeats."""
-
-    destination: _Destination
-    zone: int | None
-    fresh: "list[_Entry]" = field(default_factory=list)  # by end of the aim
-    late: "list[_Entry]" = field(default_factory=list)  # by worth, newest first
-
-    def waiting(self) -> "list[_Message]":
-        return [entry[-1] for entry in (*self.fresh, *self.late) if entry[-1].in_line]
-
-    def routes(self) -> "list[_Route]":
-        return [route for route in self.destination.routes.values() if self.zone in (None, route.zone)]
-
-
-@dataclass(slots=True, eq=False)
-class _Call:
-    """One call: the messages that went to one endpoint in one turn, with one fate."""
-
-    route: _Route
-    sent: float
-    lost_at: float = NEVER  # when a repeatable message's time-out comes
-    idle: float = 0.0  # how long the connection may have been idle
-    left: int = 0
-    messages: "list[_Message]" = field(default_factory=list)
-    judged: bool = False  # its outcome is counted already
-
-
-@dataclass(slots=True, eq=False)
-class _Message:
-    """A message that is owed its final answer, or that still has an attempt out."""
-
-    id: int
-    index: int  # of its class
-    kind: api.MessageClass
-    destination: int
-    due: float
-    aim_at: float
-    key: int | None
-    attempts: int = 0
-    maybe_ran: float | None = None  # when the first attempt that may have run was sent
-    ran_in: int | None = None  # and in which zone
-    rest_until: float = 0.0  # order: when the last attempt that may run on has surely ended
-    call: "_Call | None" = None
-    over: bool = False
-
-    @property
-    def zoned(self) -> bool:
-        """Whether its repeats are dropped by the endpoints of one zone alone."""
-        return self.kind.effect is Effect.KEYED and self.kind.dedup_scope is api.DedupScope.ZONE
-
-    @property
-    def in_line(self) -> bool:
-        return not self.over and self.call is None  # owed an answer, with no attempt out
-
-
-_Entry = tuple[float, float, int, _Message]  # rank, second rank, a number that settles ties, the message
-
-
 class Sender:
     """One sender's decisions. Give it everything that came together; carry out what it returns, in order."""
 
@@ -176,23 +65,23 @@
         self._random = Random(seed)
         self._now = 0.0
         self._out: list[api.Action] = []
-        self._breakers: dict[_Limit, _CircuitBreaker] = {}
-        self._limits: dict[bytes, _Limit] = {}
-        self._destinations: dict[int, _Destination] = {}
+        self._breakers: dict[Limit, CircuitBreaker] = {}
+        self._limits: dict[bytes, Limit] = {}
+        self._destinations: dict[int, Destination] = {}
         self._where: dict[api.Address, int] = {}
-        self._messages: dict[int, _Message] = {}
+        self._messages: dict[int, Message] = {}
         self._held = self._calls = 0
         self._slots = max(2, settings.max_calls // SLOT_PART)  # that one destination may hold
         self._crowded_until = 0.0  # until when idle connections are given back
         self._stale = 0.0  # calls lost on idle connections, less a part of such calls that succeeded
         self._idle_limit = NEVER  # the shortest idle time before such a loss
         self._home = settings.zone if settings.cross_zone_price else None  # the zone to which calls cost less
-        self._waiting: dict[_Line, None] = {}  # lines with messages in them, in order of arrival
+        self._waiting: dict[Line, None] = {}  # lines with messages in them, in order of arrival
         self._expiry: list[tuple[float, int]] = []
-        self._overdue: list[tuple[float, int, _Call]] = []
-        self._stuck: list[_Call] = []  # overdue at a silent destination, oldest first
+        self._overdue: list[tuple[float, int, Call]] = []
+        self._stuck: list[Call] = []  # overdue at a silent destination, oldest first
         self._sequence = self._timers = 0
-        self._keys: dict[int, deque[_Message]] = {}
+        self._keys: dict[int, deque[Message]] = {}
         self._resting: list[tuple[float, int]] = []
         self._list_refresh = ListRefresh(settings, self._random)
         self._wake = NEVER
@@ -240,10 +129,10 @@
 
     # ---- the circuit breaker ----
 
-    def _failure(self, limit: _Limit, reason: Outcome | None, from_gossip: bool = False) -> bool:
+    def _failure(self, limit: Limit, reason: Outcome | None, from_gossip: bool = False) -> bool:
         """Count a refusal or an error; the third in the window opens the breaker. Returns whether it did."""
         now, gossips = self._now, self._set.may_tell_peers
-        breaker = self._breakers.setdefault(limit, _CircuitBreaker())
+        breaker = self._breakers.setdefault(limit, CircuitBreaker())
         if now < breaker.open_until:
             return False  # landing while open: neither counts nor extends
         if now >= breaker.window_end:
@@ -268,7 +157,7 @@
             return True
         return False
 
-    def _open(self, breaker: _CircuitBreaker, destination: _Destination, until: float) -> None:
+    def _open(self, breaker: CircuitBreaker, destination: Destination, until: float) -> None:
         """Move the open-until time; messages that cannot wait for it are given up at once."""
         breaker.open_until = max(breaker.open_until, until)
         # Many senders told one close would all call at it: each takes one of as many places in the first gap.
@@ -280,17 +169,17 @@
             if not message.over and self._too_late(message):
                 self._give_up(message)
 
-    def _newly_shut(self, breaker: _CircuitBreaker) -> bool:
+    def _newly_shut(self, breaker: CircuitBreaker) -> bool:
         """Whether calls were turned away, or are put off, for longer than a busy destination refuses all."""
         seldom = not self._set.may_tell_peers and breaker.next_at >= self._now + WINDOW  # few calls
         put_off = max(breaker.open_until, breaker.next_at) if seldom else breaker.open_until
         since = self._now if self._set.may_tell_peers else breaker.unreachable_since
         return breaker.cold_until < NEVER and put_off > since + SHUT_AFTER
 
-    def _success(self, limit: _Limit, scarce: bool) -> None:
+    def _success(self, limit: Limit, scarce: bool) -> None:
         """A call that ended well takes back part of the slowing; the spacing lapses once nothing waits."""
         # Little left of a limit begins it: many senders reach it together, with too few calls each to see it.
-        breaker = self._breakers.get(limit) or _CircuitBreaker()
+        breaker = self._breakers.get(limit) or CircuitBreaker()
         breaker.successes, breaker.unreachable_since = breaker.successes + 1, NEVER
         back = breaker.cold_until == NEVER and self._now >= breaker.open_until
         if breaker.shared or back:
@@ -307,7 +196,7 @@
             shared = limit.destination.kind.max_batch > 1  # what waits goes with the next call, however late
             breaker.slowdown_steps = max(float(waits), breaker.slowdown_steps - (RECOVER if shared else 1.0))
 
-    def _broadcast(self, what: bytes, limit: _Limit) -> None:
+    def _broadcast(self, what: bytes, limit: Limit) -> None:
         if self._set.may_tell_peers:
             self._out.append(api.TellPeer(None, what + limit.key))
 
@@ -319,14 +208,14 @@
         if limit is None or what != SERVED:
             return limit is not None and what == FAILED and self._failure(limit, None, from_gossip=True)
         limit.ok_sent = max(limit.ok_sent, self._now - max(limit.destination.usual.values(), default=0.0))
-        breaker = self._breakers.get(limit) or _CircuitBreaker()
+        breaker = self._breakers.get(limit) or CircuitBreaker()
         breaker.count, breaker.shared, breaker.unreachable_since = breaker.count - breaker.shared, 0, NEVER
         if breaker.cold_until == NEVER:
             breaker.cold_until, breaker.slowdown_steps = self._now + self._set.cold_seconds, 0.0
             return True
         return False
 
-    def _gate(self, route: _Route) -> float:
+    def _gate(self, route: Route) -> float:
         """The earliest time at which a call may go there. Closed, empty breakers are dropped here."""
         breaker = self._breakers.get(route.limit)
         if breaker is None:
@@ -339,47 +228,47 @@
         spaced_at = breaker.next_at if breaker.slowdown_steps and breaker.cold_until < NEVER else 0.0
         return max(breaker.open_until, spaced_at, self._warmup_gate(breaker, route.limit) if cold else 0.0)
 
-    def _warmup_gate(self, breaker: _CircuitBreaker, limit: _Limit) -> float:
+    def _warmup_gate(self, breaker: CircuitBreaker, limit: Limit) -> float:
         """When enough of the fail-back budget is saved up for what the next call will weigh."""
         waiting = sum(len(line.fresh) + len(line.late) for line in limit.destination.lines.values())
         size = min(waiting, self._most(breaker, limit.destination.kind))
         weight = breaker.warmup_budget_used + 1.0 + ITEM_WEIGHT * max(0, size - 1)
         return breaker.warmup_budget_at + weight / self._budget(breaker, limit)
 
-    def _most(self, breaker: _CircuitBreaker, kind: api.DestinationKind) -> int:
+    def _most(self, breaker: CircuitBreaker, kind: api.DestinationKind) -> int:
         """How many messages a call may carry: one until a call has succeeded, unless all were turned away."""
         return 1 if breaker.cold_until == NEVER and breaker.unreachable_since == NEVER else kind.max_batch
 
-    def _first_gate(self, line: _Line) -> float:
+    def _first_gate(self, line: Line) -> float:
         """The earliest time at which a call may go to any route that a line's messages may use."""
         return min((self._gate(route) for route in line.routes()), default=NEVER)
 
-    def _rate(self, limit: _Limit) -> float:
+    def _rate(self, limit: Limit) -> float:
         """This sender's part of the calls a second told for all: its own flow's, the even part at least."""
         # Guards a limit on calls: a flow of messages that are told one by one would take it many times over.
         flow, whole = self._flow(limit), limit.reported_limit or limit.listed
         own = flow / limit.destination.kind.max_batch
         return min(whole, max(own, whole / self._set.senders)) or max(own, min(flow, 1.0 / FIRST_GAP))
 
-    def _flow(self, limit: _Limit) -> float:
+    def _flow(self, limit: Limit) -> float:
         """This sender's messages a second for what shares one limit."""
         there = limit.destination
         return there.flow / max(1, len(there.routes) if there.kind.separate_routes else 1)
 
-    def _space(self, limit: _Limit) -> None:
+    def _space(self, limit: Limit) -> None:
         """Note a call: evenly spaced after refusals, charged to the budget while cold."""
-        breaker, jitter = self._breakers.get(limit) or _CircuitBreaker(), self._random.uniform(1.0, 1.1)
+        breaker, jitter = self._breakers.get(limit) or CircuitBreaker(), self._random.uniform(1.0, 1.1)
         # A gap that is no part of a told rate is spread: all that were refused together would meet again.
         spread = jitter if limit.reported_limit or limit.listed else self._random.uniform(0.5, 1.5)
         breaker.next_at = self._now + spread * self._gap(breaker, limit)
         breaker.warmup_budget_used, breaker.warmup_budget_at = jitter - 1.0, self._now
 
-    def _gap(self, breaker: _CircuitBreaker, limit: _Limit) -> float:
+    def _gap(self, breaker: CircuitBreaker, limit: Limit) -> float:
         """Seconds between two calls of this sender while refusals have them spaced."""
         most = NEVER if limit.reported_limit or limit.listed else FIRST_GAP
         return float(SLOWER ** max(0.0, breaker.slowdown_steps - 1.0)) * min(1.0 / self._rate(limit), most)
 
-    def _budget(self, breaker: _CircuitBreaker, limit: _Limit) -> float:
+    def _budget(self, breaker: CircuitBreaker, limit: Limit) -> float:
         """This sender's part of the calls a second that a destination coming back can bear by now."""
         warm = max(0.0, 1.0 - (breaker.cold_until - self._now) / (self._set.cold_seconds or 1.0))
         share = self._set.cold_start_share + (1.0 - self._set.cold_start_share) * warm
@@ -395,7 +284,7 @@
         index, kind = event.message_class, self._set.classes[event.message_class]
         aim_at = min(event.due, event.due - kind.deadline + kind.aim)
         key = event.key if kind.ordered else None
-        message = _Message(event.message, index, kind, event.destination, event.due, aim_at, key)
+        message = Message(event.message, index, kind, event.destination, event.due, aim_at, key)
         message.attempts, message.maybe_ran, message.ran_in = event.attempts, event.maybe_ran, event.ran_in
         self._messages[event.message] = message
         self._held += 1
@@ -410,11 +299,11 @@
         if not message.over and self._held >= self._set.max_held:
             self._make_room()
 
-    def _usual(self, message: _Message) -> float:
+    def _usual(self, message: Message) -> float:
         """How long a call of this class takes at this destination."""
         return self._destination(message.destination).usual.get(message.index, message.kind.aim * FIRST_USUAL)
 
-    def _repeatable_until(self, message: _Message) -> float:
+    def _repeatable_until(self, message: Message) -> float:
         """Until when another attempt, or a refusal, cannot double the message's effect."""
         kind = message.kind
         if message.maybe_ran is None or kind.effect is Effect.SAFE:
@@ -423,16 +312,16 @@
             return -NEVER
         return message.maybe_ran + kind.dedup_window
 
-    def _may_refuse(self, message: _Message) -> bool:
+    def _may_refuse(self, message: Message) -> bool:
         """Whether its client may hand it in again: one that a single zone knows it may take to another."""
         return self._now < self._repeatable_until(message) and not (message.zoned and message.maybe_ran)
 
-    def _latest_start(self, message: _Message) -> float:
+    def _latest_start(self, message: Message) -> float:
         """The last time at which a further attempt is allowed and a usual call still fits."""
         repeat = self._repeatable_until(message) - self._set.connect_timeout - self._set.tick  # as it leaves
         return min(message.due - self._usual(message), repeat)
 
-    def _queue(self, message: _Message) -> None:
+    def _queue(self, message: Message) -> None:
         """Put a message in line at its destination, unless it cannot wait for the close."""
         if message.attempts >= self._set.max_attempts or self._too_late(message):
             self._give_up(message)
@@ -442,20 +331,20 @@
             heappush(line.fresh, (message.aim_at, 0.0, self._sequence, message))
             self._waiting[line] = None
 
-    def _line(self, message: _Message) -> _Line:
+    def _line(self, message: Message) -> Line:
         """Where a message waits: once it may have run, for the zone that drops its repeats."""
         return self._destination(message.destination).line(message.ran_in if message.zoned else None)
 
-    def _too_late(self, message: _Message) -> bool:
+    def _too_late(self, message: Message) -> bool:
         """Whether a usual call fits neither now nor after the close."""
         return max(self._now, self._close(message)) > self._latest_start(message)
 
-    def _close(self, message: _Message) -> float:
+    def _close(self, message: Message) -> float:
         """When the first of the message's routes closes again; no endpoint yet is no reason to refuse."""
         breakers = [self._breakers.get(route.limit) for route in self._line(message).routes()]
         return min((breaker.open_until if breaker else 0.0 for breaker in breakers), default=0.0)
 
-    def _give_up(self, message: _Message) -> None:
+    def _give_up(self, message: Message) -> None:
         """The final answer, at once, for a message that will not be sent again: a refusal where allowed."""
         if self._may_refuse(message):
             # At its turn there; one that may have run while it is known there, so at the close.
@@ -466,13 +355,13 @@
             self._out.append(api.Fail(message.id))
         self._finish(message)
 
-    def _finish(self, message: _Message) -> None:
+    def _finish(self, message: Message) -> None:
         message.over = True
         self._held -= 1
         if message.call is None:
             self._forget(message)
 
-    def _forget(self, message: _Message) -> None:
+    def _forget(self, message: Message) -> None:
         """Drop a message that is over and has no attempt out; the next of its key takes its turn."""
         del self._messages[message.id]
         if message.key is None:
@@ -500,7 +389,7 @@
         counts = Counter(m.destination for m in unsent)
         waits = {number: self._line_time(self._destination(number), counts[number]) for number in counts}
 
-        def least_at_stake(message: _Message) -> tuple[bool, float, float, float, int]:
+        def least_at_stake(message: Message) -> tuple[bool, float, float, float, int]:
             wait = waits[message.destination]  # one that would fail only if none is left that may come again
             may_wait = wait > 0.0 and self._may_refuse(message)
             return may_wait, wait, -message.kind.worth, message.aim_at, message.id
@@ -508,14 +397,14 @@
         if unsent:
             self._give_up(max(unsent, key=least_at_stake))
 
-    def _line_time(self, destination: _Destination, count: int) -> float:
+    def _line_time(self, destination: Destination, count: int) -> float:
         """How long so many messages for it will be in line, at the pace that holds there now."""
         # Guards a healthy destination with small calls: unpaced, its line is over before that of a shut one.
         gate, calls = self._first_gate(destination.line(None)), -(-count // destination.kind.max_batch)
         if gate == NEVER:
             return NEVER
         route = min(destination.routes.values(), key=self._gate)
-        breaker = self._breakers.get(route.limit) or _CircuitBreaker()
+        breaker = self._breakers.get(route.limit) or CircuitBreaker()
         each = max(destination.usual.values(), default=0.0) / self._slots
         if self._now < breaker.cold_until:
             line = (calls + ITEM_WEIGHT * (count - calls)) / self._budget(breaker, route.limit)
@@ -565,7 +454,7 @@
             self._out.append(api.CloseIdle(call.route.address))
             call.route.connections = call.route.calls
 
-    def _learn(self, message: _Message, call: _Call, event: api.AttemptEnded) -> None:
+    def _learn(self, message: Message, call: Call, event: api.AttemptEnded) -> None:
         """What an outcome shows of its destination. A shared call has one fate and counts once."""
         route, limit, outcome, now = call.route, call.route.limit, event.outcome, self._now
         report = dict(zip(self._set.report_fields, event.report, strict=False))
@@ -595,7 +484,7 @@
                 if outcome is Outcome.CONNECT_FAILED:
                     limit.refused_at[route] = now
                 if outcome in NOT_RUN:
-                    breaker = self._breakers.setdefault(limit, _CircuitBreaker())
+                    breaker = self._breakers.setdefault(limit, CircuitBreaker())
                     # One of many senders sees few calls taken. A limit that reports itself used up counts
                     # like one, unless the wait is too long for it; a wait with it unused tells of a shut one.
                     left = report.get("x0", 0.0) if limit.reported_limit else 0.0
@@ -608,7 +497,7 @@
                 # A connect without an answer is silence: the host is gone. A full table says no at once.
                 gone = outcome is Outcome.CONNECT_FAILED and event.elapsed >= self._set.connect_timeout
                 self._failure(limit, None if gone else outcome)
-        breaker = self._breakers.get(limit) or _CircuitBreaker()
+        breaker = self._breakers.get(limit) or CircuitBreaker()
         explained = report.get("x0", 1.0) < SPENT and limit.ok_sent >= now - WINDOW  # by a limit used up
         if event.retry_after:
             self._breakers[limit] = breaker
@@ -616,11 +505,11 @@
         elif outcome is Outcome.FULL and not explained and self._newly_shut(breaker):
             self._open(breaker, limit.destination, now)  # an opening of no length: only the return is paced
 
-    def _shun(self, call: _Call) -> None:
+    def _shun(self, call: Call) -> None:
         """Prefer other endpoints for a window; a class that succeeds here meanwhile is out of it."""
         call.route.failed = dict.fromkeys(range(len(self._set.classes)), self._now + WINDOW)
 
-    def _judge_idle(self, call: _Call, weight: float) -> None:
+    def _judge_idle(self, call: Call, weight: float) -> None:
         """Learn after how long the path drops idle connections, losing calls; a mistake costs handshakes."""
         if call.idle > self._set.keepalive * IDLE_PART and self._stale < STALE:
             self._stale = max(0.0, self._stale + weight)
@@ -643,8 +532,8 @@
 
     # ---- the endpoint list ----
 
-    def _destination(self, number: int) -> _Destination:
-        return self._destinations.get(number) or self._destinations.setdefault(number, _Destination(number))
+    def _destination(self, number: int) -> Destination:
+        return self._destinations.get(number) or self._destinations.setdefault(number, Destination(number))
 
     def _updated(self, event: api.EndpointsUpdated) -> None:
         if event.scope is api.UpdateScope.FAILED:
@@ -667,8 +556,8 @@
                 plain = (n := endpoint.destination).to_bytes(n.bit_length() // 8 + 1, signed=True)
                 key = host + port.to_bytes(2) if apart else plain
                 if (limit := self._limits.get(key)) is None or limit.destination is not destination:
-                    limit = self._limits[key] = _Limit(key, destination)
-                destination.routes[endpoint.address] = _Route(endpoint.address, endpoint.zone, limit)
+                    limit = self._limits[key] = Limit(key, destination)
+                destination.routes[endpoint.address] = Route(endpoint.address, endpoint.zone, limit)
                 self._where[endpoint.address] = endpoint.destination
             destination.routes[endpoint.address].limit.listed = endpoint.rate * self._set.listed_rates
 
@@ -681,7 +570,7 @@
 
     def _dispatch(self) -> float:
         """Send what may go, the most pressing first; returns when to look again."""
-        order: list[tuple[bool, float, int, _Line]] = []
+        order: list[tuple[bool, float, int, Line]] = []
         wake = min((self._line_up(order, line) for line in list(self._waiting)), default=NEVER)
         while order and self._calls < self._set.max_calls:
             line = heappop(order)[-1]
@@ -693,7 +582,7 @@
             self._free_slots(len(order))
         return wake
 
-    def _line_up(self, order: list[tuple[bool, float, int, _Line]], line: _Line) -> float:
+    def _line_up(self, order: list[tuple[bool, float, int, Line]], line: Line) -> float:
         """Rank a line's next call; returns when it may go, if that is later."""
         head, gate = self._head(line), self._first_gate(line)
         if head is None:
@@ -714,7 +603,7 @@
                 wanted -= 1
                 self._out.extend(api.Cancel(m.id, m.attempts - 1) for m in call.messages if m.call is call)
 
-    def _head(self, line: _Line) -> tuple[bool, float] | None:
+    def _head(self, line: Line) -> tuple[bool, float] | None:
         """The rank of the next call: in time before late, then by slot time for each unit of worth."""
         size = min(line.destination.kind.max_batch, len(line.fresh) + len(line.late))
         for entries, is_late in ((line.fresh, False), (line.late, True)):
@@ -728,21 +617,21 @@
                     heappush(line.late, (-message.kind.worth, -message.aim_at, message.id, message))
         return None
 
-    def _send(self, line: _Line) -> None:
+    def _send(self, line: Line) -> None:
         """Make one call."""
         now, per, destination = self._now, self._set.calls_per_connection, line.destination
         routes = [route for route in line.routes() if self._gate(route) <= now]
         index = (line.fresh or line.late)[0][-1].index
 
-        def preference(route: _Route) -> tuple[bool, float, float]:
+        def preference(route: Route) -> tuple[bool, float, float]:
             price = AWAY * (route.zone != self._home) + (0.0 if self._connected(route) else NEW_CONNECTION)
             # Of equals any: every sender has the list in one order, and all would take the first.
             return route.failed.get(index, 0.0) > now, route.calls + price, self._random.random()
 
         route = min(routes, key=preference)
-        breaker = self._breakers.get(route.limit) or _CircuitBreaker()
+        breaker = self._breakers.get(route.limit) or CircuitBreaker()
         unproven = breaker.cold_until == NEVER
-        call, size, overdue = _Call(route, now), self._most(breaker, destination.kind), 0.0
+        call, size, overdue = Call(route, now), self._most(breaker, destination.kind), 0.0
         if not self._connected(route):
             route.connections += 1
         elif self._stale >= STALE and now - route.all_used >= self._idle_limit:
@@ -772,7 +661,7 @@
         heappush(self._overdue, (now + overdue, self._sequence, call))
         self._space(route.limit)
 
-    def _worth_keeping(self, message: _Message) -> bool:
+    def _worth_keeping(self, message: Message) -> bool:
         """Whether its next call comes so soon that a connection earns its place in the endpoint's table."""
         # Guards against tables full of idle connections: who holds one is not turned away and never learns.
         destination, senders = self._destination(message.destination), self._set.senders
@@ -783,13 +672,13 @@
         in_use = destination.flow * self._usual(message) / BUSY_PART
         return senders * (1.0 - in_use) <= HANDFUL
 
-    def _connected(self, route: _Route) -> bool:
+    def _connected(self, route: Route) -> bool:
         """Whether a connection is believed free there: a new one costs time and has a price."""
         if self._now - route.all_used > self._set.keepalive:
             route.connections = -(-route.calls // self._set.calls_per_connection)
         return route.calls < route.connections * self._set.calls_per_connection
 
-    def _take(self, line: _Line, unproven: bool) -> _Message:
+    def _take(self, line: Line, unproven: bool) -> Message:
         """The next message to send. On an unproven destination one that may be repeated goes first."""
         for message in line.waiting() if unproven else ():
             if message.kind.effect is not Effect.UNSAFE:
--- a/irisstack/watch.py
+++ b/irisstack/watch.py
@@ -8,7 +8,8 @@
 from enum import StrEnum
 
 from irisstack import interface as api
-from irisstack.choice import THRESHOLD, Sender, _Limit, _Line, _Message
+from irisstack.choice import THRESHOLD, Sender
+from irisstack.delivery_state import Limit, Line, Message
 
 
 class Kind(StrEnum):
@@ -38,7 +39,7 @@
         self._tells = trial.may_tell_peers and not settings.may_tell_peers
         self._trial_home = trial.zone if trial.cross_zone_price else None
 
-    def _failure(self, limit: _Limit, reason: api.Outcome | None, from_gossip: bool = False) -> bool:
+    def _failure(self, limit: Limit, reason: api.Outcome | None, from_gossip: bool = False) -> bool:
         breaker = self._breakers.get(limit)
         counts = breaker is None or self._now >= breaker.open_until
         before = breaker.count if breaker is not None and self._now < breaker.window_end else 0
@@ -49,13 +50,13 @@
             self._count(Kind.OPENED_ALONE)
         return opened
 
-    def _worth_keeping(self, message: _Message) -> bool:
+    def _worth_keeping(self, message: Message) -> bool:
         keep = super()._worth_keeping(message)
         if self._tells and not keep:
             self._count(Kind.CONNECTION_CLOSED)
         return keep
 
-    def _send(self, line: _Line) -> None:
+    def _send(self, line: Line) -> None:
         free = [route for route in line.routes() if self._gate(route) <= self._now]
         before = len(self._out)
         super()._send(line)
@@ -71,7 +72,7 @@
         if home and sent.endpoint not in home:
             self._count(Kind.OTHER_ZONE)
 
-    def _give_up(self, message: _Message) -> None:
+    def _give_up(self, message: Message) -> None:
         kind = message.kind
         if message.maybe_ran is not None and self._latest_start(message) < self._now:
             message.kind = self._trial.classes[message.index]
--- a/tests/test_module_limits.py
+++ b/tests/test_module_limits.py
@@ -7,6 +7,7 @@
 
 PACKAGE = Path(__file__).resolve().parent.parent / "irisstack"
 MODULE, LIST_REFRESH = PACKAGE / "choice.py", PACKAGE / "list_refresh.py"
+MODULES = (MODULE, PACKAGE / "delivery_state.py", LIST_REFRESH)
 LINES = 720
 COLUMNS = 110
 PURE = {
@@ -15,6 +16,7 @@
     "dataclasses",
     "heapq",
     "irisstack",
+    "irisstack.delivery_state",
     "irisstack.interface",
     "irisstack.list_refresh",
     "itertools",
@@ -23,8 +25,9 @@
 }
 
 
-def test_size() -> None:
-    lines = MODULE.read_text().splitlines()
+@pytest.mark.parametrize("module", MODULES, ids=lambda module: module.name)
+def test_size(module: Path) -> None:
+    lines = module.read_text().splitlines()
     assert sum(1 for line in lines if line.strip()) <= LINES
     assert max(len(line) for line in lines) <= COLUMNS
 
@@ -34,7 +37,7 @@
     assert any("irisstack/interface.py" in line for line in head)
 
 
-@pytest.mark.parametrize("module", [MODULE, LIST_REFRESH], ids=lambda module: module.name)
+@pytest.mark.parametrize("module", MODULES, ids=lambda module: module.name)
 def test_imports_nothing_that_could_reach_a_clock_a_file_or_a_socket(module: Path) -> None:
     imported = set()
     for node in ast.walk(ast.parse(module.read_text())):
