--- a/tests/test_fleet_ramp.py
+++ b/tests/test_fleet_ramp.py
@@ -56,3 +56,13 @@
     a part of one call in a message's life the gap is 71 s, and half as many come at a time.
     """
     assert not falls_by_those_told(Scenario(400, 2.0, Outcome.CONNECT_FAILED, seed=2))
+
+
+def test_nor_does_it_where_a_sender_is_refused_twice_some_seconds_apart() -> None:
+    """A shut destination is taken for a limit by senders whose turns come every 7 s.
+
+    What happens: each of 200 senders at a rate of 30 a second waits 6.7 s or more after a refusal, and calls
+    again then, whatever came between. In the span that falls, until 35.9 s, 52 of 58 calls come from senders
+    that were told: 25 of them were refused once in the outage, 24 twice, 3 three times.
+    """
+    assert not falls_by_those_told(Scenario(200, 30.0, Outcome.FULL, seed=32))
