A refusal more than 3 s after the first, with no call taken since, shows an outage

Cause: one refusal counts where the sender's next turn is 10 s away, three open the breaker; senders whose turns come 3 to 10 s apart saw one or two, and the second was not held against the 3 s after which a destination counts as shut. Why it holds: the 3 s are those of every other sign; a limit that reports itself used up still counts as a call taken, and any success begins the 3 s anew, so that it is the same evidence, read one refusal sooner.

--- a/irisstack/choice.py
+++ b/irisstack/choice.py
@@ -187,7 +187,7 @@
         seldom = not self._set.may_tell_peers and breaker.next_at >= self._now + WINDOW  # few calls
         put_off = max(breaker.open_until, breaker.next_at) if seldom else breaker.open_until
         since = self._now if self._set.may_tell_peers else breaker.unreachable_since
-        return breaker.cold_until < NEVER and put_off > since + SHUT_AFTER
+        return breaker.cold_until < NEVER and max(self._now, put_off) > since + SHUT_AFTER
 
     def _success(self, limit: Limit, scarce: bool) -> None:
         """A call that ended well takes back part of the slowing; the spacing lapses once nothing waits."""
