--- a/tests/node/list_support.py
+++ b/tests/node/list_support.py
@@ -1,13 +1,22 @@
-"""A scripted service of the endpoint list: how each of its calls goes wrong, in turn."""
+"""Scripted services of the endpoint list, and the part of a node that follows one."""
 
+import copy
+import queue
 import socket
 import threading
 import time
 from contextlib import suppress
 from enum import Enum, auto
 
+import gevent
+
+from irisstack import interface as api
+from irisstack.choice import Sender
 from irisstack.node import http
-from tests.node_support import EndpointPeer, PlatformPeer, raw
+from irisstack.node.discovery import Discovery
+from irisstack.node.list_reader import ListReader
+from irisstack.settings import Reader, read
+from tests.node_support import SETTINGS, EndpointPeer, PlatformPeer, raw
 
 BUSY_S = 1.0
 """Seconds that a call waits in a crowded service until it is answered 503."""
@@ -92,6 +101,27 @@
                 connection.sendall(HEAD + b'b\r\n{"members":}\r\n')
 
 
+class CrowdedDiscovery(PlatformPeer):
+    """Works through calls for the list one after another, those of callers that have left too."""
+
+    def __init__(self, call_s: float) -> None:
+        """`call_s` is how many seconds one call takes."""
+        self._call_s = call_s
+        self._calls: queue.Queue[tuple[socket.socket, http.Message]] = queue.Queue()
+        super().__init__()
+        threading.Thread(target=self._work, daemon=True).start()
+
+    def reply(self, connection: socket.socket, request: http.Message) -> None:
+        self._calls.put((connection, request))
+
+    def _work(self) -> None:
+        while True:
+            connection, request = self._calls.get()
+            time.sleep(self._call_s)
+            with suppress(OSError):
+                super().reply(connection, request)
+
+
 class TimedPeer(EndpointPeer):
     """An endpoint that keeps when each call came."""
 
@@ -102,3 +132,48 @@
     def reply(self, connection: socket.socket, request: http.Message) -> None:
         self.received_at.append(time.monotonic())
         super().reply(connection, request)
+
+
+def settings_for(senders: int) -> dict[str, object]:
+    """The platform's settings for a fleet of so many."""
+    settings = copy.deepcopy(SETTINGS)
+    settings["balancers"] = senders
+    return settings
+
+
+class ListFollower:
+    """A node's part that follows the list, with the decisions on when it asks; all of it in real time."""
+
+    def __init__(self, service: PlatformPeer, senders: int, seed: int, pushed: bool) -> None:
+        raw_settings = settings_for(senders)
+        raw_settings["discovery"] = "pushed" if pushed else "on_request"
+        settings = read(Reader(raw_settings))
+        reader = ListReader(settings)
+        self._sender = Sender(settings, seed)
+        self.discovery = Discovery(("127.0.0.1", service.port), reader, self._post, 1, pushed)
+        self._greenlets: list[gevent.Greenlet[..., None]] = [gevent.spawn(self.discovery.run)]
+        self._turn(reader.update(service.document(), api.UpdateScope.CACHED))
+
+    def on_update(self, update: api.EndpointsUpdated) -> None:
+        """The list, a change of it, or the failure of a call has been heard."""
+
+    def _post(self, update: api.EndpointsUpdated) -> None:
+        self.on_update(update)
+        self._turn(update)
+
+    def _turn(self, event: api.Event) -> None:
+        for action in self._sender.turn(time.monotonic(), [event]):
+            match action:
+                case api.Subscribe():
+                    self.discovery.mailbox.put(action)
+                case api.SetTimer(delay, token):
+                    self._greenlets.append(gevent.spawn(self._fire_later, delay, token))
+
+    def _fire_later(self, delay: float, token: int) -> None:
+        gevent.sleep(delay)
+        self._turn(api.TimerFired(token))
+
+    def close(self) -> None:
+        """End all that is under way."""
+        gevent.killall(self._greenlets)
+        self.discovery.close()
--- a/tests/node/test_list_age.py
+++ b/tests/node/test_list_age.py
@@ -15,7 +15,6 @@
 too late: a quarter of the draws.
 """
 
-import copy
 import socket
 import time
 from pathlib import Path
@@ -23,13 +22,10 @@
 import gevent
 
 from irisstack import interface as api
-from irisstack.choice import Sender
-from irisstack.node.discovery import Discovery, Moved
+from irisstack.node.discovery import Moved
 from irisstack.node.list_call import ANSWER_LATE
-from irisstack.node.list_reader import ListReader
-from irisstack.settings import Reader, read
-from tests.node.list_support import CallFate, ScriptedDiscovery, TimedPeer
-from tests.node_support import SETTINGS, EndpointPeer, Node, eventually, running
+from tests.node.list_support import CallFate, ListFollower, ScriptedDiscovery, TimedPeer, settings_for
+from tests.node_support import EndpointPeer, Node, eventually, running
 
 TOLD_AFTER_S = 6.0
 """Seconds after which a node counts as told of what the service has, whether or not it has heard."""
@@ -41,12 +37,6 @@
 """Seconds for which the node may be held up between reading of a drain and acting on it."""
 
 
-def settings_for(senders: int) -> dict[str, object]:
-    settings = copy.deepcopy(SETTINGS)
-    settings["balancers"] = senders
-    return settings
-
-
 def test_no_call_reaches_a_draining_server_after_the_grace_however_calls_for_the_list_fail(
     tmp_path: Path,
 ) -> None:
@@ -72,41 +62,20 @@
     assert [at for at in after if at > TOLD_AFTER_S + GRACE_S] == []
 
 
-class Follower:
-    """The node's part that follows the list, with the decisions on when it asks; all of it in real time."""
+class Follower(ListFollower):
+    """A node's follower whose own service answers as a script says, and drains its endpoint when told to."""
 
     def __init__(self, senders: int, seed: int, fates: tuple[CallFate, ...], pushed: bool = False) -> None:
         self.name = f"{senders} senders, seed {seed}, {', '.join(fate.name for fate in fates)}"
         self.service = ScriptedDiscovery(*fates)
         self._endpoint = EndpointPeer()
         self._line = self.service.list(self._endpoint, 1, cell=1)
-        raw = settings_for(senders)
-        raw["discovery"] = "pushed" if pushed else "on_request"
-        settings = read(Reader(raw))
-        reader = ListReader(settings)
-        self._sender = Sender(settings, seed)
-        self.discovery = Discovery(("127.0.0.1", self.service.port), reader, self._post, 1, pushed)
         self.had_at = self.told_at = 0.0
-        self._greenlets: list[gevent.Greenlet[..., None]] = [gevent.spawn(self.discovery.run)]
-        known = reader.update(self.service.document(), api.UpdateScope.CACHED)
-        self._turn(known)
+        super().__init__(self.service, senders, seed, pushed)
 
-    def _post(self, update: api.EndpointsUpdated) -> None:
+    def on_update(self, update: api.EndpointsUpdated) -> None:
         if any(endpoint.state is api.EndpointState.DRAINING for endpoint in update.endpoints):
             self.told_at = self.told_at or time.monotonic()
-        self._turn(update)
-
-    def _turn(self, event: api.Event) -> None:
-        for action in self._sender.turn(time.monotonic(), [event]):
-            match action:
-                case api.Subscribe():
-                    self.discovery.mailbox.put(action)
-                case api.SetTimer(delay, token):
-                    self._greenlets.append(gevent.spawn(self._fire_later, delay, token))
-
-    def _fire_later(self, delay: float, token: int) -> None:
-        gevent.sleep(delay)
-        self._turn(api.TimerFired(token))
 
     def drain(self) -> None:
         """The service learns of a drain; no watch that is open then is told of it."""
@@ -115,8 +84,7 @@
         self.had_at = time.monotonic()
 
     def close(self) -> None:
-        gevent.killall(self._greenlets)
-        self.discovery.close()
+        super().close()
         self.service.close()
         self._endpoint.close()
 
