A slow call for the list leaves room for further slow ones before its news is overdue

Callers saw: calls to a draining server up to 2 s after its node counted as told, where three calls for the list in a row failed slowly. Cause: the pause behind a failure is a third of what is left until the fifth second, as if the calls to come took no time; each slow one takes 1.2 s. Slow failures past the sixth second lifted the bound for later news too. Why it holds: in fleets of under 30 the time that further slow calls take is set aside first, and news of the six seconds after the first overdue one is still asked for in time. Larger fleets are as before, for their service's sake.

--- a/irisstack/list_refresh.py
+++ b/irisstack/list_refresh.py
@@ -24,9 +24,11 @@
 """The time that is left is shared out among so many further calls, since each of them may fail."""
 CROWDED_TRIES_LEFT = 1.5
 """The same for a large fleet once a call was kept waiting: its service may answer that one yet."""
-SHORTEST_PAUSE = 0.2
+ANSWER_LATE = 1.2
+"""Seconds without an answer after which a call is told as failed; it may be answered yet."""
+SHORTEST_PAUSE = 0.15
 SHORTEST_PAUSE_EACH = 0.005
-"""Seconds for each sender, where that is longer: so that a large fleet does not hammer its service."""
+"""Seconds for each sender of a large fleet, so that it does not hammer its service."""
 LONGEST_PAUSE = 10.0
 """Seconds between two calls where the settings do not tell how often to ask."""
 CONFIRMED_ANEW = 0.2
@@ -91,15 +93,24 @@
 
     def _news_pause(self, now: float, unheard: float) -> float:
         """The longest pause with which news of now can still be had in time; infinity if none can be."""
-        left = self._confirmed_at + LAST_CALL - now
-        if now > self._confirmed_at + NEWS_DUE:  # what was missed first is overdue, what came later is not
-            if unheard <= AT_ONCE:
-                self._unavailable_at = now  # no news could be had before
-            left = self._unavailable_at + LAST_CALL - now
-            if now > self._unavailable_at + NEWS_DUE:
-                return math.inf
-        crowded = self._waits > 0 and LOAD_PAUSE * self._senders >= NEWS_DUE
-        if crowded and self._waits > 1:
-            return math.inf  # so large a fleet cannot be served in time by a service that lets calls wait
-        shortest = max(SHORTEST_PAUSE, SHORTEST_PAUSE_EACH * self._senders)
-        return max(shortest, left / (CROWDED_TRIES_LEFT if crowded else TRIES_LEFT))
+        overdue = now > self._confirmed_at + NEWS_DUE  # what was missed first; what came later is not
+        if overdue and unheard <= AT_ONCE:
+            self._unavailable_at = now  # no news could be had before
+        since = max(self._confirmed_at, self._unavailable_at) if overdue else self._confirmed_at
+        left = since + LAST_CALL - now
+        if LOAD_PAUSE * self._senders >= NEWS_DUE:
+            return self._large_fleet_pause(left)
+        if now > since + NEWS_DUE:
+            left += NEWS_DUE
+        if left < LAST_CALL - NEWS_DUE:
+            return math.inf
+        if unheard > AT_ONCE:  # so may the calls to come be
+            left -= ANSWER_LATE * max(0, int((left + AT_ONCE) / ANSWER_LATE) - 1)
+        return max(SHORTEST_PAUSE, left / TRIES_LEFT)
+
+    def _large_fleet_pause(self, left: float) -> float:
+        """The same for a fleet that cannot be served in time by a service that lets call after call wait."""
+        if left < LAST_CALL - NEWS_DUE or self._waits > 1:
+            return math.inf
+        tries = CROWDED_TRIES_LEFT if self._waits else TRIES_LEFT
+        return max(SHORTEST_PAUSE_EACH * self._senders, left / tries)
--- a/irisstack/node/list_call.py
+++ b/irisstack/node/list_call.py
@@ -11,12 +11,13 @@
 import structlog
 from gevent import socket
 
+from irisstack import list_refresh
 from irisstack.node import http, sockets
 from irisstack.node.buffer import Buffer
 from irisstack.node.config import HostPort, name_of
 from irisstack.node.objects import ObjectStream
 
-ANSWER_LATE = 1.2
+ANSWER_LATE = list_refresh.ANSWER_LATE
 """Seconds from its begin after which a call without a word is late: another may be begun beside it."""
 COMING_LATE = 1.8
 """The same for one whose bytes are coming."""
--- a/tests/node/test_list_age.py
+++ b/tests/node/test_list_age.py
@@ -139,6 +139,8 @@
     Each slow call takes 1.2 s until it counts as late, and the pause behind it is a third of what is left
     until the fifth second, as if the calls to come took no time. Drawn long, the pauses have the third call
     begin so late that the fourth, the first to be answered, comes after the 6 s.
+
+    In fleets of under 30 the pause behind a slow call now leaves room for further ones, as many as fit.
     """
     assert (
         late_news([Follower(n, seed, c) for n in (2, 6, 24) for seed in range(3) for c in LONG_CHAINS]) == {}
