--- /dev/null
+++ b/tests/node/test_pushed_list.py
@@ -0,0 +1,58 @@
+"""The first moments of a process where lists are pushed: what the agent has counts as told at once.
+
+What happens: a node is killed with a message on record, and while it is down the list changes: its server
+drains. The new process has the list of its configuration, in which the server still serves, and sends the
+message by it in its first turn. The list that the agent has comes some milliseconds later, but counts as told
+from the first moment of the process.
+"""
+
+import copy
+import time
+from pathlib import Path
+
+import pytest
+
+from tests.node_support import SETTINGS, EndpointPeer, Node, PlatformPeer, eventually, running
+
+SETTLED_S = 1.0
+"""Seconds after the start in which a call by the old list would have come."""
+
+
+def pushed_node(folder: Path, platform: PlatformPeer) -> Node:
+    node = Node(folder, platform)
+    node.raw["settings"] = copy.deepcopy(SETTINGS)
+    node.raw["settings"]["discovery"] = "pushed"
+    return node
+
+
+@pytest.mark.parametrize("phase", ["DRAINING", "DELETED"])
+def test_a_message_on_record_is_not_sent_by_the_list_of_the_configuration(tmp_path: Path, phase: str) -> None:
+    draining, platform = EndpointPeer(), PlatformPeer()
+    node = pushed_node(tmp_path, platform)
+    line = platform.list(draining, 1, cell=1)
+    with running(node, platform, draining):
+        eventually(lambda: platform.watchers, "a watch")
+        line["phase"] = "DRAINING"
+        platform.change(line)
+        heard = f'"not_offered": ["127.0.0.1:{draining.port}"]'
+        eventually(lambda: heard in node.log.read_text(), "the drain")
+        assert node.hand_in("m1").status == 202
+        node.kill()
+        node.raw["known"]["members"] = [{**line, "phase": "SERVING"}]
+        if phase == "DELETED":
+            platform.members.clear()
+        platform.revision += 1
+        node.start()
+        time.sleep(SETTLED_S)
+        assert draining.calls_with("m1") == []
+
+
+def test_a_node_whose_agent_is_silent_serves_by_the_list_of_its_configuration(tmp_path: Path) -> None:
+    serving, platform = EndpointPeer(), PlatformPeer()
+    node = pushed_node(tmp_path, platform)
+    platform.list(serving, 1, cell=1)
+    node.raw["known"] = platform.document()
+    platform.close()
+    with running(node, serving):
+        assert node.hand_in("m1").status == 202
+        eventually(lambda: serving.calls_with("m1"), "the call")
