Log why attempts and messages end and connections close, with connection numbers

Need: the incident's logs (info level) showed the openings of breakers alone: neither which call got which response on which connection, nor why a message was sent again or given up. Change: attempt_ended (not delivered) and message_given_up are logged at info with ids, endpoint, connection and reason; Refuse and Fail carry a GiveUpReason; each connection to an endpoint has a number and logs its calls and why it is closed, counted by reason; a response that names messages of another call is logged as a warning and counted. Data on an idle connection is told apart from its end.

--- a/irisstack/choice.py
+++ b/irisstack/choice.py
@@ -24,7 +24,7 @@
     Message,
     Route,
 )
-from irisstack.interface import Effect, Outcome
+from irisstack.interface import Effect, GiveUpReason, Outcome
 from irisstack.list_refresh import ListRefresh
 
 FAILURE_WINDOW = 10.0
@@ -488,8 +488,20 @@
         breakers = [self._breakers.get(route.breaker_scope) for route in self._queue_for(message).routes()]
         return min((breaker.open_until if breaker else 0.0 for breaker in breakers), default=0.0)
 
-    def _give_up(self, message: Message) -> None:
+    def _give_up_reason(self, message: Message) -> GiveUpReason:
+        """Why a message that cannot be sent is given up, as of now."""
+        latest_start = self._latest_attempt_start(message)
+        if latest_start < min(self._now, message.due - self._expected_latency(message)):
+            return GiveUpReason.MAY_HAVE_RUN
+        if message.attempts >= self._settings.max_attempts:
+            return GiveUpReason.NO_ATTEMPT_LEFT
+        if self._earliest_close(message) > self._now:
+            return GiveUpReason.BREAKER_OPEN
+        return GiveUpReason.NO_TIME_LEFT
+
+    def _give_up(self, message: Message, reason: GiveUpReason | None = None) -> None:
         """Give the final answer for a message that is not sent again: a refusal if the client may retry."""
+        reason = reason or self._give_up_reason(message)
         if self._may_refuse(message):
             # Advise the client to retry when a call may go. If the message may have run, advise the time at
             # which the breaker closes, so that the endpoint still recognizes the repeat.
@@ -503,9 +515,9 @@
                 if self._settings.advises_retry_after
                 else 0.0
             )
-            self._actions.append(api.Refuse(message.id, retry_after if retry_after > 0.0 else None))
+            self._actions.append(api.Refuse(message.id, retry_after if retry_after > 0.0 else None, reason))
         else:
-            self._actions.append(api.Fail(message.id))
+            self._actions.append(api.Fail(message.id, reason))
         self._finish(message)
 
     def _finish(self, message: Message) -> None:
@@ -557,7 +569,7 @@
             return preferred, drain_time, -message.message_class.worth, message.latency_target_at, message.id
 
         if queued:
-            self._give_up(max(queued, key=shed_priority))
+            self._give_up(max(queued, key=shed_priority), GiveUpReason.NO_ROOM)
 
     def _queue_drain_time(self, destination: Destination, count: int) -> float:
         """Seconds until `count` messages queued for the destination are sent at the current pace."""
--- a/irisstack/interface.py
+++ b/irisstack/interface.py
@@ -4,7 +4,7 @@
 """
 
 import math
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from enum import Enum, IntEnum, auto
 
 Address = tuple[bytes, int]
@@ -49,6 +49,20 @@
     NOT_SENT = 7
 
 
+class GiveUpReason(Enum):
+    """Why a message is given up without being delivered. The values are logged and name counters."""
+
+    NO_ATTEMPT_LEFT = "no_attempt_left"
+    MAY_HAVE_RUN = "may_have_run"
+    """An attempt may have run, and no repeat is allowed, or none any more."""
+    BREAKER_OPEN = "breaker_open"
+    """The destination's circuit breaker stays open for longer than the message can wait."""
+    NO_TIME_LEFT = "no_time_left"
+    """A call of the expected latency no longer fits before the deadline."""
+    NO_ROOM = "no_room"
+    """There are too many pending messages."""
+
+
 class EndpointState(Enum):
     """The state of an endpoint according to discovery; it says nothing about its health."""
 
@@ -352,6 +366,7 @@
 
     message: int
     retry_after: float | None = None
+    reason: GiveUpReason | None = field(default=None, compare=False)
 
 
 @dataclass(slots=True, frozen=True)
@@ -359,6 +374,7 @@
     """Final answer: failed; the message may or may not have taken effect."""
 
     message: int
+    reason: GiveUpReason | None = field(default=None, compare=False)
 
 
 @dataclass(slots=True, frozen=True)
--- a/irisstack/node/connection.py
+++ b/irisstack/node/connection.py
@@ -1,8 +1,10 @@
 """A connection to an endpoint: sends one call at a time and reads its response."""
 
+import itertools
 import time
 from collections.abc import Callable, Sequence
 from dataclasses import dataclass, replace
+from enum import Enum
 
 import gevent
 import structlog
@@ -12,6 +14,8 @@
 from irisstack.node.buffer import Buffer
 from irisstack.node.call import Call, OutgoingMessage
 from irisstack.node.config import HostPort, format_host_port
+from irisstack.node.counters import Counters
+from irisstack.node.response_match import named_ids
 from irisstack.node.results import (
     DELIVERED,
     EndReason,
@@ -25,9 +29,39 @@
 
 RESPONSE_TIMEOUT = 2.0
 """Seconds from the first byte of a response to its last."""
+MAX_LOGGED_IDS = 8
+"""Ids named in one log line."""
 
 log = structlog.get_logger()
 
+_connection_numbers = itertools.count(1)
+
+
+class CloseReason(Enum):
+    """Why a connection to an endpoint is closed. The values are logged and name counters."""
+
+    CALL_BROKEN = "call_broken"
+    CALL_TIMED_OUT = "call_timed_out"
+    CALL_CANCELLED = "call_cancelled"
+    CALL_WITHHELD = "call_withheld"
+    CLOSED_BY_ENDPOINT = "closed_by_endpoint"
+    UNEXPECTED_DATA = "unexpected_data"
+    """Data arrived that no call was waiting for."""
+    IDLE_TIMEOUT = "idle_timeout"
+    POOL_LIMIT = "pool_limit"
+    """There are more idle connections to the endpoint than may be kept."""
+    NOT_WORTH_KEEPING = "not_worth_keeping"
+    """The decision module has the endpoint's idle connections closed."""
+    ENDPOINT_RETIRED = "endpoint_retired"
+
+
+CLOSE_REASON_WITHOUT_RESPONSE = {
+    EndReason.BROKEN: CloseReason.CALL_BROKEN,
+    EndReason.GIVEN_UP: CloseReason.CALL_TIMED_OUT,
+    EndReason.CALLED_OFF: CloseReason.CALL_CANCELLED,
+    EndReason.WITHHELD: CloseReason.CALL_WITHHELD,
+}
+
 
 class CallCancelled(Exception):
     """The call was cancelled; thrown into its greenlet."""
@@ -44,6 +78,8 @@
     reached: Reached = Reached.NOTHING
     reason: EndReason = EndReason.BROKEN
     """Why it ended without a response, if it did."""
+    written_at: float | None = None
+    """When the call's last byte had been written; monotonic time in seconds."""
     response: http.Message | None = None
     error: str = ""
     """The system's name of the error that ended it."""
@@ -51,20 +87,25 @@
     """Whether the connection can be used for another call."""
 
     @property
-    def close_reason(self) -> str:
-        """Why the connection is closed after the call, for the log."""
+    def close_reason(self) -> CloseReason:
+        """Why the connection is closed after the call."""
         if self.response is None:
-            return self.reason.name.lower()
-        return "more_than_an_answer" if self.response.keep_alive else "endpoint_closes"
+            return CLOSE_REASON_WITHOUT_RESPONSE[self.reason]
+        return CloseReason.UNEXPECTED_DATA if self.response.keep_alive else CloseReason.CLOSED_BY_ENDPOINT
 
 
 class Connection:
     """A connection that runs one call at a time. `execute` turns errors into results and raises none."""
 
-    def __init__(self, host_port: HostPort, connect_timeout: float, report_fields: Sequence[str]) -> None:
+    def __init__(
+        self, host_port: HostPort, connect_timeout: float, report_fields: Sequence[str], counters: Counters
+    ) -> None:
         self._host_port = host_port
+        self._counters = counters
         self.configure(connect_timeout, report_fields)
         self._socket: socket.socket | None = None
+        self._number = 0  # identifies the open connection in the log
+        self._calls = 0  # calls sent on the open connection
         self._buffer = Buffer()
         self._reader = http.ResponseReader()
         self.idle_since = 0.0
@@ -74,14 +115,35 @@
         self._connect_timeout = connect_timeout
         self._report_fields = report_fields
 
-    def is_usable(self) -> bool:
-        """Whether the connection is open, with neither data nor an end of stream to read."""
-        return self._socket is not None and sockets.nothing_to_read(self._socket)
+    def close_if_unusable(self) -> bool:
+        """Close an idle connection that its endpoint has closed, or on which data has arrived.
 
-    def close(self) -> None:
-        if self._socket is not None:
-            self._socket.close()
-            self._socket = None
+        Returns whether the connection is open.
+        """
+        if self._socket is None:
+            return False
+        match sockets.pending_input(self._socket):
+            case sockets.PendingInput.DATA:
+                self.close(CloseReason.UNEXPECTED_DATA)
+            case sockets.PendingInput.END:
+                self.close(CloseReason.CLOSED_BY_ENDPOINT)
+        return self._socket is not None
+
+    def close(self, reason: CloseReason) -> None:
+        """Close the connection if it is open."""
+        if self._socket is None:
+            return
+        self._counters.add(f"connections_closed_{reason.value}")
+        log_method = log.info if reason is CloseReason.UNEXPECTED_DATA else log.debug
+        log_method(
+            "connection_closed",
+            peer=format_host_port(self._host_port),
+            connection=self._number,
+            calls=self._calls,
+            reason=reason.value,
+        )
+        self._socket.close()
+        self._socket = None
 
     def execute(
         self,
@@ -111,11 +173,12 @@
         except Exception as error:  # an unexpected error must not leave a message without a result
             log.error("call_failed", peer=format_host_port(self._host_port), error=repr(error))
         call.ended = True
+        self._log_call(call, end)
         if not end.reusable:
-            self._close_after(end)
+            self.close(end.close_reason)
         results = self._results(call, end)
         for message in call.messages:
-            on_result(message, results[message.id])
+            on_result(message, replace(results[message.id], connection=self._number))
         return end.reusable
 
     def _send_and_read(self, call: Call, before_send: Callable[[Call], bool], end: "_CallEnd") -> None:
@@ -123,16 +186,16 @@
         if call.ended:
             raise CallCancelled
         call.started = True
-        if not self.is_usable():  # data or an end of stream may have arrived since the pool's check
-            self.close()
+        self.close_if_unusable()  # data or an end of stream may have arrived since the pool's check
         self._open(call.deadline)
         end.reached = Reached.CONNECTED
         if time.monotonic() >= call.deadline:  # this process was suspended while it connected
             raise TimeoutError
         if not before_send(call):
             raise CallWithheld
+        self._calls += 1
         self._write(call)
-        end.reached = Reached.WRITTEN
+        end.reached, end.written_at = Reached.WRITTEN, time.monotonic()
         end.response = self._read_response(call.deadline)
         if end.response is None:
             end.reason = EndReason.GIVEN_UP
@@ -151,15 +214,23 @@
             result = replace(unanswered_result(end.reached, end.reason), error=end.error)
         return dict.fromkeys(call.ids, result)
 
-    def _close_after(self, end: "_CallEnd") -> None:
-        """Close the connection after a call that leaves it unusable."""
-        if self._socket is not None:
-            log.debug(
-                "connection_closed",
-                peer=format_host_port(self._host_port),
-                reason=end.close_reason,
-            )
-        self.close()
+    def _log_call(self, call: Call, end: "_CallEnd") -> None:
+        """Log how a call ended, and warn if its response names messages of another call."""
+        if end.written_at is None:
+            return
+        named = named_ids(end.response) if end.response is not None else frozenset()
+        fields = {
+            "peer": format_host_port(self._host_port),
+            "connection": self._number,
+            "calls_before": self._calls - 1,
+            "ids": call.ids,
+            "status": end.response.status if end.response is not None else None,
+            "answered_after_s": round(time.monotonic() - end.written_at, 4),
+        }
+        log.debug("call_ended", **fields)
+        if named and not named & set(call.ids):
+            self._counters.add("responses_naming_other_messages")
+            log.warning("response_names_other_messages", named=sorted(named)[:MAX_LOGGED_IDS], **fields)
 
     def _open(self, deadline: float) -> None:
         if self._socket is not None:
@@ -170,6 +241,7 @@
         self._socket = sockets.connect(
             self._host_port, min(remaining, self._connect_timeout or remaining), remaining
         )
+        self._number, self._calls = next(_connection_numbers), 0
 
     def _write(self, call: Call) -> None:
         assert self._socket is not None
--- a/irisstack/node/decider.py
+++ b/irisstack/node/decider.py
@@ -376,10 +376,12 @@
         entry = self._store.entries.get(attempt_result.number)
         pending = entry is not None and entry.pending
         if entry is not None:
-            log.debug(
+            log_method = log.debug if result.outcome is api.Outcome.OK else log.info
+            log_method(
                 "attempt_ended",
                 id=entry.id,
                 endpoint=format_host_port(to_host_port(attempt_result.address)),
+                connection=result.connection,
                 attempt=attempt_result.attempt,
                 outcome=result.outcome.name,
                 reached=result.reached.name,
@@ -478,10 +480,10 @@
 
     def _collect_action(self, action: api.Action, turn: _Turn, now: float) -> None:
         match action:
-            case api.Refuse(number, retry_after):
-                self._finish_undelivered(number, "bounced", retry_after, turn)
-            case api.Fail(number):
-                self._finish_undelivered(number, "dead", None, turn)
+            case api.Refuse(number, retry_after, reason):
+                self._finish_undelivered(number, "bounced", retry_after, reason, turn)
+            case api.Fail(number, reason):
+                self._finish_undelivered(number, "dead", None, reason, turn)
             case api.Send():
                 turn.sends.append(action)
             case api.SetTimer(delay, token):
@@ -489,15 +491,29 @@
             case _:
                 turn.other_actions.append(action)
 
-    def _finish_undelivered(self, number: int, result: str, retry_after: float | None, turn: _Turn) -> None:
+    def _finish_undelivered(
+        self,
+        number: int,
+        result: str,
+        retry_after: float | None,
+        reason: api.GiveUpReason | None,
+        turn: _Turn,
+    ) -> None:
         """Finish a message that is not delivered: answer the client if it still waits, else send a notice."""
         submission = turn.submissions.pop(number, None)
-        log.debug(
+        entry = self._store.entries[number]
+        reason_name = reason.value if reason is not None else ""
+        self._counters.add(f"given_up_{reason_name}")
+        log.info(
             "message_given_up",
-            id=self._store.entries[number].id,
+            id=entry.id,
+            destination=entry.destination,
             result=result,
+            reason=reason_name,
             wait_s=retry_after,
             taken_on=submission is None,
+            attempts=entry.attempts,
+            may_have_run=entry.ran_at is not None,
         )
         if submission is not None:
             status = HTTPStatus.TOO_MANY_REQUESTS if result == "bounced" else HTTPStatus.INTERNAL_SERVER_ERROR
--- a/irisstack/node/endpoint.py
+++ b/irisstack/node/endpoint.py
@@ -14,7 +14,7 @@
 from irisstack.interface import Address
 from irisstack.node.call import Call, OutgoingMessage
 from irisstack.node.config import HostPort
-from irisstack.node.connection import CallCancelled, Connection
+from irisstack.node.connection import CallCancelled, CloseReason, Connection
 from irisstack.node.counters import Counters
 from irisstack.node.mailbox import enlarge
 from irisstack.node.results import Result
@@ -160,7 +160,7 @@
             with suppress(Empty):
                 self._handle(self.mailbox.get(timeout=timeout))
             while self._idle and self._idle[0].idle_since + self._max_idle_time <= time.monotonic():
-                self._idle.popleft().close()
+                self._idle.popleft().close(CloseReason.IDLE_TIMEOUT)
 
     def _handle(self, command: "Command | _CallEnded") -> None:
         match command:
@@ -179,34 +179,37 @@
                 if connection is not None:
                     connection.idle_since = time.monotonic()
                     self._idle.append(connection)
-                    if self._retired or len(self._idle) > self._max_idle_connections:
-                        self._idle.popleft().close()
+                    self._trim_idle()
             case Reconfigure():
                 self._reconfigure(command)
-                while len(self._idle) > self._max_idle_connections:
-                    self._idle.popleft().close()
+                self._trim_idle()
             case WithholdCalls(until):
                 self._withheld_until = max(self._withheld_until, until)
             case Retire():
                 self._retired = True
-                self._close_idle()
+                self._trim_idle()
             case CloseIdle():
-                self._close_idle()
+                while self._idle:
+                    self._idle.pop().close(CloseReason.NOT_WORTH_KEEPING)
 
-    def _close_idle(self) -> None:
-        while self._idle:
-            self._idle.pop().close()
+    def _trim_idle(self) -> None:
+        """Close idle connections beyond the limit, and all of them once the endpoint is retired."""
+        while self._retired and self._idle:
+            self._idle.popleft().close(CloseReason.ENDPOINT_RETIRED)
+        while len(self._idle) > self._max_idle_connections:
+            self._idle.popleft().close(CloseReason.POOL_LIMIT)
 
     def _take_connection(self) -> Connection:
         """The most recently used idle connection that is usable, or a new one."""
         while self._idle:
             connection = self._idle.pop()
-            if time.monotonic() - connection.idle_since < self._max_idle_time and connection.is_usable():
+            if time.monotonic() - connection.idle_since >= self._max_idle_time:
+                connection.close(CloseReason.IDLE_TIMEOUT)
+            elif connection.close_if_unusable():
                 connection.configure(self._connect_timeout, self._report_fields)
                 return connection
-            connection.close()
         self._counters.add("connections_opened")
-        return Connection(self._host_port, self._connect_timeout, self._report_fields)
+        return Connection(self._host_port, self._connect_timeout, self._report_fields, self._counters)
 
     def _run_call(self, call: Call, connection: Connection) -> None:
         keep = connection.execute(call, self._before_send, self._on_result)
--- a/irisstack/node/results.py
+++ b/irisstack/node/results.py
@@ -42,6 +42,8 @@
     """The names of the numbers in the report."""
     error: str = field(default="", compare=False)
     """The system's name of the error that ended an attempt without an answer, such as `ECONNREFUSED`."""
+    connection: int = field(default=0, compare=False)
+    """The number of the connection that the attempt was made on."""
 
 
 DELIVERED = Result(Outcome.OK, Reached.ANSWERED, final=True)
@@ -121,6 +123,15 @@
     return Result(outcome, Reached.ANSWERED, final, retry_after, no_free_slot, report, tuple(report_fields))
 
 
+def batch_words(message: Message) -> dict[str, str]:
+    """The word for each message in the answer to a batch call, by id."""
+    words: dict[str, str] = {}
+    for line in bytes(message.body).decode("latin-1").splitlines():
+        id_, _, word = line.strip().partition(" ")
+        words[id_] = word
+    return words
+
+
 def batch_results(message: Message, ids: Sequence[str], report_fields: Sequence[str]) -> dict[str, Result]:
     """The result of each message of a batch call, by id; one that the answer omits may have run."""
     call_result = answer_result(message, report_fields)
@@ -128,10 +139,7 @@
         return dict.fromkeys(ids, Result(Outcome.NOT_SENT, Reached.ANSWERED))
     if message.status != 200:
         return dict.fromkeys(ids, call_result)
-    words: dict[str, str] = {}
-    for line in bytes(message.body).decode("latin-1").splitlines():
-        id_, _, word = line.strip().partition(" ")
-        words[id_] = word
+    words = batch_words(message)
     results = {}
     for id_ in ids:
         outcome, final = OUTCOME_BY_WORD.get(words.get(id_, ""), (Outcome.RESET, False))
--- a/irisstack/node/sockets.py
+++ b/irisstack/node/sockets.py
@@ -4,6 +4,8 @@
 import select
 import time
 from collections.abc import Callable
+from enum import Enum, auto
+from socket import MSG_PEEK
 
 from gevent import socket
 
@@ -67,6 +69,25 @@
     return connection
 
 
+class PendingInput(Enum):
+    """What there is to read on a connection."""
+
+    NOTHING = auto()
+    DATA = auto()
+    END = auto()
+    """The end of the stream, or an error."""
+
+
+def pending_input(connection: socket.socket) -> PendingInput:
+    """What there is to read; reads nothing."""
+    if nothing_to_read(connection):
+        return PendingInput.NOTHING
+    try:
+        return PendingInput.DATA if connection.recv(1, MSG_PEEK) else PendingInput.END
+    except OSError:
+        return PendingInput.END
+
+
 def nothing_to_read(connection: socket.socket) -> bool:
     """Whether there is neither data nor an end of stream to read, so that the connection can be reused."""
     return not _has_events(connection, select.POLLIN | BROKEN_EVENTS)
--- a/irisstack/shadow.py
+++ b/irisstack/shadow.py
@@ -74,7 +74,7 @@
         if home_endpoints and sent.endpoint not in home_endpoints:
             self._count(Divergence.OTHER_ZONE)
 
-    def _give_up(self, message: Message) -> None:
+    def _give_up(self, message: Message, reason: api.GiveUpReason | None = None) -> None:
         message_class = message.message_class
         # The latest start of an attempt depends on the class, so it is computed again under the trial class.
         if message.may_have_run_at is not None and self._latest_attempt_start(message) < self._now:
@@ -85,4 +85,4 @@
             ):
                 self._count(Divergence.GIVEN_UP)
             message.message_class = message_class
-        super()._give_up(message)
+        super()._give_up(message, reason)
