--- a/tests/node_support.py
+++ b/tests/node_support.py
@@ -126,18 +126,40 @@
     return "\r\n".join(lines).encode()
 
 
-class ScriptedEndpoint(ScriptedServer):
-    """An endpoint that answers with the responses of its script, repeating the last one.
+def message_ids(request: http.Message) -> list[str]:
+    """The ids of the messages in a call."""
+    if not request.path.endswith(":batch"):
+        return [request.headers["x-request-id"]]
+    ids, remaining = [], bytes(request.body)
+    while remaining:
+        line, _, remaining = remaining.partition(b"\r\n")
+        id_, _, length = line.decode().split()
+        ids.append(id_)
+        remaining = remaining[int(length) + 2 :]
+    return ids
+
+
+def accepted(request: http.Message) -> bytes:
+    """The response that accepts all messages of a call; it names them, as the operators' endpoints do."""
+    if not request.path.endswith(":batch"):
+        return http_response(200, body=request.headers["x-request-id"])
+    return http_response(200, body="".join(f"{id_} accepted\r\n" for id_ in message_ids(request)))
+
 
-    `None` leaves a request unanswered, `b""` closes the connection.
-    """
+ScriptedResponse = bytes | None | Callable[[http.Message], bytes]
+"""A response, or what makes it of the request; `None` leaves it unanswered, `b""` closes the connection."""
+
+
+class ScriptedEndpoint(ScriptedServer):
+    """An endpoint that answers with the responses of its script, repeating the last one."""
 
-    def __init__(self, *script: bytes | None) -> None:
-        self.script = list(script) or [http_response(200)]
+    def __init__(self, *script: ScriptedResponse) -> None:
+        self.script = list(script) or [accepted]
         super().__init__()
 
     def reply(self, connection: socket.socket, request: http.Message) -> None:
-        response = self.script.pop(0) if len(self.script) > 1 else self.script[0]
+        scripted = self.script.pop(0) if len(self.script) > 1 else self.script[0]
+        response = scripted(request) if callable(scripted) else scripted
         if response == b"":
             connection.close()
         elif response is not None:
@@ -344,10 +366,14 @@
 
 @contextlib.contextmanager
 def node_and_platform(
-    directory: Path, *endpoints: ScriptedEndpoint, flavor: str = "plain", **limits: float
+    directory: Path,
+    *endpoints: ScriptedEndpoint,
+    flavor: str = "plain",
+    platform: ScriptedPlatform | None = None,
+    **limits: float,
 ) -> Iterator[Any]:
     """Run a node with a platform that lists the endpoints, all of destination 1."""
-    platform = ScriptedPlatform()
+    platform = platform or ScriptedPlatform()
     for number, endpoint in enumerate(endpoints, start=1):
         platform.add_member(endpoint, number, cell=1, flavor=flavor)
     node = Node(directory, platform, **limits)
