A repeated 204 no longer acknowledges a post of notices that the platform refused

What callers would see: a message that was given up ends without a notice. Cause: the same class as the calls to endpoints; on the kept connection to the platform the 204 of one post, sent again with the next, acknowledged that one, and nothing in a 204 says which post it answers. Evidence: test_notice_is_not_lost_when_the_platform_repeats_the_previous_204 (real processes; before, the notice of the second message was never posted again within 20 s). Change: each post has a connection of its own, as calls for the list have. Why it works: a copy can only come on a connection on which nothing waits any more.

--- a/irisstack/node/notices.py
+++ b/irisstack/node/notices.py
@@ -90,40 +90,29 @@
         return True
 
     def _post(self, body: bytes) -> int:
-        """Send one POST; returns its status, or 0 without a complete response."""
-        buffer, reader = Buffer(), http.ResponseReader()
+        """Send one POST on a connection of its own; returns its status, or 0 without a complete response.
+
+        On a reused connection, a late repetition of the previous response would acknowledge these notices.
+        """
         timeout = min(self._timeout, MAX_REQUEST_TIMEOUT)
         deadline = time.monotonic() + timeout
         try:
-            if self._socket is not None and not sockets.nothing_to_read(self._socket):
-                self._close()
             address = self._address
-            connection = self._socket = self._socket or sockets.connect(address, timeout)
+            connection = self._socket = sockets.connect(address, timeout)
             if address != self._address:
                 raise ConnectionAbortedError("the platform's address has changed")
             connection.settimeout(max(0.001, deadline - time.monotonic()))
-            connection.sendall(
-                http.request(
-                    "POST",
-                    "/reports",
-                    format_host_port(address),
-                    [("Content-Type", "application/json")],
-                    body,
-                )
-            )
-            while (response := reader.advance(buffer)) is None:
-                if not sockets.receive_before(connection, buffer, deadline):
-                    raise ConnectionResetError("connection closed before the end of the response")
+            connection.sendall(_request(address, body))
+            status = _read_response(connection, deadline).status
         except (OSError, http.BadMessage) as error:
             log.info("notice_connection_lost", error=repr(error))
-            self._close()
             if isinstance(error, TimeoutError):  # the platform may be slow; other errors do not indicate that
                 self._timeout = 2.0 * timeout
             return 0
-        self._timeout = INITIAL_REQUEST_TIMEOUT
-        if not response.keep_alive:
+        finally:
             self._close()
-        return response.status
+        self._timeout = INITIAL_REQUEST_TIMEOUT
+        return status
 
     def _close(self) -> None:
         if self._socket is not None:
@@ -131,6 +120,20 @@
             self._socket = None
 
 
+def _request(address: HostPort, body: bytes) -> bytes:
+    headers = [("Content-Type", "application/json"), ("Connection", "close")]
+    return http.request("POST", "/reports", format_host_port(address), headers, body)
+
+
+def _read_response(connection: socket.socket, deadline: float) -> http.Message:
+    """Read one response; raises `OSError` or `http.BadMessage`."""
+    buffer, reader = Buffer(), http.ResponseReader()
+    while (response := reader.advance(buffer)) is None:
+        if not sockets.receive_before(connection, buffer, deadline):
+            raise ConnectionResetError("connection closed before the end of the response")
+    return response
+
+
 def _notice(entry: Entry) -> dict[str, Any]:
     notice: dict[str, Any] = {"ref": entry.id, "result": entry.result}
     if entry.result == "bounced" and entry.wait_ms:
