An older update that comes again on a watch no longer undoes a drain

What callers would see: calls to an endpoint that drains, past the grace. Cause: the same class on the way in; each object of a watch was taken as the newest, whatever its revision, so that an update sent once more behind a newer one put the endpoint back into use.

--- a/irisstack/node/discovery.py
+++ b/irisstack/node/discovery.py
@@ -162,11 +162,19 @@
         """Seconds since the held list was last known to be the newest."""
         return time.monotonic() - self._confirmed_at
 
-    def on_object(self, call: ListCall, raw: Any) -> None:
-        """Post the update in one JSON object.
+    def on_object(self, call: ListCall, raw: Any) -> bool:
+        """Post the update in one JSON object, unless it is older than one that the call has brought before.
 
         The revision is stored only then: if the call is ended meanwhile, the next one requests it again.
         """
+        revision = int(raw["revision"])
+        if revision < call.newest_revision:
+            self._counters.add("list_updates_outdated")
+            log.warning(
+                "list_update_outdated", call=call.number, revision=revision, newest=call.newest_revision
+            )
+            return False
+        call.newest_revision = revision
         update = self._reader.parse_update(raw)
         not_offered = [e.address for e in update.endpoints if e.state is not api.EndpointState.READY]
         log.info(
@@ -181,6 +189,7 @@
         )
         self._post(update)
         self._revision = update.version
+        return True
 
     def on_confirmed(self, call: ListCall) -> None:
         """The list is known to be the newest; the other watch calls are no longer needed."""
--- a/irisstack/node/list_call.py
+++ b/irisstack/node/list_call.py
@@ -60,8 +60,8 @@
 class Listener(Protocol):
     """The owner of a call."""
 
-    def on_object(self, call: "ListCall", raw: Any) -> None:
-        """A JSON object has arrived; raises if it is not a list update."""
+    def on_object(self, call: "ListCall", raw: Any) -> bool:
+        """A JSON object has arrived; returns whether it is current. Raises if it is not a list update."""
 
     def on_confirmed(self, call: "ListCall") -> None:
         """An object or a heartbeat has arrived: the list as received by this call is the newest."""
@@ -92,6 +92,8 @@
         self._last_bytes_at = -math.inf
         self._answer_started_at: float | None = None
         self._overdue = False
+        self.newest_revision = 0
+        """The highest revision of a list update that this call has brought; its listener keeps it."""
         self.ended = False
         """Whether the call is over and its listener is no longer called."""
         self._greenlets = [gevent.spawn(self._run), gevent.spawn(self._report_overdue)]
@@ -143,7 +145,6 @@
         if answer.status != 200:
             return f"ended with status {answer.status}"
         self._pass_on(bytes(answer.body))
-        self._confirm()
         return ""
 
     def _read_answer(self) -> http.Message:
@@ -166,7 +167,6 @@
                 body = bytes(answer.body) if answer is not None else reader.take_body()
                 for data in objects.feed(body):
                     self._pass_on(data)
-                    self._confirm()
                 if objects.between_objects and b"\n" in body:
                     self._confirm()
             if answer is not None or (reader.headers_complete and status != 200):
@@ -191,8 +191,9 @@
         return max(self._confirmed_at, self._answer_started_at) + SILENCE_TIMEOUT_S
 
     def _pass_on(self, data: bytes) -> None:
-        if not self.ended:
-            self._listener.on_object(self, json.loads(data))
+        """Pass on an object; one that is current confirms the list."""
+        if not self.ended and self._listener.on_object(self, json.loads(data)):
+            self._confirm()
 
     def _confirm(self) -> None:
         if self.ended:
