Soak: responses and list updates that come twice, rejected notices, series of signals

The audit also finds attempts that arrive while an earlier one is out. The endpoint is a module of its own (tests/node/soak_endpoint.py).

--- a/tests/node/fault_soak.py
+++ b/tests/node/fault_soak.py
@@ -12,6 +12,7 @@
 import itertools
 import signal
 import socket
+import subprocess
 import sys
 import tempfile
 import threading
@@ -22,27 +23,41 @@
 from random import Random
 
 from irisstack.lab.faults.rig import DescriptorKind, Rig, Rule, SystemCall
-from irisstack.node import http
 from tests.node.fault_support import node_with_faults
 from tests.node.soak_audit import (
     DEDUP_WINDOW_S,
     HARNESS_SLACK_S,
     RESULT_SLACK_S,
-    ReceivedCall,
     SoakRun,
     SubmittedMessage,
     audit,
 )
 from tests.node.soak_discovery import DrainInjector, SoakDiscovery
-from tests.node_support import Node, ScriptedEndpoint, ScriptedPlatform, http_response, message_request
+from tests.node.soak_endpoint import SoakEndpoint
+from tests.node_support import Node, ScriptedPlatform, message_request
 
 SUBMIT_DURATION_S = 12.0
 """Seconds in which messages are submitted."""
 CLIENT_COUNT, IDLE_CLIENT_COUNT = 5, 60
+FLAVORS = ("plain", "shared")
+"""Kinds of the destination: its calls carry one message, or several."""
 FLEET_SIZES = (2, 24)
 """Numbers of nodes in the settings; the pauses between calls for the list depend on them."""
+RESTARTS = 2
+"""Series of signals in a run, most of which restart the node."""
 KILL_AFTER_S = 3.7
 """Seconds from SIGTERM to SIGKILL, the earliest that the protocol allows."""
+SIGNAL_SERIES = (
+    (),
+    (),
+    (signal.SIGTERM,),
+    (signal.SIGTERM, signal.SIGTERM),
+    (signal.SIGHUP,) * 5,
+    (signal.SIGHUP, signal.SIGTERM, signal.SIGHUP),
+    (signal.SIGTERM, signal.SIGHUP, signal.SIGINT),
+)
+"""Signals that are sent one after another; none stands for SIGKILL alone."""
+MAX_SIGNAL_GAP_S = 0.05
 RESTART_AFTER_S = 0.6
 """Seconds from the end of a process to the start of the next."""
 ANSWER_TIMEOUT_S = 2.5
@@ -54,37 +69,6 @@
 CLASS_NAMES = ("safe", "keyed", "unsafe")
 
 
-class _UnreliableEndpoint(ScriptedEndpoint):
-    """Serves most calls; answers the others with 429 or 500, closes the connection, or does not answer."""
-
-    def __init__(self, soak_run: SoakRun, number: int) -> None:
-        super().__init__()
-        self._soak_run, self._number = soak_run, number
-        self._random = Random(soak_run.seed * 10 + number)
-
-    def reply(self, connection: socket.socket, request: http.Message) -> None:
-        call = ReceivedCall(
-            request.headers["x-request-id"], time.monotonic(), ran=True, endpoint=self._number
-        )
-        self._soak_run.calls.append(call)
-        draw, delay = self._random.random(), self._random.uniform(0.0, 0.05)
-        time.sleep(delay)
-        if draw < 0.03:
-            call.ran = False
-            wait = self._random.uniform(0.2, 1.2)
-            connection.sendall(http_response(429, f"Retry-After: {wait:.3f}"))
-            now = time.monotonic()
-            self._soak_run.retry_after_waits.append((now, now + wait))
-        elif draw < 0.05:
-            connection.sendall(http_response(500))
-        elif draw < 0.06:
-            connection.shutdown(socket.SHUT_RDWR)
-        elif draw >= 0.07:  # from 0.06 to 0.07 it does not answer
-            with contextlib.suppress(OSError):
-                connection.sendall(http_response(200))
-                call.delivered = True
-
-
 class _NoticeRecorder(threading.Thread):
     """Records when notices arrive."""
 
@@ -206,17 +190,18 @@
         self.fails_reads = False
 
     def run(self) -> None:
-        restart_at = time.monotonic() + self._random.uniform(1.0, SUBMIT_DURATION_S - 5.0)
-        restarted = False
+        restart_times = sorted(
+            time.monotonic() + self._random.uniform(1.0, SUBMIT_DURATION_S - 5.0) for _ in range(RESTARTS)
+        )
         while time.monotonic() < self._end:
             time.sleep(self._random.uniform(0.1, 0.4))
             if self._random.random() < 0.6:
                 self._step_wall_clock()
             if self._random.random() < 0.7:
                 self._inject_fault()
-            if not restarted and time.monotonic() >= restart_at:
-                restarted = True
-                self._restart()
+            if restart_times and time.monotonic() >= restart_times[0]:
+                restart_times.pop(0)
+                self._send_signals()
         self._set_rules()
 
     def _set_rules(self, *rules: Rule) -> None:
@@ -243,21 +228,23 @@
         if self._random.random() < 0.7 or rules[0].call is SystemCall.CONNECT:
             self._set_rules()
 
-    def _restart(self) -> None:
+    def _send_signals(self) -> None:
+        """Send a series of signals; restart the node if they end it."""
+        signals = self._random.choice(SIGNAL_SERIES)
+        self._record_fault(f"signals: {[each.name for each in signals] or 'SIGKILL alone'}")
         assert self._node.process is not None
         signalled_at = time.monotonic()
-        method = self._random.choice(("kill", "term", "term twice", "hangups"))
-        self._record_fault(f"signals: {method}")
-        if method == "hangups":
-            for _ in range(5):
-                self._node.process.send_signal(signal.SIGHUP)
-                time.sleep(self._random.uniform(0.0, 0.02))
+        for each in signals:
+            self._node.process.send_signal(each)
+            time.sleep(self._random.uniform(0.0, MAX_SIGNAL_GAP_S))
+        if signals and signal.SIGTERM not in signals:
             return
-        if method != "kill":
-            for _ in range(1 + (method == "term twice")):
-                self._node.process.send_signal(signal.SIGTERM)
-            with contextlib.suppress(Exception):
-                self._node.process.wait(KILL_AFTER_S)
+        if signals:
+            with contextlib.suppress(subprocess.TimeoutExpired):
+                self._node.process.wait(max(0.0, signalled_at + KILL_AFTER_S - time.monotonic()))
+        self._kill_and_start(signalled_at)
+
+    def _kill_and_start(self, signalled_at: float) -> None:
         killed_at = time.monotonic()
         self._node.kill()
         self._soak_run.kills.append((killed_at, time.monotonic()))
@@ -301,7 +288,7 @@
     """Run one seed and audit it."""
     soak_run = SoakRun(seed)
     discovery = SoakDiscovery(soak_run)
-    endpoints = [_UnreliableEndpoint(soak_run, number) for number in (1, 2)]
+    endpoints = [SoakEndpoint(soak_run, number) for number in (1, 2)]
     fleet_size = FLEET_SIZES[seed % len(FLEET_SIZES)]
     with node_with_faults(
         directory,
@@ -309,6 +296,7 @@
         platform=discovery,
         dedup_window=DEDUP_WINDOW_S,
         fleet_size=fleet_size,
+        flavor=FLAVORS[seed // 2 % len(FLAVORS)],
         sockets=128,
     ) as (
         node,
--- a/tests/node/fault_support.py
+++ b/tests/node/fault_support.py
@@ -26,17 +26,18 @@
     platform: ScriptedPlatform | None = None,
     dedup_window: float = 15.0,
     fleet_size: int = 2,
+    flavor: str = "plain",
     **limits: float,
 ) -> Iterator[tuple[Node, ScriptedPlatform, fault_rig.Rig]]:
     """Run a node under the fault rig, with a platform that lists the endpoints, all of destination 1.
 
     `platform` defaults to a new one. `dedup_window` is that of the keyed class in seconds, `fleet_size` the
-    number of nodes in the settings.
+    number of nodes in the settings, `flavor` the kind of the destination.
     """
     rig = fault_rig.Rig(build_library(directory), directory / "control", directory / "state")
     platform = platform or ScriptedPlatform()
     for number, peer in enumerate(endpoints, start=1):
-        platform.add_member(peer, number, cell=1)
+        platform.add_member(peer, number, cell=1, flavor=flavor)
     node = Node(directory, platform, **limits)
     node.environment = rig.environment
     node.config_data["settings"] = copy.deepcopy(node.config_data["settings"])
--- a/tests/node/soak_audit.py
+++ b/tests/node/soak_audit.py
@@ -1,5 +1,6 @@
 """The events of one soak run, and the audit that checks them against the node's guarantees."""
 
+import itertools
 import math
 from dataclasses import dataclass, field
 
@@ -21,6 +22,8 @@
 """Seconds by which a write may be recorded after the failed read that lost it."""
 NOTIFICATION_DEADLINE_S = 6.0
 """Seconds after which a node counts as notified of a change in discovery, whether or not it was received."""
+OVERLAP_SLACK_S = 0.2
+"""Seconds that an endpoint may take to find a connection closed."""
 DRAIN_GRACE_S = 0.3
 """Seconds after the notification in which calls to a draining endpoint may still start."""
 
@@ -50,6 +53,8 @@
     delivered: bool = False
     endpoint: int = 0
     """The number of the endpoint that received it."""
+    ended_at: float = math.inf
+    """When the endpoint had answered it, or found its connection closed."""
 
 
 @dataclass(slots=True)
@@ -101,6 +106,7 @@
         calls = [call for call in run.calls if call.id == message.id]
         run.violations += _check_final_result(run, message, calls)
         run.violations += _check_duplicates(message, calls)
+        run.violations += _check_overlaps(message, calls)
         notified = run.notified_at.get(message.id)
         if notified is not None:
             late = [call for call in calls if call.received_at > notified + HARNESS_SLACK_S / 4]
@@ -186,3 +192,14 @@
             "after its first run"
         ]
     return []
+
+
+def _check_overlaps(message: SubmittedMessage, calls: list[ReceivedCall]) -> list[str]:
+    """Finds attempts that arrived while an earlier one was still out."""
+    calls = sorted(calls, key=lambda call: call.received_at)
+    return [
+        f"overlap: {message.id} ({message.class_name}) called {earlier.ended_at - later.received_at:.3f} s "
+        "before the end of the call before"
+        for earlier, later in itertools.pairwise(calls)
+        if later.received_at < earlier.ended_at - OVERLAP_SLACK_S
+    ]
--- a/tests/node/soak_discovery.py
+++ b/tests/node/soak_discovery.py
@@ -6,7 +6,7 @@
 from random import Random
 from typing import Any
 
-from irisstack.node import sockets
+from irisstack.node import http, sockets
 from tests.node.list_support import CallBehavior, ScriptedDiscovery
 from tests.node.soak_audit import DrainPeriod, SoakRun
 
@@ -16,6 +16,13 @@
 """With more failures in a row, discovery could not be reached in time."""
 SHORT_ABSENCE_S, LONG_ABSENCE_S = (0.3, 2.0), (8.0, 11.0)
 """Ranges of seconds for which the endpoint is away: below, or above, the notification deadline."""
+REJECTION_PROBABILITY = 0.15
+"""Probability that a post of notices is rejected."""
+NO_CONTENT = b"HTTP/1.1 204 No Content\r\n\r\n"
+OUTDATED_PROBABILITY = 0.5
+"""Probability that the update before a drain is sent once more behind it."""
+MAX_OUTDATED_DELAY_S = 0.3
+"""Seconds from a drain to an outdated update."""
 PAUSE_S = (0.0, 1.0)
 """Range of seconds between two drains."""
 
@@ -26,7 +33,28 @@
     def __init__(self, soak_run: SoakRun) -> None:
         super().__init__(*_call_behaviors(Random(soak_run.seed + 2)))
         self._soak_run = soak_run
+        self._random = Random(soak_run.seed + 4)
         self._lock = threading.Lock()
+        self._acknowledged: set[socket.socket] = set()
+
+    def reply(self, connection: socket.socket, request: http.Message) -> None:
+        if request.path == "/reports":
+            self._reject_at_random(connection)
+        super().reply(connection, request)
+
+    def _reject_at_random(self, connection: socket.socket) -> None:
+        """Reject some posts of notices, after a repetition of the acknowledgement of the one before."""
+        if self._random.random() < REJECTION_PROBABILITY:
+            self.rejections_left = 1
+            if connection in self._acknowledged:
+                connection.sendall(NO_CONTENT)
+        else:
+            self._acknowledged.add(connection)
+
+    def send_outdated_update(self, update: dict[str, Any]) -> None:
+        """Send an update again that was sent before a newer one."""
+        with self._lock:
+            super().send_update(update)
 
     def send_update(self, member: dict[str, Any] | str) -> None:
         with self._lock:
@@ -72,6 +100,11 @@
         absence_s = LONG_ABSENCE_S
         while not self.stop_requested.wait(self._random.uniform(*PAUSE_S)):
             drain = DrainPeriod(self._endpoint_number, time.monotonic())
+            outdated = {
+                "revision": self._discovery.revision,
+                "complete": False,
+                "members": [dict(self._member)],
+            }
             phase = self._random.choice(("DRAINING", "DELETED"))
             self._member["phase"] = phase
             if phase == "DELETED":
@@ -79,6 +112,9 @@
             self._soak_run.drains.append(drain)
             self._soak_run.faults.append(f"{drain.started_at:.3f} endpoint {self._endpoint_number} {phase}")
             self._discovery.update_members(self._member)
+            if self._random.random() < OUTDATED_PROBABILITY:
+                self.stop_requested.wait(self._random.uniform(0.0, MAX_OUTDATED_DELAY_S))
+                self._discovery.send_outdated_update(outdated)
             self.stop_requested.wait(self._random.uniform(*absence_s))
             absence_s = self._random.choice((SHORT_ABSENCE_S, LONG_ABSENCE_S))
             drain.ended_at = time.monotonic()
--- a/tests/node/test_soak_audit.py
+++ b/tests/node/test_soak_audit.py
@@ -9,7 +9,8 @@
 ACCEPTED = SubmittedMessage(
     "m1", "unsafe", sent_at=10.0, deadline=15.0, connected_at=9.0, status=202, answered_at=10.1
 )
-CALL = ReceivedCall("m1", 11.0, ran=True, delivered=True, endpoint=2)
+CALL = ReceivedCall("m1", 11.0, ran=True, delivered=True, endpoint=2, ended_at=11.1)
+REFUSED_CALL = replace(CALL, ran=False, delivered=False)
 
 
 def compliant_run(**overrides: object) -> SoakRun:
@@ -33,6 +34,9 @@
     "lost": compliant_run(calls=[]),
     "rejected but run": compliant_run(submitted=[replace(ACCEPTED, status=503)]),
     "duplicate": compliant_run(calls=[CALL, replace(CALL, received_at=12.0)]),
+    "overlap": compliant_run(
+        calls=[replace(CALL, ran=False, ended_at=11.5), replace(CALL, received_at=11.2)]
+    ),
     "call after notice": compliant_run(notified_at={"m1": 10.2}),
     "wait": compliant_run(retry_after_waits=[(10.0, 12.0)]),
     "drain": compliant_run(drains=[DrainPeriod(2, 9.0, written_at=[9.1])]),
