A part of an earlier response, read in small pieces, no longer ends a call as delivered

What callers would see: a message that was refused or failed counts as delivered. Cause: a response cut short takes the bytes that it lacks from the next one; where reads are short, the rest of that one was not yet in the buffer, so that the response seemed to end at a boundary. Evidence: both messages' calls were answered 500 and 429 behind a part of a 200, under rules that limit reads to 4 and 7 bytes, and their node logged no end of the attempt that was not a delivery. Change: a body with the start of a status line in it is unclear, and bytes that wait in the socket are read before the end of a response is judged. Endpoints whose bodies hold such text get a connection for each call.

--- a/irisstack/node/connection.py
+++ b/irisstack/node/connection.py
@@ -3,6 +3,7 @@
 import itertools
 import time
 from collections.abc import Callable, Sequence
+from contextlib import suppress
 from dataclasses import dataclass, replace
 from enum import Enum
 
@@ -95,6 +96,8 @@
     """The system's name of the error that ended it."""
     repeated_responses: int = 0
     """How many responses to earlier calls arrived before its own."""
+    unclear: bool = False
+    """Whether it is not clear to which call its response belongs."""
 
 
 class Connection:
@@ -181,6 +184,7 @@
             end.reason, end.error = EndReason.GIVEN_UP, error_name(error)
         except (OSError, http.BadMessage, UnclearResponse) as error:
             end.reason, end.error = EndReason.BROKEN, error_name(error)
+            end.unclear = isinstance(error, UnclearResponse)
         except Exception as error:  # an unexpected error must not leave a message without a result
             log.error("call_failed", peer=format_host_port(self._host_port), error=repr(error))
         call.ended = True
@@ -216,7 +220,7 @@
         """Why the connection must be closed after a call; `None` if it can be used for another one."""
         response = end.response
         if response is None:
-            if end.repeated_responses:
+            if end.repeated_responses or end.unclear:
                 self._matcher.give_up()
             return CLOSE_REASON_WITHOUT_RESPONSE[end.reason]
         if end.reason is EndReason.CALLED_OFF:
@@ -319,10 +323,20 @@
             end.repeated_responses += 1
         raise UnclearResponse
 
+    def _received_behind_response(self) -> bytes:
+        """The first bytes behind a response, as far as they have arrived."""
+        assert self._socket is not None
+        size = len(STATUS_LINE_START)
+        with suppress(OSError):  # an error behind a complete response concerns the connection alone
+            while (
+                len(self._buffer) < size and sockets.pending_input(self._socket) is sockets.PendingInput.DATA
+            ):
+                self._buffer.receive(self._socket)
+        return self._buffer.peek(size)
+
     def _is_own(self, response: http.Message, call: Call) -> bool:
         """Whether a response is that of this call and not of an earlier one; raises `UnclearResponse`."""
-        next_bytes = self._buffer.peek(len(STATUS_LINE_START))
-        match = self._matcher.match(response, call.ids, next_bytes)
+        match = self._matcher.match(response, call.ids, self._received_behind_response())
         if match is Match.OWN:
             return True
         self._counters.add(f"responses_{match.name.lower()}")
--- a/irisstack/node/response_match.py
+++ b/irisstack/node/response_match.py
@@ -33,7 +33,7 @@
     REPEATED = auto()
     """It repeats the response to an earlier call."""
     UNCLEAR = auto()
-    """Its end is not where the next response begins, so it may be a mixture of several."""
+    """It may be a mixture of several: another begins within its body, or none where it ends."""
 
 
 @dataclass(slots=True, frozen=True)
@@ -100,13 +100,12 @@
         `next_bytes` are the bytes, up to the length of `STATUS_LINE_START`, received behind the response.
         """
         identity = Identity.of(response)
-        if self.awaits_first_response or response.status != HTTPStatus.OK:
-            return Match.OWN
-        if identity.names(ids):
+        if self.awaits_first_response or response.status != HTTPStatus.OK or identity.names(ids):
             return Match.OWN
         if identity in self._earlier:
             return Match.REPEATED
-        return Match.OWN if STATUS_LINE_START.startswith(next_bytes) else Match.UNCLEAR
+        is_mixture = STATUS_LINE_START in identity.body or not STATUS_LINE_START.startswith(next_bytes)
+        return Match.UNCLEAR if is_mixture else Match.OWN
 
     def complete_call(self, response: Message, ids: Collection[str], all_finished: bool) -> bool:
         """Take note of a call's own response; returns whether the connection may carry another call.
@@ -119,9 +118,13 @@
         if len(ids) == 1:  # the body of a batch response differs by the ids that it names
             self._variety.observe(identity.body)
         self._earlier.add(identity)
-        distinctive = identity.names(ids) or (identity.body and self._variety.always_differs)
-        return bool(distinctive) and all_finished and len(self._earlier) < MAX_CALLS_PER_CONNECTION
+        distinctive = identity.names(ids) or self._is_distinctive(identity.body)
+        return distinctive and all_finished and len(self._earlier) < MAX_CALLS_PER_CONNECTION
+
+    def _is_distinctive(self, body: bytes) -> bool:
+        """Whether the next response could not be taken for a repetition of one with this body."""
+        return bool(body) and self._variety.always_differs and STATUS_LINE_START not in body
 
     def give_up(self) -> None:
-        """A repetition was skipped and the call's own response did not come."""
+        """A response was taken for that of an earlier call, and the call's own response did not come."""
         self._variety.distrust()
--- a/tests/node/soak_audit.py
+++ b/tests/node/soak_audit.py
@@ -88,6 +88,8 @@
     drains: list[DrainPeriod] = field(default_factory=list)
     failed_reads: list[float] = field(default_factory=list)
     """When the rig was seen to fail a read of the node."""
+    repetitions_with_calls: int = 0
+    """Responses, or parts of them, that an endpoint sent a second time as the next call arrived."""
     violations: list[str] = field(default_factory=list)
 
     def may_be_lost(self, written_at: float) -> bool:
--- a/tests/node/soak_endpoint.py
+++ b/tests/node/soak_endpoint.py
@@ -42,9 +42,9 @@
         self._random = Random(soak_run.seed * 10 + number)
         self._write_lock = threading.Lock()
         self._due_with_next_call: dict[socket.socket, bytes] = {}
+        self._garbled: set[socket.socket] = set()
+        """Connections on which a part of a response is due or was sent; what follows cannot be read."""
         self._unanswered: dict[socket.socket, list[ReceivedCall]] = {}
-        self.repetitions = 0
-        """Responses, or parts of them, that were sent a second time as the next call arrived."""
         super().__init__()
 
     def _serve(self, connection: socket.socket) -> None:
@@ -67,7 +67,7 @@
         if repetition:
             time.sleep(self._random.uniform(0.0, MAX_DELAY_BEHIND_CALL_S))
             self._write(connection, repetition)
-            self.repetitions += 1
+            self._soak_run.repetitions_with_calls += 1
 
     def _respond(self, connection: socket.socket, request: http.Message, calls: list[ReceivedCall]) -> None:
         draw = self._random.random()
@@ -75,9 +75,11 @@
             for call in calls:
                 call.ran = False
             wait = self._random.uniform(0.2, 1.2)
+            readable = connection not in self._garbled
             self._write_response(connection, http_response(429, f"Retry-After: {wait:.3f}"), calls)
             now = time.monotonic()
-            self._soak_run.retry_after_waits.append((now, now + wait))
+            if readable:
+                self._soak_run.retry_after_waits.append((now, now + wait))
         elif draw < FAILED_BELOW:
             self._write_response(connection, http_response(500), calls)
         elif draw < CLOSED_BELOW:
@@ -105,6 +107,7 @@
             case Repetition.WITH_NEXT_CALL:
                 self._due_with_next_call[connection] = response
             case Repetition.CUT_OFF_WITH_NEXT_CALL:
+                self._garbled.add(connection)
                 size = self._random.randint(1, len(response) - 1)
                 self._due_with_next_call[connection] = response[:size]
 
--- a/tests/node/test_fault_soak.py
+++ b/tests/node/test_fault_soak.py
@@ -14,6 +14,7 @@
     assert {run.seed: run.violations for run in runs if run.violations} == {}
     assert sum(message.status == 202 for run in runs for message in run.submitted) > 500
     assert sum(call.delivered for run in runs for call in run.calls) > 200
+    assert sum(run.repetitions_with_calls for run in runs) > len(runs)
     drains = [(run, drain) for run in runs for drain in run.drains]
     calls_after_drain = [
         call for run, drain in drains for call in run.calls if call.received_at > drain.ended_at
--- a/tests/node/test_repeats.py
+++ b/tests/node/test_repeats.py
@@ -13,6 +13,7 @@
 
 from irisstack.interface import DedupScope, MessageWithdrawn, Outcome
 from irisstack.node import sockets
+from irisstack.node.buffer import Buffer, ByteSource
 from irisstack.node.call import Call, OutgoingMessage
 from irisstack.node.counters import Counters
 from irisstack.node.decider import Decider
@@ -304,6 +305,17 @@
     assert not actor._idle
 
 
+class ShortReads:
+    """A socket that reads few bytes at a time."""
+
+    def __init__(self, source: ByteSource, size: int) -> None:
+        self._source, self._size = source, size
+
+    def recv_into(self, buffer: memoryview, /) -> int:
+        with buffer[: self._size] as part:
+            return self._source.recv_into(part)
+
+
 def call_with(*ids: str) -> Call:
     messages = [
         OutgoingMessage(number, 0, id_, "", b"", FAR_FUTURE, FAR_FUTURE) for number, id_ in enumerate(ids)
@@ -351,6 +363,40 @@
     assert [result.result.outcome for result in results[1:]] == outcomes[end]
 
 
+@pytest.mark.parametrize("read_size", [1, 4, 7, 4096])
+@pytest.mark.parametrize("cut", [0, 2, 9, 30, 31])
+def test_call_is_not_ended_by_a_part_of_the_response_to_the_call_before_it(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch, cut: int, read_size: int
+) -> None:
+    """The part takes the bytes that it lacks from the response to the call."""
+    results: list[AttemptResult] = []
+    body = "0123456789abcdef" * 2
+    head = http_response(200, body=body).removesuffix(body.encode())
+    receive = Buffer.receive
+
+    def receive_little(buffer: Buffer, source: ByteSource) -> int:
+        return receive(buffer, ShortReads(source, read_size))
+
+    monkeypatch.setattr(Buffer, "receive", receive_little)
+    with listening_socket() as server:
+        actor = start_endpoint_actor(server, results, Store(tmp_path, 3_000_000, 1000.0))
+        actor._body_variety.observe(b"another body")
+        actor.mailbox.put(call_with("m1"))
+        connection, _ = server.accept()
+        connection.recv(65536)
+        connection.sendall(head + body.encode())
+        wait_until(lambda: actor._idle)
+        actor.mailbox.put(call_with("m2"))
+        connection.recv(65536)
+        connection.sendall(head + body[:cut].encode() + http_response(503))
+        wait_until(lambda: len(results) == 2)
+        wait_until(lambda: not actor._calls)
+        assert not actor._idle
+        actor.worker.kill()
+        connection.close()
+    assert results[1].result.outcome is Outcome.RESET
+
+
 # ---- across restarts ----
 
 
--- a/tests/node/test_response_match.py
+++ b/tests/node/test_response_match.py
@@ -37,6 +37,7 @@
         (varied("x"), "x", False),
         (varied("x", "y", "x"), "z", False),
         (varied("x", "y"), "", False),
+        (varied("x", "y"), "a HTTP/1.1 response", False),
         (varied("x", ""), "y", False),
     ],
 )
@@ -85,14 +86,24 @@
 
 
 @pytest.mark.parametrize(
-    ("next_bytes", "match"),
-    [(b"", Match.OWN), (b"HT", Match.OWN), (b"HTTP/", Match.OWN), (b" 503 ", Match.UNCLEAR)],
+    ("body", "next_bytes", "match"),
+    [
+        ("b", b"", Match.OWN),
+        ("b", b"HT", Match.OWN),
+        ("b", b"HTTP/", Match.OWN),
+        ("bHT", b"TP/1.", Match.UNCLEAR),
+        ("bHTTP/1.1", b" 503 ", Match.UNCLEAR),
+        ("bHTTP/1.1", b"", Match.UNCLEAR),
+        ("m2 acceptedHTTP/1.1", b"", Match.OWN),
+    ],
 )
-def test_response_whose_end_is_no_boundary_is_unclear(next_bytes: bytes, match: Match) -> None:
+def test_mixture_of_responses_is_unclear_unless_it_names_the_message(
+    body: str, next_bytes: bytes, match: Match
+) -> None:
     """A response cut short takes its missing bytes from the next one."""
     matcher = ResponseMatcher(varied("x", "y"))
     assert complete(matcher, "m1", "a")
-    assert matcher.match(response("abHTTP/1.1"), ["m2"], next_bytes) is match
+    assert matcher.match(response(body), ["m2"], next_bytes) is match
 
 
 def test_connection_is_closed_after_as_many_calls_as_are_remembered() -> None:
