Notices arrive in time on the used connection while no other can be opened

What callers would see: a given-up message that counts as lost. Change: the connection of the last answered post is kept, and a post for which no connection can be opened goes out on it as well; since its response may be a repetition it acknowledges nothing, and the post is made again on a new connection (notices do no harm twice). Test: test_notice_is_sent_on_the_used_connection_while_no_other_can_be_opened, failed before.

--- a/irisstack/node/notices.py
+++ b/irisstack/node/notices.py
@@ -38,7 +38,8 @@
         self._counters = counters
         self._unacknowledged: dict[int, Entry] = {}
         self._wake = Event()
-        self._socket: socket.socket | None = None
+        self._in_flight: socket.socket | None = None  # the connection of the request in flight
+        self._used: socket.socket | None = None  # the connection of the last request that was answered
         self._timeout = INITIAL_REQUEST_TIMEOUT
 
     def add(self, entry: Entry) -> None:
@@ -52,7 +53,9 @@
         Notices are idempotent, so it does no harm if the old address has processed the request.
         """
         self._address = address
-        self._close()
+        if self._in_flight is not None:
+            self._in_flight.close()
+        self._close_used()
 
     @property
     def idle(self) -> bool:
@@ -90,48 +93,75 @@
         return True
 
     def _post(self, body: bytes) -> int:
-        """Send one POST on a connection of its own; returns its status, or 0 without a complete response.
+        """Send one POST on a new connection; returns its status, or 0 without a complete response.
 
-        On a reused connection, a late repetition of the previous response would acknowledge these notices.
+        On a used connection, a late repetition of the previous response would acknowledge these notices.
         """
         timeout = min(self._timeout, MAX_REQUEST_TIMEOUT)
         deadline = time.monotonic() + timeout
+        address = self._address
+        try:
+            connection = sockets.connect(address, timeout)
+        except OSError as error:
+            self._handle_failure(error, timeout)
+            self._post_unacknowledged(body)
+            return 0
+        self._in_flight = connection
         try:
-            address = self._address
-            connection = self._socket = sockets.connect(address, timeout)
             if address != self._address:
                 raise ConnectionAbortedError("the platform's address has changed")
-            connection.settimeout(max(0.001, deadline - time.monotonic()))
-            connection.sendall(_request(address, body))
-            status = _read_response(connection, deadline).status
+            status = _exchange(connection, address, body, deadline)
         except (OSError, http.BadMessage) as error:
-            log.info("notice_connection_lost", error=repr(error))
-            if isinstance(error, TimeoutError):  # the platform may be slow; other errors do not indicate that
-                self._timeout = 2.0 * timeout
+            self._handle_failure(error, timeout)
+            connection.close()
             return 0
         finally:
-            self._close()
+            self._in_flight = None
         self._timeout = INITIAL_REQUEST_TIMEOUT
+        self._close_used()
+        self._used = connection
         return status
 
-    def _close(self) -> None:
-        if self._socket is not None:
-            self._socket.close()
-            self._socket = None
+    def _handle_failure(self, error: Exception, timeout: float) -> None:
+        """Log a failed request; double the timeout if it was too short."""
+        log.info("notice_connection_lost", error=repr(error))
+        if isinstance(error, TimeoutError):  # the platform may be slow; other errors do not indicate that
+            self._timeout = 2.0 * timeout
+
+    def _post_unacknowledged(self, body: bytes) -> None:
+        """Send notices on the last used connection, so that they arrive in time while no other can be opened.
 
+        They are sent again on a new connection, since the response may be a repetition.
+        """
+        connection = self._used
+        if connection is None:
+            return
+        try:
+            if not sockets.nothing_to_read(connection):
+                raise ConnectionResetError("the used connection has ended, or brought a response too many")
+            deadline = time.monotonic() + INITIAL_REQUEST_TIMEOUT
+            _exchange(connection, self._address, body, deadline)
+            self._counters.add("notices_posted_on_used_connection")
+        except (OSError, http.BadMessage) as error:
+            log.info("notice_connection_lost", error=repr(error))
+            self._close_used()
 
-def _request(address: HostPort, body: bytes) -> bytes:
-    headers = [("Content-Type", "application/json"), ("Connection", "close")]
-    return http.request("POST", "/reports", format_host_port(address), headers, body)
+    def _close_used(self) -> None:
+        if self._used is not None:
+            self._used.close()
+            self._used = None
 
 
-def _read_response(connection: socket.socket, deadline: float) -> http.Message:
-    """Read one response; raises `OSError` or `http.BadMessage`."""
+def _exchange(connection: socket.socket, address: HostPort, body: bytes, deadline: float) -> int:
+    """Send a POST and read the response; returns its status. Raises `OSError` or `http.BadMessage`."""
+    headers = [("Content-Type", "application/json")]
+    connection.settimeout(max(0.001, deadline - time.monotonic()))
+    connection.sendall(http.request("POST", "/reports", format_host_port(address), headers, body))
     buffer, reader = Buffer(), http.ResponseReader()
     while (response := reader.advance(buffer)) is None:
         if not sockets.receive_before(connection, buffer, deadline):
             raise ConnectionResetError("connection closed before the end of the response")
-    return response
+    return response.status
 
 
 def _notice(entry: Entry) -> dict[str, Any]:
--- a/tests/node/test_notices.py
+++ b/tests/node/test_notices.py
@@ -1,5 +1,6 @@
 """Notices to a platform whose response is late, incomplete or endless."""
 
+import errno
 import time
 from contextlib import suppress
 from pathlib import Path
@@ -7,7 +8,7 @@
 import gevent
 import pytest
 
-from irisstack.node import notices
+from irisstack.node import notices, sockets
 from irisstack.node.counters import Counters
 from irisstack.node.notices import NoticeSender
 from irisstack.node.store import Store
@@ -109,3 +110,44 @@
         for connection in (silent, second):
             connection.close()
     assert notified_after <= NOTICE_DUE_S - SUSPENSION_S
+
+
+def test_notice_is_sent_on_the_used_connection_while_no_other_can_be_opened(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Its response may be a repetition of the one before, so the notice is sent again on a new connection."""
+    store = Store(tmp_path, 3_000_000, 1000.0)
+    for number in (1, 2):
+        add_message(store, number)
+        store.write([store.finish(number, "dead")], 1000.0)
+    connect = sockets.connect
+
+    def fail_to_connect(*_: object) -> None:
+        raise sockets.LocalResourceError(errno.EADDRNOTAVAIL, "no ports")
+
+    with listening_socket() as server:
+        notice_sender = NoticeSender(server.getsockname(), store, Counters())
+        worker = gevent.spawn(notice_sender.run)
+        notice_sender.add(store.entries[1])
+        with gevent.Timeout(20.0, AssertionError("the notice was not sent")):
+            first, _ = server.accept()
+            assert b"m1" in first.recv(65536)
+            first.sendall(b"HTTP/1.1 204 No Content\r\n\r\n")
+            wait_until(lambda: notice_sender.idle)
+            monkeypatch.setattr(sockets, "connect", fail_to_connect)
+            added_at = time.monotonic()
+            notice_sender.add(store.entries[2])
+            assert b"m2" in first.recv(65536)
+            notified_after = time.monotonic() - added_at
+            first.sendall(b"HTTP/1.1 204 No Content\r\n\r\n")
+            gevent.sleep(0.05)
+            assert not notice_sender.idle
+            monkeypatch.setattr(sockets, "connect", connect)
+            second, _ = server.accept()
+            assert b"m2" in second.recv(65536)
+            second.sendall(b"HTTP/1.1 204 No Content\r\n\r\n")
+            wait_until(lambda: notice_sender.idle)
+        worker.kill()
+        for connection in (first, second):
+            connection.close()
+    assert notified_after <= NOTICE_DUE_S - SUSPENSION_S
