A response cut off in its status line no longer turns the refusal behind it into a delivery

What callers would see: a refused message counts as delivered. Cause: a part of a 200 that ends in its reason phrase takes in the whole status line behind it ('HTTP/1.1 200 ScrHTTP/1.1 429 ...'), which parses as a 200 with the headers of the refusal. Change: a response in whose reason, headers or body another status line may begin is unclear (it may have run), as is a 200 that neither names its message nor has a body, on a connection that is only reused because its responses have one. Endpoints whose responses hold such text get a connection for each call.

--- a/irisstack/node/connection.py
+++ b/irisstack/node/connection.py
@@ -323,7 +323,7 @@
             end.repeated_responses += 1
         raise UnclearResponse
 
-    def _received_behind_response(self) -> bytes:
+    def _received_behind_response(self) -> str:
         """The first bytes behind a response, as far as they have arrived."""
         assert self._socket is not None
         size = len(STATUS_LINE_START)
@@ -332,7 +332,7 @@
                 len(self._buffer) < size and sockets.pending_input(self._socket) is sockets.PendingInput.DATA
             ):
                 self._buffer.receive(self._socket)
-        return self._buffer.peek(size)
+        return self._buffer.peek(size).decode("latin-1")
 
     def _is_own(self, response: http.Message, call: Call) -> bool:
         """Whether a response is that of this call and not of an earlier one; raises `UnclearResponse`."""
--- a/irisstack/node/http.py
+++ b/irisstack/node/http.py
@@ -40,6 +40,8 @@
     method: str = ""
     path: str = ""
     status: int = 0
+    reason: str = ""
+    """The reason phrase of a response."""
 
 
 class _Reader(Generic[Parser]):
@@ -157,6 +159,9 @@
         super().__init__(httptools.HttpResponseParser, max_body)
         self._interim_count = 0  # interim responses before the current one
 
+    def on_status(self, reason: bytes) -> None:
+        self.message.reason += reason.decode("latin-1")
+
     def on_headers_complete(self) -> None:
         self.message.status = self._parser.get_status_code()
         super().on_headers_complete()
--- a/irisstack/node/response_match.py
+++ b/irisstack/node/response_match.py
@@ -22,7 +22,7 @@
 """Calls after which a connection is closed, since the response to each is remembered."""
 COMPARED_BODIES = 8
 """Latest bodies of an endpoint with which the next one is compared."""
-STATUS_LINE_START = b"HTTP/"
+STATUS_LINE_START = "HTTP/"
 
 
 class Match(Enum):
@@ -33,7 +33,7 @@
     REPEATED = auto()
     """It repeats the response to an earlier call."""
     UNCLEAR = auto()
-    """It may be a mixture of several: another begins within its body, or none where it ends."""
+    """It may be a mixture: of an earlier response that was cut off, and of the call's own behind it."""
 
 
 @dataclass(slots=True, frozen=True)
@@ -42,24 +42,29 @@
 
     request_id: str
     """Its `X-Request-ID`; empty if it has none."""
-    body: bytes
+    body: str
 
     @classmethod
     def of(cls, response: Message) -> "Identity":
-        return cls(response.headers.get("x-request-id", ""), bytes(response.body))
+        return cls(response.headers.get("x-request-id", ""), bytes(response.body).decode("latin-1"))
 
     def names(self, ids: Collection[str]) -> bool:
         """Whether it names all these messages: as its `X-Request-ID`, as its body, or one on each line."""
-        lines = self.body.decode("latin-1").splitlines()
-        words = {line.split(maxsplit=1)[0] for line in lines if line.strip()}
+        words = {line.split(maxsplit=1)[0] for line in self.body.splitlines() if line.strip()}
         return words.union([self.request_id]).issuperset(ids)
 
 
+def contains_status_line(response: Message) -> bool:
+    """Whether another response may begin within this one."""
+    texts = (response.reason, *response.headers.values(), bytes(response.body).decode("latin-1"))
+    return any(STATUS_LINE_START in text for text in texts)
+
+
 @dataclass(slots=True)
 class BodyVariety:
     """Whether one endpoint gives each response a body of its own."""
 
-    _latest: deque[bytes] = field(default_factory=lambda: deque(maxlen=COMPARED_BODIES))
+    _latest: deque[str] = field(default_factory=lambda: deque(maxlen=COMPARED_BODIES))
     _differed: bool = False
     _repeated: bool = False
 
@@ -68,7 +73,7 @@
         """Whether there were at least two bodies and none equalled another."""
         return self._differed and not self._repeated
 
-    def observe(self, body: bytes) -> None:
+    def observe(self, body: str) -> None:
         """Take note of the body of a response that accepted a call."""
         if body in self._latest or not body:
             self._repeated = True
@@ -94,18 +99,21 @@
         """Whether the connection has brought none, so that any response belongs to the present call."""
         return not self._earlier
 
-    def match(self, response: Message, ids: Collection[str], next_bytes: bytes) -> Match:
+    def match(self, response: Message, ids: Collection[str], next_text: str) -> Match:
         """Match a response with the present call, whose messages have these ids.
 
-        `next_bytes` are the bytes, up to the length of `STATUS_LINE_START`, received behind the response.
+        `next_text` is what was received behind the response, up to the length of `STATUS_LINE_START`.
         """
-        identity = Identity.of(response)
-        if self.awaits_first_response or response.status != HTTPStatus.OK or identity.names(ids):
+        if self.awaits_first_response or response.status != HTTPStatus.OK:
             return Match.OWN
+        identity = Identity.of(response)
         if identity in self._earlier:
             return Match.REPEATED
-        is_mixture = STATUS_LINE_START in identity.body or not STATUS_LINE_START.startswith(next_bytes)
-        return Match.UNCLEAR if is_mixture else Match.OWN
+        if contains_status_line(response):
+            return Match.UNCLEAR
+        if identity.names(ids):
+            return Match.OWN
+        return Match.OWN if identity.body and STATUS_LINE_START.startswith(next_text) else Match.UNCLEAR
 
     def complete_call(self, response: Message, ids: Collection[str], all_finished: bool) -> bool:
         """Take note of a call's own response; returns whether the connection may carry another call.
@@ -118,12 +126,10 @@
         if len(ids) == 1:  # the body of a batch response differs by the ids that it names
             self._variety.observe(identity.body)
         self._earlier.add(identity)
-        distinctive = identity.names(ids) or self._is_distinctive(identity.body)
-        return distinctive and all_finished and len(self._earlier) < MAX_CALLS_PER_CONNECTION
-
-    def _is_distinctive(self, body: bytes) -> bool:
-        """Whether the next response could not be taken for a repetition of one with this body."""
-        return bool(body) and self._variety.always_differs and STATUS_LINE_START not in body
+        distinctive = identity.names(ids) or (identity.body != "" and self._variety.always_differs)
+        if not distinctive or contains_status_line(response):
+            return False
+        return all_finished and len(self._earlier) < MAX_CALLS_PER_CONNECTION
 
     def give_up(self) -> None:
         """A response was taken for that of an earlier call, and the call's own response did not come."""
--- a/tests/node/test_soak_audit.py
+++ b/tests/node/test_soak_audit.py
@@ -65,3 +65,16 @@
     assert (
         "drain" in violated_rules(compliant_run(drains=drains, calls=late, failed_reads=reads))
     ) is applies
+
+
+@pytest.mark.parametrize(("failing_since", "lost"), [(15.0, False), (15.4, True)])
+def test_no_result_is_overdue_while_connects_fail(failing_since: float, lost: bool) -> None:
+    """A notice needs a connection; but for connects that fail, this one was due at 15.35."""
+    late = 17.2
+    run = compliant_run(
+        calls=[],
+        notified_at={"m1": late},
+        connect_failures=[(failing_since, 16.0)],
+        submitted=[replace(ACCEPTED)],
+    )
+    assert ("lost" in violated_rules(run)) is lost
