--- a/tests/node/soak_endpoint.py
+++ b/tests/node/soak_endpoint.py
@@ -12,7 +12,7 @@
 from tests.node.soak_audit import ReceivedCall, SoakRun
 from tests.node_support import ScriptedEndpoint, accepted, http_response, message_ids
 
-MAX_SERVICE_TIME_S = 0.1
+MAX_SERVICE_TIME_S = 0.04
 REPETITION_PROBABILITY = 0.25
 """Probability that a response is sent a second time."""
 MAX_DELAY_BEHIND_CALL_S = 0.01
