Fault rig: calls that take longer; the soak plays slow writes and a node that stands still

Change: a rule of the rig may delay the calls that it hits; of the soak's nine faults one delays three writes to the state directory and one the event loop once, by 1 to 150 ms each.

--- a/irisstack/lab/faults/preload.c
+++ b/irisstack/lab/faults/preload.c
@@ -36,7 +36,7 @@
     int32_t after;    /* so many calls pass first */
     int32_t count;    /* so many calls are hit; -1: all */
     int32_t hits;     /* calls hit so far, for the tester to read */
-    int32_t reserved;
+    int32_t delay_ms; /* a call that is hit takes so much longer */
 };
 
 struct control {
@@ -133,6 +133,12 @@
         kinds[descriptor] = kind;
 }
 
+static void delay(int32_t milliseconds) {
+    struct timespec left = {.tv_sec = milliseconds / 1000, .tv_nsec = milliseconds % 1000 * 1000000L};
+    while (milliseconds > 0 && nanosleep(&left, &left) != 0 && errno == EINTR)
+        continue;
+}
+
 /* The rule that hits this call, if any; a call is counted by each rule that it fits. */
 static struct rule *hit(enum call call, int descriptor) {
     if (control == NULL)
@@ -152,6 +158,7 @@
         if (rule->count > 0)
             rule->count--;
         rule->hits++;
+        delay(rule->delay_ms);
         return rule;
     }
     return NULL;
--- a/irisstack/lab/faults/rig.py
+++ b/irisstack/lab/faults/rig.py
@@ -67,7 +67,8 @@
     """Which calls fail, and how.
 
     `error` is the errno, or `KILL`; with 0, a transfer succeeds but moves at most `limit` bytes
-    (-1: no limit). The first `after` matching calls pass, the next `count` are hit.
+    (-1: no limit). The first `after` matching calls pass, the next `count` are hit. Each takes `delay_ms`
+    milliseconds longer, in which the process stands still.
     """
 
     call: SystemCall
@@ -76,6 +77,7 @@
     limit: int = -1
     after: int = 0
     count: int = ALL_CALLS
+    delay_ms: int = 0
 
 
 def build(directory: Path) -> Path:
@@ -144,7 +146,7 @@
     def _write_rule(self, index: int, rule: Rule | None) -> None:
         values = (0,) * 8
         if rule is not None:
-            values = (rule.call, rule.kind, rule.error, rule.limit, rule.after, rule.count, 0, 0)
+            values = (rule.call, rule.kind, rule.error, rule.limit, rule.after, rule.count, 0, rule.delay_ms)
         offset = _WALL_OFFSET.size + index * _RULE_STRUCT.size
         _RULE_STRUCT.pack_into(self._control_memory, offset, 0, *values[1:])
         _CALL_STRUCT.pack_into(
--- a/tests/node/fault_soak.py
+++ b/tests/node/fault_soak.py
@@ -58,6 +58,8 @@
 )
 """Signals that are sent one after another; none stands for SIGKILL alone."""
 MAX_SIGNAL_GAP_S = 0.05
+MAX_STALL_MS = 150
+"""Milliseconds for which the node may stand still between reading its clock and writing."""
 RESTART_AFTER_S = 0.6
 """Seconds from the end of a process to the start of the next."""
 ANSWER_TIMEOUT_S = 2.5
@@ -159,7 +161,7 @@
 
 def _random_fault(random: Random) -> tuple[Rule, ...]:
     """The rules of one random system call fault."""
-    match random.randrange(7):
+    match random.randrange(9):
         case 0 | 1:
             return _state_directory_fault(random)
         case 2:
@@ -171,6 +173,12 @@
         case 4:
             return (Rule(SystemCall.WAIT, error=errno.EINTR, count=50),)
         case 5:
+            delay_ms = random.randint(1, MAX_STALL_MS)
+            return (Rule(SystemCall.WRITE, DescriptorKind.FOLDER, delay_ms=delay_ms, count=3),)
+        case 6:
+            delay_ms = random.randint(1, MAX_STALL_MS)
+            return (Rule(SystemCall.WAIT, delay_ms=delay_ms, after=random.randint(0, 20), count=1),)
+        case 7:
             error = random.choice((errno.ETIMEDOUT, errno.EHOSTUNREACH, errno.ECONNRESET))
             return (Rule(SystemCall.RECEIVE, DescriptorKind.PEER, error, count=3),)
         case _:
