Of earlier responses a connection keeps hashes, not bodies

Need: a connection remembers up to 256 responses, whose bodies may have 64 KiB each. Change: it keeps 64-bit hashes of what tells them apart, as does the endpoint of its latest eight bodies.

--- a/irisstack/node/response_match.py
+++ b/irisstack/node/response_match.py
@@ -19,7 +19,7 @@
 from irisstack.node.http import Message
 
 MAX_CALLS_PER_CONNECTION = 256
-"""Calls after which a connection is closed, since the response to each is remembered."""
+"""Calls after which a connection is closed, since a hash of the response to each is kept."""
 COMPARED_BODIES = 8
 """Latest bodies of an endpoint with which the next one is compared."""
 STATUS_LINE_START = "HTTP/"
@@ -38,7 +38,7 @@
 
 @dataclass(slots=True, frozen=True)
 class Identity:
-    """The parts of a response by which it can be told from others."""
+    """The parts of a response by which it can be told from others; only its hash is kept."""
 
     request_id: str
     """Its `X-Request-ID`; empty if it has none."""
@@ -64,7 +64,7 @@
 class BodyVariety:
     """Whether one endpoint gives each response a body of its own."""
 
-    _latest: deque[str] = field(default_factory=lambda: deque(maxlen=COMPARED_BODIES))
+    _latest_hashes: deque[int] = field(default_factory=lambda: deque(maxlen=COMPARED_BODIES))
     _differed: bool = False
     _repeated: bool = False
 
@@ -75,11 +75,11 @@
 
     def observe(self, body: str) -> None:
         """Take note of the body of a response that accepted a call."""
-        if body in self._latest or not body:
+        if not body or hash(body) in self._latest_hashes:
             self._repeated = True
-        elif self._latest:
+        elif self._latest_hashes:
             self._differed = True
-        self._latest.append(body)
+        self._latest_hashes.append(hash(body))
 
     def distrust(self) -> None:
         """A body was taken for a repetition, and no other response came: it may not have been one."""
@@ -92,12 +92,12 @@
     def __init__(self, variety: BodyVariety) -> None:
         """`variety` belongs to the connection's endpoint."""
         self._variety = variety
-        self._earlier: set[Identity] = set()
+        self._earlier_hashes: set[int] = set()
 
     @property
     def awaits_first_response(self) -> bool:
         """Whether the connection has brought none, so that any response belongs to the present call."""
-        return not self._earlier
+        return not self._earlier_hashes
 
     def match(self, response: Message, ids: Collection[str], next_text: str) -> Match:
         """Match a response with the present call, whose messages have these ids.
@@ -107,7 +107,7 @@
         if self.awaits_first_response or response.status != HTTPStatus.OK:
             return Match.OWN
         identity = Identity.of(response)
-        if identity in self._earlier:
+        if hash(identity) in self._earlier_hashes:
             return Match.REPEATED
         if contains_status_line(response):
             return Match.UNCLEAR
@@ -125,11 +125,11 @@
         identity = Identity.of(response)
         if len(ids) == 1:  # the body of a batch response differs by the ids that it names
             self._variety.observe(identity.body)
-        self._earlier.add(identity)
+        self._earlier_hashes.add(hash(identity))
         distinctive = identity.names(ids) or (identity.body != "" and self._variety.always_differs)
         if not distinctive or contains_status_line(response):
             return False
-        return all_finished and len(self._earlier) < MAX_CALLS_PER_CONNECTION
+        return all_finished and len(self._earlier_hashes) < MAX_CALLS_PER_CONNECTION
 
     def give_up(self) -> None:
         """A response was taken for that of an earlier call, and the call's own response did not come."""
