Choice: one assignment a line

Cause: assignments of several names at once, some of them over four lines, made the decision module hard to read. Change: each has a line of its own; counters that were rebuilt from themselves are added to. Same program.

--- a/irisstack/choice.py
+++ b/irisstack/choice.py
@@ -85,7 +85,9 @@
 DESTINATION_SLOT_DIVISOR = 3
 """A destination may use one in this many of the call slots, and at least two."""
 
-GOSSIP_FAILURE, GOSSIP_SUCCESS, GOSSIP_CROWDED = b"F", b"S", b"C"
+GOSSIP_FAILURE = b"F"
+GOSSIP_SUCCESS = b"S"
+GOSSIP_CROWDED = b"C"
 """First byte of a gossip message; the rest is the key of a breaker scope."""
 
 NOT_RUN_OUTCOMES = frozenset((Outcome.FULL, Outcome.CONNECT_FAILED, Outcome.NOT_SENT))
@@ -132,7 +134,8 @@
 
     def turn(self, now: float, events: Collection[api.Event]) -> list[api.Action]:
         """Process all events that arrived together and return the resulting actions."""
-        self._now, self._actions = now, []
+        self._now = now
+        self._actions = []
         # Whether this may change which calls can be sent: a turn without events by the time that has passed,
         # gossip not always.
         changed = not events
@@ -166,10 +169,8 @@
 
     def _apply_settings(self, settings: api.Settings) -> None:
         """Use other settings from now on; pending messages keep the terms of their class."""
-        self._settings, self._slots_per_destination = (
-            settings,
-            max(2, settings.max_calls // DESTINATION_SLOT_DIVISOR),
-        )
+        self._settings = settings
+        self._slots_per_destination = max(2, settings.max_calls // DESTINATION_SLOT_DIVISOR)
         self._max_outage_wait = _max_outage_wait(settings)
         self._list_refresh.apply_settings(settings)
         self._home_zone = settings.zone if settings.cross_zone_price else None
@@ -186,17 +187,16 @@
 
         `outcome` is None if the call was not answered, or if another sender announced the failure.
         """
-        now, gossip_enabled = self._now, self._settings.may_gossip
+        now = self._now
+        gossip_enabled = self._settings.may_gossip
         breaker = self._breakers.setdefault(scope, CircuitBreaker())
         if now < breaker.open_until:
             return False  # calls that end while the breaker is open neither count nor extend the opening
         if now >= breaker.window_end:
-            breaker.failures, breaker.gossip_failures, breaker.successes, breaker.window_end = (
-                0,
-                0,
-                0,
-                now + FAILURE_WINDOW,
-            )
+            breaker.failures = 0
+            breaker.gossip_failures = 0
+            breaker.successes = 0
+            breaker.window_end = now + FAILURE_WINDOW
         breaker.failures += 1
         is_down = now > breaker.unavailable_since + OUTAGE_AFTER
         if gossip_enabled and outcome is not Outcome.RESET and (outcome is not Outcome.FULL or is_down):
@@ -226,7 +226,8 @@
             breaker.failures = breaker.gossip_failures = 0
             breaker.cold_until = NEVER if is_outage else breaker.cold_until
             self._extend_open(breaker, scope.destination, now + OPEN_DURATION)
-            number, cause = scope.destination.number, outcome.name if outcome else "SILENCE"
+            number = scope.destination.number
+            cause = outcome.name if outcome else "SILENCE"
             self._actions.append(api.Log(f"destination {number} open for {OPEN_DURATION:g} s after {cause}"))
             return True
         return False
@@ -261,14 +262,17 @@
         and each makes too few calls to notice.
         """
         breaker = self._breakers.get(scope) or CircuitBreaker()
-        breaker.successes, breaker.unavailable_since = breaker.successes + 1, NEVER
+        breaker.successes += 1
+        breaker.unavailable_since = NEVER
         recovered = breaker.cold_until == NEVER and self._now >= breaker.open_until
         if breaker.gossip_failures or recovered:
             self._broadcast_gossip(GOSSIP_SUCCESS, scope)
-            breaker.failures, breaker.gossip_failures = breaker.failures - breaker.gossip_failures, 0
+            breaker.failures -= breaker.gossip_failures
+            breaker.gossip_failures = 0
         if recovered:
             # Refusals during an outage do not show a limit, nor failed connects a full connection table.
-            breaker.cold_until, breaker.slowdown_steps = self._now + self._settings.warmup_seconds, 0.0
+            breaker.cold_until = self._now + self._settings.warmup_seconds
+            breaker.slowdown_steps = 0.0
             scope.connect_failed_at.clear()
         if limit_is_low:
             self._breakers[scope] = breaker
@@ -286,7 +290,8 @@
 
     def _receive_gossip(self, data: bytes) -> bool:
         """Count a failure, or end the count after a success; returns whether other calls can go now."""
-        gossip_type, scope = data[:1], self._scopes_by_key.get(data[1:])
+        gossip_type = data[:1]
+        scope = self._scopes_by_key.get(data[1:])
         if gossip_type == GOSSIP_CROWDED:
             self._crowded_until = self._now + CROWDED_DURATION
         if scope is None or gossip_type != GOSSIP_SUCCESS:
@@ -299,13 +304,12 @@
             scope.last_success_sent_at, self._now - max(scope.destination.latency_ema.values(), default=0.0)
         )
         breaker = self._breakers.get(scope) or CircuitBreaker()
-        breaker.failures, breaker.gossip_failures, breaker.unavailable_since = (
-            breaker.failures - breaker.gossip_failures,
-            0,
-            NEVER,
-        )
+        breaker.failures -= breaker.gossip_failures
+        breaker.gossip_failures = 0
+        breaker.unavailable_since = NEVER
         if breaker.cold_until == NEVER:
-            breaker.cold_until, breaker.slowdown_steps = self._now + self._settings.warmup_seconds, 0.0
+            breaker.cold_until = self._now + self._settings.warmup_seconds
+            breaker.slowdown_steps = 0.0
             # Budget that was saved up before the success would release all senders' calls at once.
             self._randomize_warmup_start(breaker)
             return True
@@ -350,7 +354,8 @@
         """
         # The known rate is a limit on calls. Arrivals are messages, and a batch call carries several: counted
         # one by one, they would use the limit many times over.
-        arrival_rate, known_rate = self._arrival_rate(scope), scope.reported_limit or scope.listed_rate
+        arrival_rate = self._arrival_rate(scope)
+        known_rate = scope.reported_limit or scope.listed_rate
         own_call_rate = arrival_rate / scope.destination.kind.max_batch
         return min(known_rate, max(own_call_rate, known_rate / self._settings.senders)) or max(
             own_call_rate, min(arrival_rate, 1.0 / MAX_INITIAL_CALL_GAP)
@@ -365,12 +370,14 @@
 
     def _schedule_next_call(self, scope: BreakerScope) -> None:
         """Set when the next call may go: a gap from now after refusals, by the budget during warm-up."""
-        breaker, jitter = self._breakers.get(scope) or CircuitBreaker(), self._random.uniform(1.0, 1.1)
+        breaker = self._breakers.get(scope) or CircuitBreaker()
+        jitter = self._random.uniform(1.0, 1.1)
         # A gap that does not come from a known rate gets more jitter; otherwise senders that were refused
         # together would call together again.
         spread = jitter if scope.reported_limit or scope.listed_rate else self._random.uniform(0.5, 1.5)
         breaker.next_call_at = self._now + spread * self._call_gap(breaker, scope)
-        breaker.warmup_budget_used, breaker.warmup_budget_since = jitter - 1.0, self._now
+        breaker.warmup_budget_used = jitter - 1.0
+        breaker.warmup_budget_since = self._now
 
     def _call_gap(self, breaker: CircuitBreaker, scope: BreakerScope) -> float:
         """Seconds between two calls of this sender while they are spaced after refusals."""
@@ -398,25 +405,22 @@
     # ---- messages ----
 
     def _on_message_received(self, event: api.MessageReceived) -> None:
-        class_index, message_class = event.message_class, self._settings.classes[event.message_class]
+        class_index = event.message_class
+        message_class = self._settings.classes[event.message_class]
         latency_target_at = min(event.due, event.due - message_class.deadline + message_class.latency_target)
         key = event.key if message_class.ordered else None
         message = Message(
             event.message, class_index, message_class, event.destination, event.due, latency_target_at, key
         )
-        message.attempts, message.may_have_run_at, message.may_have_run_zone = (
-            event.attempts,
-            event.may_have_run_at,
-            event.may_have_run_zone,
-        )
+        message.attempts = event.attempts
+        message.may_have_run_at = event.may_have_run_at
+        message.may_have_run_zone = event.may_have_run_zone
         self._messages[event.message] = message
         self._pending_count += 1
         destination = self._get_destination(event.destination)
         decay = max(0.0, 1.0 - (self._now - destination.arrival_rate_at) / FAILURE_WINDOW)
-        destination.arrival_rate, destination.arrival_rate_at = (
-            destination.arrival_rate * decay + 1.0 / FAILURE_WINDOW,
-            self._now,
-        )
+        destination.arrival_rate = destination.arrival_rate * decay + 1.0 / FAILURE_WINDOW
+        destination.arrival_rate_at = self._now
         key_queue = (
             deque()
             if message.ordering_key is None
@@ -575,10 +579,8 @@
         """Seconds until `count` messages queued for the destination are sent at the current pace."""
         # The time of the calls counts even if they are not spaced: a healthy destination with small batches
         # drains its queue sooner than one that is down, and keeps its messages.
-        available_at, calls = (
-            self._queue_available_at(destination.queue(None)),
-            -(-count // destination.kind.max_batch),
-        )
+        available_at = self._queue_available_at(destination.queue(None))
+        calls = -(-count // destination.kind.max_batch)
         if available_at == NEVER:
             return NEVER
         route = min(destination.routes.values(), key=self._route_available_at)
@@ -610,9 +612,11 @@
         message = self._messages.get(event.message)
         if message is None or message.call is None or event.attempt != message.attempts - 1:
             return
-        call, outcome = message.call, event.outcome
+        call = message.call
+        outcome = event.outcome
         if outcome not in NOT_RUN_OUTCOMES and message.may_have_run_at is None:
-            message.may_have_run_at, message.may_have_run_zone = call.sent_at, call.route.zone
+            message.may_have_run_at = call.sent_at
+            message.may_have_run_zone = call.route.zone
         call.open_attempts -= 1
         if not call.open_attempts:
             if (
@@ -644,7 +648,10 @@
 
     def _record_outcome(self, message: Message, call: Call, event: api.AttemptEnded) -> None:
         """Learn about the destination from an outcome; that of a batch call counts once."""
-        route, scope, outcome, now = call.route, call.route.breaker_scope, event.outcome, self._now
+        route = call.route
+        scope = route.breaker_scope
+        outcome = event.outcome
+        now = self._now
         # x0: share of the limit that remains; x1: the limit, in calls per second.
         report = dict(zip(self._settings.report_fields, event.report, strict=False))
         scope.reported_limit = max(0.0, report.get("x1", scope.reported_limit))
@@ -772,7 +779,8 @@
             destination = self._get_destination(endpoint.destination)
             destination.kind = self._settings.kinds[endpoint.kind]
             if endpoint.address not in destination.routes:
-                separate, (host, port) = destination.kind.separate_routes, endpoint.address
+                separate = destination.kind.separate_routes
+                host, port = endpoint.address
                 destination_key = (n := endpoint.destination).to_bytes(n.bit_length() // 8 + 1, signed=True)
                 key = host + port.to_bytes(2) if separate else destination_key
                 if (scope := self._scopes_by_key.get(key)) is None or scope.destination is not destination:
@@ -808,7 +816,8 @@
         self, ranked: list[tuple[bool, float, int, DestinationQueue]], queue: DestinationQueue
     ) -> float:
         """Push the queue's next call onto the heap by its rank; returns when it may go, if that is later."""
-        rank, available_at = self._head_rank(queue), self._queue_available_at(queue)
+        rank = self._head_rank(queue)
+        available_at = self._queue_available_at(queue)
         if rank is None:
             del self._active_queues[queue]
         elif available_at > self._now:
@@ -866,11 +875,9 @@
 
     def _send_call(self, queue: DestinationQueue) -> None:
         """Make one call with messages of the queue."""
-        now, calls_per_connection, destination = (
-            self._now,
-            self._settings.calls_per_connection,
-            queue.destination,
-        )
+        now = self._now
+        calls_per_connection = self._settings.calls_per_connection
+        destination = queue.destination
         routes = [route for route in queue.routes() if self._route_available_at(route) <= now]
         class_index = (queue.on_time or queue.late)[0][-1].class_index
 
@@ -888,11 +895,9 @@
         route = min(routes, key=cost)
         breaker = self._breakers.get(route.breaker_scope) or CircuitBreaker()
         unproven = breaker.cold_until == NEVER  # no call has succeeded since the outage
-        call, max_messages, overdue_after = (
-            Call(route, now),
-            self._max_batch_size(breaker, destination.kind),
-            0.0,
-        )
+        call = Call(route, now)
+        max_messages = self._max_batch_size(breaker, destination.kind)
+        overdue_after = 0.0
         if not self._has_free_connection(route):
             route.connections += 1
         elif (
@@ -935,7 +940,8 @@
         An idle connection may take the entry of a sender whose connect then fails. Its owner is never refused
         and so never learns that the table is full.
         """
-        destination, senders = self._get_destination(message.destination), self._settings.senders
+        destination = self._get_destination(message.destination)
+        senders = self._settings.senders
         # With gossip a sender that is refused announces it. Without, a queued call that may go now is enough.
         if self._settings.may_gossip or any(
             queue in self._active_queues and self._queue_available_at(queue) <= self._now
@@ -970,5 +976,6 @@
             if heap:
                 wake_at = min(wake_at, heap[0][0] + delay)
         if wake_at < self._timer_at:
-            self._timer_at, self._timer_token = wake_at, self._timer_token + 1
+            self._timer_at = wake_at
+            self._timer_token += 1
             self._actions.append(api.SetTimer(max(0.0, min(wake_at - self._now, 3600.0)), self._timer_token))
