--- a/tests/node/test_pushed_list.py
+++ b/tests/node/test_pushed_list.py
@@ -12,6 +12,7 @@
 
 import pytest
 
+from tests.node.list_support import CallBehavior, ScriptedDiscovery
 from tests.node_support import SETTINGS, Node, ScriptedEndpoint, ScriptedPlatform, eventually, running_node
 
 SETTLED_S = 1.0
@@ -56,3 +57,15 @@
     with running_node(node, serving):
         assert node.submit("m1").status == 202
         eventually(lambda: serving.calls_with("m1"), "the call")
+
+
+def test_a_silent_agent_does_not_hold_up_messages(tmp_path: Path) -> None:
+    serving, platform = ScriptedEndpoint(), ScriptedDiscovery(*[CallBehavior.SILENT] * 100)
+    node = pushed_node(tmp_path, platform)
+    platform.add_member(serving, 1, cell=1)
+    node.config_data["known"] = platform.document()
+    with running_node(node, platform, serving):
+        submitted_at = time.monotonic()
+        assert node.submit("m1").status == 202
+        eventually(lambda: serving.calls_with("m1"), "the call")
+        assert time.monotonic() < submitted_at + SETTLED_S
