A cut-off response that a refusal's first bytes complete no longer counts as delivered

What callers would see: a message is taken for delivered that the endpoint refused. Cause: an earlier 200 comes once more without its last one to four bytes; the first bytes of the refusal behind it, 'HTTP', complete it, and while the rest of the refusal has not arrived nothing shows the mixture.

Change: of earlier responses the hash without the last four bytes is kept as well. A body that equals one of these and ends with a part of 'HTTP/' is unclear, so that the attempt may have run. Why it works: the copy has the length of the original, so that all but its last four bytes are the same.

--- a/irisstack/node/response_match.py
+++ b/irisstack/node/response_match.py
@@ -23,6 +23,7 @@
 COMPARED_BODIES = 8
 """Latest bodies of an endpoint with which the next one is compared."""
 STATUS_LINE_START = "HTTP/"
+STATUS_LINE_PARTS = tuple(STATUS_LINE_START[:size] for size in range(1, len(STATUS_LINE_START)))
 
 
 class Match(Enum):
@@ -48,6 +49,16 @@
     def of(cls, response: Message) -> "Identity":
         return cls(response.headers.get("x-request-id", ""), bytes(response.body).decode("latin-1"))
 
+    @property
+    def without_end(self) -> "Identity":
+        """The same without the last bytes of the body, which a start of a status line may have completed."""
+        return Identity(self.request_id, self.body[: 1 - len(STATUS_LINE_START)])
+
+    @property
+    def ends_like_status_line(self) -> bool:
+        """Whether the body ends with a part of `STATUS_LINE_START`."""
+        return self.body.endswith(STATUS_LINE_PARTS)
+
     def names(self, ids: Collection[str]) -> bool:
         """Whether it names all these messages: as its `X-Request-ID`, as its body, or one on each line."""
         words = {line.split(maxsplit=1)[0] for line in self.body.splitlines() if line.strip()}
@@ -93,6 +104,7 @@
         """`variety` belongs to the connection's endpoint."""
         self._variety = variety
         self._earlier_hashes: set[int] = set()
+        self._earlier_hashes_without_end: set[int] = set()
 
     @property
     def awaits_first_response(self) -> bool:
@@ -113,6 +125,8 @@
             return Match.UNCLEAR
         if identity.names(ids):
             return Match.OWN
+        if identity.ends_like_status_line and hash(identity.without_end) in self._earlier_hashes_without_end:
+            return Match.UNCLEAR
         return Match.OWN if identity.body and STATUS_LINE_START.startswith(next_text) else Match.UNCLEAR
 
     def complete_call(self, response: Message, ids: Collection[str], all_finished: bool) -> bool:
@@ -126,6 +140,7 @@
         if len(ids) == 1:  # the body of a batch response differs by the ids that it names
             self._variety.observe(identity.body)
         self._earlier_hashes.add(hash(identity))
+        self._earlier_hashes_without_end.add(hash(identity.without_end))
         distinctive = identity.names(ids) or (identity.body != "" and self._variety.always_differs)
         if not distinctive or contains_status_line(response):
             return False
--- a/tests/node/test_repeats.py
+++ b/tests/node/test_repeats.py
@@ -2,6 +2,7 @@
 
 import time
 from collections.abc import Callable
+from contextlib import suppress
 from dataclasses import replace
 from pathlib import Path
 from random import Random
@@ -28,6 +29,8 @@
 
 FAR_FUTURE = 1e9
 """A deadline, in seconds of the monotonic clock, that no test reaches."""
+LATER_S = 0.05
+"""Seconds between two parts of a response."""
 
 
 def start_endpoint_actor(
@@ -386,12 +389,25 @@
         assert outcome is Outcome.RESET, part
 
 
+@pytest.mark.parametrize("missing", [1, 2, 3, 4])
+def test_call_is_not_ended_by_a_part_that_the_first_bytes_of_a_refusal_complete(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch, missing: int
+) -> None:
+    """The rest of the refusal arrives later, so that nothing behind the completed part gives it away."""
+    first_response = http_response(200, body="0123456789abcdef")
+    completed = first_response[:-missing] + REFUSALS["without a body"][:missing]
+    rest = REFUSALS["without a body"][missing:]
+    outcome = outcome_behind_part(tmp_path, monkeypatch, first_response, completed, 4096, rest)
+    assert outcome is Outcome.RESET
+
+
 def outcome_behind_part(
     directory: Path,
     monkeypatch: pytest.MonkeyPatch,
     first_response: bytes,
     second_response: bytes,
     read_size: int,
+    sent_later: bytes = b"",
 ) -> Outcome:
     """The outcome of the second call on a connection; reads bring at most `read_size` bytes."""
     results: list[AttemptResult] = []
@@ -412,6 +428,10 @@
         actor.mailbox.put(call_with("m2"))
         connection.recv(65536)
         connection.sendall(second_response)
+        if sent_later:
+            gevent.sleep(LATER_S)
+            with suppress(OSError):  # the call may have ended and its connection with it
+                connection.sendall(sent_later)
         wait_until(lambda: len(results) == 2)
         wait_until(lambda: not actor._calls)
         assert not actor._idle
--- a/tests/node/test_response_match.py
+++ b/tests/node/test_response_match.py
@@ -106,6 +106,22 @@
     assert matcher.match(response(body), ["m2"], next_text) is match
 
 
+@pytest.mark.parametrize(
+    ("body", "match"),
+    [
+        ("abcdefgH", Match.UNCLEAR),
+        ("abcdHTTP", Match.UNCLEAR),
+        ("abcdefgh", Match.REPEATED),
+        ("zbcdefgH", Match.OWN),
+        ("abcdefgX", Match.OWN),
+    ],
+)
+def test_earlier_body_completed_by_the_start_of_a_response_is_unclear(body: str, match: Match) -> None:
+    matcher = ResponseMatcher(varied("x", "y"))
+    assert complete(matcher, "m1", "abcdefgh")
+    assert matcher.match(response(body), ["m2"], "") is match
+
+
 def test_connection_is_closed_after_as_many_calls_as_are_remembered() -> None:
     matcher = ResponseMatcher(varied())
     reusable = [complete(matcher, f"m{n}", f"m{n}") for n in range(MAX_CALLS_PER_CONNECTION)]
