--- a/review/lib/standins.py
+++ b/review/lib/standins.py
@@ -23,6 +23,9 @@
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
 HOLD, BROKEN, CANNOT_RUN = 0, 1, 2
 
+LAST_BYTES = 64
+"""Bytes of a request that follow the others where it is written in two parts."""
+
 Headers = dict[str, str]
 START = time.monotonic()
 
@@ -330,8 +333,12 @@
         key: str = "",
         body: bytes = b"hello",
         tenant: str = "northcoast-alert",
+        last_bytes_at: float = 0.0,
     ) -> int | None:
-        """Hand in a new message; returns the status of the answer, None if there was none in 400 ms."""
+        """Hand in a new message; returns the status of the answer, None if there was none in 400 ms.
+
+        With `last_bytes_at` the last bytes are written then, as on a way that is shared with others.
+        """
         self._count += 1
         id_ = f"{self._count:06x}{os.urandom(5).hex()}"
         lines = [
@@ -354,7 +361,12 @@
             async with asyncio.timeout(0.4):
                 free = self._free.setdefault(port, [])
                 reader, writer = free.pop() if free else await asyncio.open_connection("127.0.0.1", port)
-                writer.write("\r\n".join([*lines, "", ""]).encode() + body)
+                data = "\r\n".join([*lines, "", ""]).encode() + body
+                cut = len(data) - (LAST_BYTES if last_bytes_at else 0)
+                writer.write(data[:cut])
+                if last_bytes_at:
+                    await asyncio.sleep(max(0.0, last_bytes_at - now()))
+                    writer.write(data[cut:])
                 head = await read_head(reader)
                 if head is not None:
                     status = int(head[0].split(" ")[1])
