--- a/review/1/case.py
+++ b/review/1/case.py
@@ -23,6 +23,8 @@
 
 WINDOW_S, DEADLINE_S = 8.0, 16.0
 """Of the class warning-notice; the site's window is 15 s, on the days at close range it may be shorter."""
+REMEMBERED_S = WINDOW_S + 0.3
+"""For which the destination drops repeats: the window, the slack of 50 ms, and a standstill of 0.15 s."""
 HANG_S = 9.5
 """len_s = [6.3, 21]."""
 BACKOFF_S = 0.6
@@ -41,7 +43,7 @@
 
 
 class Keyed(Endpoint):
-    """Takes effect once a key and drops its repeats for the window; while it hangs it answers nothing."""
+    """Takes effect once a key and drops its repeats for a time; while it hangs it answers nothing."""
 
     hangs = False
 
@@ -52,7 +54,7 @@
 
     async def respond(self, call: dict[str, Any], batch: bool) -> bytes | None:
         for id_, key in call["keys"].items():
-            if key in self.first_effects and now() < self.first_effects[key] + WINDOW_S:
+            if key in self.first_effects and now() < self.first_effects[key] + REMEMBERED_S:
                 self.record.add("repeat_dropped", key=key, id=id_)
             else:
                 self.first_effects[key] = self.record.add("effect", key=key, id=id_)
