Keyed messages that may have run are refused only if any resubmission is harmless

Cause: Sender._may_refuse asked whether the window was open when the refusal was given. The client may submit the message to any node, which does not know of the attempt and may send it until its deadline.

Change: refused only if the deadline, and the 0.4 s for which a client waits for its answer, lie within the window; failed otherwise. A truth test of a time that may be 0 is now a test for None.

--- a/irisstack/choice.py
+++ b/irisstack/choice.py
@@ -82,6 +82,9 @@
 """Lost calls that a success on an idle connection offsets, and that an unanswered overdue call counts as."""
 MIN_IDLE_SHARE = 0.1
 """Share of the keep-alive time; connections idle for less say nothing about lost idle connections."""
+MAX_SUBMISSION_DELAY = 0.4
+"""Seconds for which a client waits for the answer to a submission. If the message is submitted again, its
+deadline may count as this much later."""
 DESTINATION_SLOT_DIVISOR = 3
 """A destination may use one in this many of the call slots, and at least two."""
 
@@ -451,13 +454,13 @@
         return message.may_have_run_at + message_class.dedup_window
 
     def _may_refuse(self, message: Message) -> bool:
-        """Whether the client may submit the message again.
+        """Whether the client may submit the message again, at any time, to any sender and in any zone.
 
-        It may do so in any zone, so not if the message may have run and only one zone drops its repeats.
+        A sender that receives it again does not know when it may have run, and may send it until its deadline.
         """
-        return self._now < self._repeatable_until(message) and not (
-            message.zone_scoped_dedup and message.may_have_run_at
-        )
+        if message.zone_scoped_dedup and message.may_have_run_at is not None:
+            return False
+        return message.due + MAX_SUBMISSION_DELAY <= self._repeatable_until(message)
 
     def _latest_attempt_start(self, message: Message) -> float:
         """Latest time at which another attempt is allowed and a call of the expected latency still fits."""
--- a/tests/test_decision_regressions.py
+++ b/tests/test_decision_regressions.py
@@ -11,7 +11,7 @@
     STALE_LOSS_THRESHOLD,
     TOLERATED_FAILURE_RATIO,
 )
-from tests.support import KEYED_INDEX, SETTINGS, UNSAFE_INDEX, Driver, address, endpoint
+from tests.support import CLASSES, KEYED_INDEX, SETTINGS, UNSAFE_INDEX, Driver, address, endpoint
 
 OK, FULL, ERROR, RESET = api.Outcome.OK, api.Outcome.FULL, api.Outcome.ERROR, api.Outcome.RESET
 
@@ -518,3 +518,30 @@
     driver.turn(1.3, *(driver.message_received(n, 1.3) for n in range(30, 40)))
     assert len(driver.refused) >= 3
     assert all(number < 30 for number in driver.refused)
+
+
+@pytest.mark.parametrize(("sent_at", "refused"), [(1.0, False), (9.5, True)])
+def test_a_refused_keyed_message_never_takes_effect_after_its_dedup_window(
+    sent_at: float, refused: bool
+) -> None:
+    """A refusal near the end of the window let another sender send the message after it, a second effect."""
+    no_endpoint = api.EndpointsUpdated(api.UpdateScope.FULL, 2, (endpoint(2, destination=2),))
+    with_endpoint = api.EndpointsUpdated(api.UpdateScope.FULL, 3, (endpoint(1),))
+    window_end = sent_at + CLASSES[KEYED_INDEX].dedup_window
+    due = 1.0 + CLASSES[KEYED_INDEX].deadline
+    first_sender, second_sender = Driver(), Driver()
+    for driver in (first_sender, second_sender):
+        driver.turn(0.5, no_endpoint)
+    first_sender.submit(1, 1.0, KEYED_INDEX)
+    first_sender.turn(sent_at, with_endpoint)
+    first_sender.turn(sent_at + 1.0, no_endpoint)
+    first_sender.end_attempt(1, api.Outcome.TIMEOUT, sent_at + 2.0)
+    assert first_sender.send_times(1) == [sent_at]
+    first_sender.turn(due)
+    assert (1 in first_sender.refused) is refused
+    assert (1 in first_sender.failed) is not refused
+    if refused:
+        second_sender.submit(1, first_sender.now - 0.5, KEYED_INDEX, due=due)
+        second_sender.turn(due - 0.5, with_endpoint)
+        assert second_sender.send_times(1) != []
+        assert max(second_sender.send_times(1)) < window_end
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -86,7 +86,8 @@
         self.answered_at[number] = self.now
 
     def check_refusal(self, number: int) -> None:
-        message_class = self.settings.classes[self.messages[number].message_class]
+        message = self.messages[number]
+        message_class = self.settings.classes[message.message_class]
         assert number not in self.in_flight, "refused with an attempt in flight"
         if message_class.effect is api.Effect.UNSAFE:
             assert number not in self.may_have_run_at, "an unsafe message that may have run was refused"
@@ -94,6 +95,10 @@
             assert number not in self.may_have_run_at, (
                 "its client may submit it in a zone that does not know it"
             )
+        if message_class.effect is api.Effect.KEYED and number in self.may_have_run_at:
+            assert message.due <= self.may_have_run_at[number] + message_class.dedup_window, (
+                "its client may submit it again, and it may be sent until its deadline"
+            )
 
     def check_send(self, action: api.Send, retry_after_until: dict[int, float]) -> None:
         number, message = action.message, self.messages[action.message]
