State directory: a message is noted in the segment that its record was written to

Cause: accepted_record noted the newest segment before the write, and one write goes on to as many segments as it needs. Freeing the first one rewrote the messages of all of them at once.

Change: a Record carries the message that it stores, and the segment is noted behind the write. Records are of that type everywhere (test_record_clock and the benchmark build one now); the record queue of a turn too.

--- a/benchmarks/owed_messages.py
+++ b/benchmarks/owed_messages.py
@@ -26,7 +26,7 @@
 )
 from irisstack.lab.capacity.measurements.measurement import MeasuredSlope, Measurement
 from irisstack.lab.capacity.measurements.node_list import node_settings, world_of
-from irisstack.node.store import Entry, Store
+from irisstack.node.store import Entry, Record, Store
 
 RESULTS = Path(__file__).resolve().parents[1] / "docs" / "measurements" / "capacity"
 MESSAGE_COUNTS = (1_000, 10_000, 100_000, 1_000_000)
@@ -148,12 +148,12 @@
             longest_s = max(longest_s, time.process_time() - started_at)
             store.drop_expired(now)
             number += FINISHED_MESSAGES_PER_WRITE
-            written_bytes += sum(len(record) for record in records)
+            written_bytes += sum(len(record.data) for record in records)
         store.close()
     return {"owed-compaction": longest_s}
 
 
-def _accept_and_deliver(store: Store, message_numbers: range, now: float) -> list[bytes]:
+def _accept_and_deliver(store: Store, message_numbers: range, now: float) -> list[Record]:
     """Add messages and finish them as delivered; returns the records to write, two a message."""
     for number in message_numbers:
         store.add(_new_entry(number, now - 1.0))
--- a/irisstack/choice.py
+++ b/irisstack/choice.py
@@ -456,7 +456,7 @@
     def _may_refuse(self, message: Message) -> bool:
         """Whether the client may submit the message again, at any time, to any sender and in any zone.
 
-        A sender that receives it again does not know when it may have run, and may send it until its deadline.
+        A sender that receives it again does not know when it may have run, and may send it until it is due.
         """
         if message.zone_scoped_dedup and message.may_have_run_at is not None:
             return False
--- a/irisstack/node/decider.py
+++ b/irisstack/node/decider.py
@@ -24,7 +24,7 @@
 from irisstack.node.endpoint import AttemptResult, CancelAttempt, CloseIdle, Command, WithholdCalls
 from irisstack.node.mailbox import enlarge
 from irisstack.node.record_clock import StepDetector
-from irisstack.node.store import Entry, Store
+from irisstack.node.store import Entry, Record, Store
 from irisstack.shadow import ShadowSender
 
 OWN_TIMER_TOKEN = -1
@@ -97,7 +97,7 @@
     """The effects of one turn, in the order in which they are carried out."""
 
     submissions: dict[int, Submission] = field(default_factory=dict)  # new messages, by number
-    records: list[bytes] = field(default_factory=list)  # to be written to the state directory
+    records: list[Record] = field(default_factory=list)  # to be written to the state directory
     finished: list[Entry] = field(default_factory=list)  # messages whose notices are to be sent
     answers: list[tuple[Submission, HTTPStatus, float | None]] = field(default_factory=list)
     # With the number of the message that was submitted earlier with the same id.
@@ -474,7 +474,7 @@
 
     # ---- actions ----
 
-    def _finish(self, number: int, result: str, wait_ms: int = 0) -> bytes:
+    def _finish(self, number: int, result: str, wait_ms: int = 0) -> Record:
         self._counters.add(result)
         return self._store.finish(number, result, wait_ms)
 
--- a/irisstack/node/store.py
+++ b/irisstack/node/store.py
@@ -55,7 +55,7 @@
     result: str = ""  # final result: delivered, withdrawn, bounced or dead; empty while pending
     wait_ms: int = 0  # retry-after of a bounced message
     told: bool = False  # the platform has acknowledged the notice
-    segment: int = 0  # the segment that holds the entry's `taken` record
+    segment: int = 0  # the segment that holds the entry's `taken` record; 0 until it is written
 
     @property
     def pending(self) -> bool:
@@ -72,6 +72,15 @@
         return len(self.body) + len(self.id) + len(self.key) + RECORD_OVERHEAD_BYTES
 
 
+@dataclass(slots=True, frozen=True)
+class Record:
+    """An encoded record that is to be appended to the log."""
+
+    data: bytes
+    taken: Entry | None = None
+    """The message that the record stores in full; None for a record of a change."""
+
+
 STORED_FIELDS = tuple(field.name for field in fields(Entry) if field.name not in ("body", "segment"))
 
 
@@ -83,7 +92,7 @@
         self._disk_bytes = disk_bytes
         self._segment_size = disk_bytes // SEGMENT_COUNT
         self._log = SegmentLog(directory)
-        self._unwritten: list[bytes] = []  # records that could not be written yet, oldest first
+        self._unwritten: list[Record] = []  # records that could not be written yet, oldest first
         self._failed_since: float | None = None  # monotonic time of the first failed write
         self._retry_at = 0.0
         self._retry_pause = FIRST_RETRY_PAUSE
@@ -190,32 +199,30 @@
         self.by_id[entry.id] = entry.number
         self._reserved_bytes += entry.reserved_bytes
 
-    def accepted_record(self, number: int) -> bytes:
+    def accepted_record(self, number: int) -> Record:
         """The `taken` record of an accepted message in its current state."""
         entry = self.entries[number]
-        entry.segment = self._log.newest
-        return self._encode_entry(entry)
+        return Record(self._encode_entry(entry), taken=entry)
 
     def discard(self, number: int) -> None:
         """Remove a message that was not accepted after all."""
         self._remove(self.entries[number])
 
-    def end_attempt(self, number: int, attempt: int, ran: bool) -> bytes:
+    def end_attempt(self, number: int, attempt: int, ran: bool) -> Record:
         """Apply the end of an attempt; returns the record to write."""
         self._apply_attempt_end(self.entries[number], attempt, ran)
-        return records.encode({"t": "end", "n": number, "a": attempt, "ran": ran})
+        return Record(records.encode({"t": "end", "n": number, "a": attempt, "ran": ran}))
 
-    def finish(self, number: int, result: str, wait_ms: int = 0) -> bytes:
+    def finish(self, number: int, result: str, wait_ms: int = 0) -> Record:
         """Apply the final result of a message; returns the record to write."""
         self._apply_finish(self.entries[number], result, wait_ms)
-        return records.encode({"t": "over", "n": number, "result": result, "wait_ms": wait_ms})
+        return Record(records.encode({"t": "over", "n": number, "result": result, "wait_ms": wait_ms}))
 
     def record_send(self, attempts: Iterable[tuple[int, int]], sent_at: float, zone: str = "") -> bool:
         """Record that a call with these messages is about to be sent; returns whether this was written."""
         known = [(number, attempt) for number, attempt in attempts if number in self.entries]
-        if not self._append_all(
-            [records.encode({"t": "out", "n": known, "at": sent_at, "in": zone})], sent_at
-        ):
+        record = Record(records.encode({"t": "out", "n": known, "at": sent_at, "in": zone}))
+        if not self._append_all([record], sent_at):
             return False
         for number, attempt in known:
             self._apply_send(self.entries[number], attempt, sent_at, zone)
@@ -231,7 +238,7 @@
         if self._append_all([self.accepted_record(number) for number in numbers], now):
             return True
         withdrawn = {"t": "over", "result": "withdrawn", "wait_ms": 0}
-        self._unwritten += [records.encode({**withdrawn, "n": number}) for number in numbers]
+        self._unwritten += [Record(records.encode({**withdrawn, "n": number})) for number in numbers]
         return False
 
     def mark_notified(self, numbers: Iterable[int], now: float) -> None:
@@ -239,7 +246,7 @@
         known = [number for number in numbers if number in self.entries]
         for number in known:
             self._apply_notified(self.entries[number])
-        self.write([records.encode({"t": "told", "n": known})], now)
+        self.write([Record(records.encode({"t": "told", "n": known}))], now)
 
     def drop_expired(self, now: float) -> None:
         """Remove finished messages whose deadline has passed and whose notice is acknowledged."""
@@ -255,14 +262,14 @@
         if entry is not None and not entry.notice_pending:
             self._remove(entry)
 
-    def write(self, encoded: list[bytes], now: float) -> bool:
+    def write(self, new_records: list[Record], now: float) -> bool:
         """Append records of past events; returns whether they are written. A later write retries the rest."""
-        self.enqueue(encoded)
+        self.enqueue(new_records)
         return self._append_all([], now)
 
-    def enqueue(self, encoded: list[bytes]) -> None:
+    def enqueue(self, new_records: list[Record]) -> None:
         """Queue records of past events, to be written before any later record."""
-        self._unwritten += encoded
+        self._unwritten += new_records
 
     def flush(self, now: float) -> bool:
         """Write all queued records; returns whether none is left."""
@@ -289,17 +296,18 @@
             {"t": "taken", **{name: getattr(entry, name) for name in STORED_FIELDS}}, entry.body
         )
 
-    def _append_all(self, encoded: list[bytes], now: float) -> bool:
+    def _append_all(self, new_records: list[Record], now: float) -> bool:
         """Append the queued records and then these; returns whether all of them are written.
 
         After a failure some records may be written twice. This is harmless, since no call is sent in between.
         """
         if not self.may_write:
             return False
-        to_write = [*self._unwritten, *encoded]
+        to_write = [*self._unwritten, *new_records]
+        if not to_write and self.failing:
+            to_write = [Record(self._log.header)]  # a repeated header shows whether writes succeed again
         try:
-            # With nothing to write, a repeated header shows whether writes succeed again.
-            self._append_in_segments(to_write or ([self._log.header] if self.failing else []), now)
+            self._append_in_segments(to_write, now)
         except OSError as error:
             self._handle_failure(error)
             return False
@@ -307,20 +315,27 @@
         self._handle_recovery()
         return True
 
-    def _append_in_segments(self, encoded: list[bytes], now: float) -> None:
+    def _append_in_segments(self, to_write: list[Record], now: float) -> None:
         """Append records, with one write per segment."""
-        batch: list[bytes] = []
+        batch: list[Record] = []
         free_bytes = self._segment_size - self._log.newest_size
-        for record in encoded:
-            if len(record) > free_bytes:
-                self._log.append(b"".join(batch))
-                batch.clear()
+        for record in to_write:
+            if len(record.data) > free_bytes:
+                self._append_to_newest(batch)
+                batch = []
                 self._log.open_next()
                 self._free_segments(now)
                 free_bytes = self._segment_size - self._log.newest_size
             batch.append(record)
-            free_bytes -= len(record)
-        self._log.append(b"".join(batch))
+            free_bytes -= len(record.data)
+        self._append_to_newest(batch)
+
+    def _append_to_newest(self, batch: list[Record]) -> None:
+        """Append records with one write, and note which segment holds the messages among them."""
+        self._log.append(b"".join(record.data for record in batch))
+        for record in batch:
+            if record.taken is not None:
+                record.taken.segment = self._log.newest
 
     def _handle_failure(self, error: OSError) -> None:
         now = time.monotonic()
@@ -342,11 +357,10 @@
             if self._log.used_bytes + FREE_SEGMENTS * self._segment_size <= self._disk_bytes:
                 break
             for entry in [e for e in self.entries.values() if e.segment == segment]:
-                data = self._encode_entry(entry)
-                if self._log.newest_size + len(data) > self._segment_size:
+                record = self.accepted_record(entry.number)
+                if self._log.newest_size + len(record.data) > self._segment_size:
                     self._log.open_next()
-                self._log.append(data)
-                entry.segment = self._log.newest
+                self._append_to_newest([record])
             self._log.remove(segment)
 
     def _remove(self, entry: Entry) -> None:
--- a/tests/node/test_record_clock.py
+++ b/tests/node/test_record_clock.py
@@ -7,7 +7,7 @@
 
 from irisstack.node import record_clock, records
 from irisstack.node.record_clock import Anchor, resume_clock
-from irisstack.node.store import Store
+from irisstack.node.store import Record, Store
 
 
 @pytest.fixture
@@ -29,7 +29,7 @@
 def test_the_anchor_survives_the_removal_of_segments(tmp_path: Path, wall_clock: list[float]) -> None:
     first = Store(tmp_path, 1_000_000)
     for _ in range(60):
-        first.write([records.encode({"t": "filler"}, bytes(30_000))], first.clock.now())
+        first.write([Record(records.encode({"t": "filler"}, bytes(30_000)))], first.clock.now())
     wall_clock[0] += 3600.0
     assert Store(tmp_path, 1_000_000).clock.anchor == first.clock.anchor
 
