State directory: freeing that failed is taken up again by the next write

Where a write failed while segments were freed, the directory grew by a segment each time.

Cause: the next segment is open by then, and freeing was tried again only when that one was full.

Change: the store notes the newest segment for which freeing has ended; a write frees first if another one is the newest.

--- a/irisstack/node/store.py
+++ b/irisstack/node/store.py
@@ -96,6 +96,7 @@
         self._failed_since: float | None = None  # monotonic time of the first failed write
         self._retry_at = 0.0
         self._retry_pause = FIRST_RETRY_PAUSE
+        self._freed_at = 0  # the newest segment when segments were last freed
         self._reserved_bytes = 0
         self._finished: list[tuple[float, int]] = []  # heap of deadline and number of finished messages
         self.entries: dict[int, Entry] = {}
@@ -317,6 +318,8 @@
 
     def _append_in_segments(self, to_write: list[Record], now: float) -> None:
         """Append records, with one write per segment."""
+        if self._log.newest != self._freed_at:  # it failed when this segment was opened
+            self._free_segments(now)
         batch: list[Record] = []
         free_bytes = self._segment_size - self._log.newest_size
         for record in to_write:
@@ -362,6 +365,7 @@
                     self._log.open_next()
                 self._append_to_newest([record])
             self._log.remove(segment)
+        self._freed_at = self._log.newest
 
     def _remove(self, entry: Entry) -> None:
         del self.entries[entry.number]
--- a/tests/node/test_store_segments.py
+++ b/tests/node/test_store_segments.py
@@ -1,5 +1,7 @@
 """The size of the state directory while its segments are freed, with messages that stay pending."""
 
+import os
+from errno import EIO
 from pathlib import Path
 
 import pytest
@@ -86,3 +88,29 @@
     reopened = Store(tmp_path, DISK_BYTES, now).entries
     assert [number for number, entry in reopened.items() if entry.pending] == pending
     assert all(reopened[number].body == pending_body(number, body_bytes) for number in pending)
+
+
+def test_freeing_that_failed_is_taken_up_again_by_the_next_write(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Segments that could not be freed stayed until the next one was full, and the directory grew meanwhile."""
+    directory_size = DirectorySize(tmp_path, monkeypatch)
+    store = Store(tmp_path, DISK_BYTES, 1000.0)
+    pending = accept_pending_messages(store, 15, 60_000)
+    write_all = segments._write_all
+    failed_segments: set[int] = set()
+
+    def fail_first_write_after_header(descriptor: int, data: bytes) -> None:
+        status = os.fstat(descriptor)
+        if status.st_size == len(store._log.header) and store._log.newest not in failed_segments:
+            failed_segments.add(store._log.newest)
+            raise OSError(EIO, "injected")
+        write_all(descriptor, data)
+
+    monkeypatch.setattr(segments, "_write_all", fail_first_write_after_header)
+    monkeypatch.setattr(Store, "may_write", True)
+    now = deliver_messages(store, 2000, 600, 1000.0)
+    assert len(failed_segments) > 10
+    assert directory_size.most <= DISK_BYTES
+    reopened = Store(tmp_path, DISK_BYTES, now).entries
+    assert [number for number, entry in reopened.items() if entry.pending] == pending
