Endpoint list: pauses stay within the 6 s of the next update, however long calls have failed

Cause: 12 s after the last list, ListRefresh gave up the bound of its pauses. It had reckoned with the updates missed at the begin; each later one is due 6 s after the service had it and could be reached.

Change: pauses grow up to the one after which the next call starts 5 s after the begin of the failed one. Fleets of 30 and more, whose calls a slow service could not work through in time, are told whether the service has ended a call (EndpointsUpdated.call_ended); if so, the bound holds for them as well.

--- a/irisstack/interface.py
+++ b/irisstack/interface.py
@@ -224,6 +224,8 @@
     """
     list_age: float = math.inf
     """FAILED only: seconds since any call last confirmed the list as current. The default means unknown."""
+    call_ended: bool = False
+    """FAILED only: whether the call is over, so that discovery no longer works on it."""
 
 
 @dataclass(slots=True, frozen=True)
--- a/irisstack/list_refresh.py
+++ b/irisstack/list_refresh.py
@@ -2,8 +2,9 @@
 
 An update of the list counts as notified `NOTIFICATION_DEADLINE` seconds after the discovery service had it,
 whatever happened to the calls that should have brought it. So the time of the next call depends on when the
-list was last known to be the newest, and not on how the last call failed. Only after the deadline do pauses
-grow, so that the service can work off its queue.
+list was last known to be the newest, and not on how the last call failed. After the deadline pauses grow, so
+that the service can work off its queue, up to the time at which the next update would be missed: the service
+may be back at any moment. Only a large fleet whose calls the service keeps open waits longer.
 """
 
 import math
@@ -32,6 +33,8 @@
 """Seconds per sender of a large fleet, so that it does not overload its service."""
 DEFAULT_MAX_PAUSE = 10.0
 """Seconds between two calls if the settings have no interval."""
+MIN_JITTER, MAX_JITTER = 0.5, 1.5
+"""Bounds of the random factor of each pause."""
 CONFIRMATION_TOLERANCE = 0.2
 """Seconds by which the time of the last confirmed list must move to be a new one. Less is reporting delay."""
 IMMEDIATE_FAILURE = 0.2
@@ -78,15 +81,18 @@
         if abs(confirmed_at - self._confirmed_at) > CONFIRMATION_TOLERANCE:
             self._confirmed_at = confirmed_at
             self._failures = self._unanswered_calls = 0
-        # A call was not answered. A watch is excluded: it confirms the list until the service goes silent.
-        if IMMEDIATE_FAILURE < update.silent_for < update.list_age - IMMEDIATE_FAILURE:
+        # A call is kept open. A watch is excluded: it confirms the list until the service goes silent.
+        if (
+            not update.call_ended
+            and IMMEDIATE_FAILURE < update.silent_for < update.list_age - IMMEDIATE_FAILURE
+        ):
             self._unanswered_calls += 1
         if update.silent_for == -math.inf:  # it is not known which updates were missed
             pause = self._retry_pause()
         else:
             # Computed from the last confirmed list: a failed call must not restart the 6 s for its updates.
-            pause = min(self._retry_pause(), self._notification_pause(now, update.silent_for))
-        self.next_call_at = now + pause * self._random.uniform(0.5, 1.5)
+            pause = min(self._retry_pause(), self._notification_pause(now, update))
+        self.next_call_at = now + pause * self._random.uniform(MIN_JITTER, MAX_JITTER)
         self._failures += 1
 
     def _retry_pause(self) -> float:
@@ -94,8 +100,9 @@
         factor = 2.0 ** min(self._failures, MAX_DOUBLINGS)
         return min(RETRY_PAUSE_PER_SENDER * self._senders * factor, self._max_pause)
 
-    def _notification_pause(self, now: float, silent_for: float) -> float:
-        """The longest pause after which updates up to now still arrive in time; infinity if they cannot."""
+    def _notification_pause(self, now: float, update: api.EndpointsUpdated) -> float:
+        """The longest pause after which updates still arrive in time; infinity if it is not bounded."""
+        silent_for = update.silent_for
         # The first updates that were missed are overdue then, but not the later ones.
         overdue = now > self._confirmed_at + NOTIFICATION_DEADLINE
         if overdue and silent_for <= IMMEDIATE_FAILURE:
@@ -103,20 +110,27 @@
         since = max(self._confirmed_at, self._unavailable_until) if overdue else self._confirmed_at
         time_left = since + LATEST_CALL_START - now
         if RETRY_PAUSE_PER_SENDER * self._senders >= NOTIFICATION_DEADLINE:
-            return self._large_fleet_pause(time_left)
+            return self._large_fleet_pause(time_left, update)
         if now > since + NOTIFICATION_DEADLINE:
             time_left += NOTIFICATION_DEADLINE
         if time_left < LATEST_CALL_START - NOTIFICATION_DEADLINE:
-            return math.inf
+            return self._longest_pause(silent_for)
         if silent_for > IMMEDIATE_FAILURE:  # further calls may not be answered either
             time_left -= ANSWER_OVERDUE_AFTER * max(
                 0, int((time_left + IMMEDIATE_FAILURE) / ANSWER_OVERDUE_AFTER) - 1
             )
         return max(MIN_PAUSE, time_left / CALLS_IN_TIME_LEFT)
 
-    def _large_fleet_pause(self, time_left: float) -> float:
-        """The same for a fleet so large that a service which keeps calls waiting cannot serve it in time."""
-        if time_left < LATEST_CALL_START - NOTIFICATION_DEADLINE or self._unanswered_calls > 1:
+    def _large_fleet_pause(self, time_left: float, update: api.EndpointsUpdated) -> float:
+        """The same for a fleet that a service which works through its calls in turn cannot serve in time."""
+        overdue = time_left < LATEST_CALL_START - NOTIFICATION_DEADLINE
+        if not update.call_ended and (overdue or self._unanswered_calls > 1):
             return math.inf
         calls = LARGE_FLEET_CALLS_IN_TIME_LEFT if self._unanswered_calls else CALLS_IN_TIME_LEFT
-        return max(MIN_PAUSE_PER_SENDER * self._senders, time_left / calls)
+        pause = self._longest_pause(update.silent_for) if overdue else time_left / calls
+        return max(MIN_PAUSE_PER_SENDER * self._senders, pause)
+
+    @staticmethod
+    def _longest_pause(silent_for: float) -> float:
+        """The pause after which the next call brings each update since the failed one began in time."""
+        return max(MIN_PAUSE, (LATEST_CALL_START - silent_for) / MAX_JITTER)
--- a/irisstack/node/discovery.py
+++ b/irisstack/node/discovery.py
@@ -216,7 +216,12 @@
         )
         self._post(
             api.EndpointsUpdated(
-                api.UpdateScope.FAILED, self._revision, (), failure.silent_for, list_age=self._list_age
+                api.UpdateScope.FAILED,
+                self._revision,
+                (),
+                failure.silent_for,
+                list_age=self._list_age,
+                call_ended=failure.call_ended,
             )
         )
         if self._pushed and call in self._watches:
--- a/irisstack/node/list_call.py
+++ b/irisstack/node/list_call.py
@@ -55,6 +55,8 @@
     silent_for: float
     """Seconds since the last object or heartbeat, or else since the start of the call; 0 if not connected."""
     reason: str
+    call_ended: bool
+    """Whether the call is over; one that is only overdue may still be answered."""
 
 
 class Listener(Protocol):
@@ -127,7 +129,7 @@
             return
         self.ended = True
         if reason and not self._overdue:
-            self._listener.on_failure(self, CallFailure(self._silent_for, reason))
+            self._listener.on_failure(self, CallFailure(self._silent_for, reason, call_ended=True))
 
     @property
     def _silent_for(self) -> float:
@@ -218,7 +220,7 @@
                 gevent.sleep(OVERDUE_CHECK_INTERVAL_S)
             else:
                 self._overdue = True
-                self._listener.on_failure(self, CallFailure(self._silent_for, "late"))
+                self._listener.on_failure(self, CallFailure(self._silent_for, "late", call_ended=False))
 
     @property
     def _overdue_at(self) -> float:
