Repeated submissions of a message that may have run are answered 500, not refused

A submission with the id of a message that had failed was answered 503, which promises that it may be submitted under another id: a second effect of an unsafe message.

Cause: Decider._resubmission_status refused whatever was neither pending nor delivered.

Change: refused only where the message surely did not run, or its client was told so already; 500 otherwise.

Result: the new test got 503 before, 500 now, also behind a restart.

--- a/irisstack/node/decider.py
+++ b/irisstack/node/decider.py
@@ -416,9 +416,19 @@
     def _resubmission_status(self, number: int) -> HTTPStatus:
         """The answer to a repeated submission, which is not accepted a second time."""
         entry = self._store.entries.get(number)
-        if entry is None or entry.result not in ("", "delivered"):
+        if entry is None:  # rejected in this turn, so never sent
             return HTTPStatus.SERVICE_UNAVAILABLE
-        return HTTPStatus.OK if entry.result else HTTPStatus.ACCEPTED
+        match entry.result:
+            case "":
+                return HTTPStatus.ACCEPTED
+            case "delivered":
+                return HTTPStatus.OK
+            case "withdrawn" if entry.ran_at is None:
+                return HTTPStatus.SERVICE_UNAVAILABLE
+            case "bounced":
+                return HTTPStatus.SERVICE_UNAVAILABLE
+        # It may have run, and a refusal would promise that it can be submitted under another id.
+        return HTTPStatus.INTERNAL_SERVER_ERROR
 
     def _withhold_calls(self, address: api.Address, until: float) -> None:
         """Withhold calls that are not sent yet, after a Retry-After from this endpoint.
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -203,6 +203,20 @@
         assert len(endpoint.calls_with("m1")) == 1
 
 
+def test_a_repeated_submission_of_a_message_that_may_have_run_is_not_refused(tmp_path: Path) -> None:
+    """It was answered 503, a promise that it may be submitted under another id without a second effect."""
+    endpoint = ScriptedEndpoint(http_response(500))
+    with node_and_platform(tmp_path, endpoint) as (node, platform):
+        assert node.submit("m1", "unsafe").status == 202
+        eventually(lambda: platform.notice_for("m1"))
+        assert platform.notice_for("m1") == {"ref": "m1", "result": "dead"}
+        assert node.submit("m1", "unsafe").status == 500
+        node.kill()
+        node.start()
+        assert node.submit("m1", "unsafe").status == 500
+        assert len(endpoint.calls_with("m1")) == 1
+
+
 def test_accepted_messages_survive_a_kill(tmp_path: Path) -> None:
     endpoint = ScriptedEndpoint()
     with node_and_platform(tmp_path) as (node, platform):
