Store: when to write again is decided in a module of its own

No change of behaviour; the tests of the store, of failing system calls and of the node's parts pass unchanged.

--- a/irisstack/node/store.py
+++ b/irisstack/node/store.py
@@ -8,16 +8,14 @@
 caller learns that it was not written.
 """
 
-import time
 from collections.abc import Collection, Iterable
 from dataclasses import dataclass, fields
 from heapq import heappop, heappush
 from pathlib import Path
 
-import structlog
-
 from irisstack.node import record_clock, records
 from irisstack.node.segments import SegmentLog
+from irisstack.node.write_backoff import WriteBackoff
 
 SEGMENT_COUNT = 12
 """The disk limit is divided into this many segments."""
@@ -27,10 +25,6 @@
 """Segments that pending messages may not fill, so that `FREE_SEGMENTS` can always be freed."""
 RECORD_OVERHEAD_BYTES = 512
 """Bytes counted for the records of a message, in addition to its body, id and key."""
-FIRST_RETRY_PAUSE, MAX_RETRY_PAUSE = 0.05, 0.4
-"""Seconds from a failed write to the next attempt; doubled with each failure up to the maximum."""
-
-log = structlog.get_logger()
 
 
 @dataclass(slots=True)
@@ -93,9 +87,7 @@
         self._segment_size = disk_bytes // SEGMENT_COUNT
         self._log = SegmentLog(directory)
         self._unwritten: list[Record] = []  # records that could not be written yet, oldest first
-        self._failed_since: float | None = None  # monotonic time of the first failed write
-        self._retry_at = 0.0
-        self._retry_pause = FIRST_RETRY_PAUSE
+        self._backoff = WriteBackoff()
         self._freed_at = 0  # the newest segment when segments were last freed
         self._reserved_bytes = 0
         self._finished: list[tuple[float, int]] = []  # heap of deadline and number of finished messages
@@ -122,7 +114,7 @@
             self._log.open_next()
             self._free_segments(now)
         except OSError as error:
-            self._handle_failure(error)
+            self._backoff.failed(error, len(self._unwritten))
 
     # ---- reading the log ----
 
@@ -279,12 +271,12 @@
     @property
     def failing(self) -> bool:
         """Whether the last write to the state directory failed."""
-        return self._failed_since is not None
+        return self._backoff.failing
 
     @property
     def may_write(self) -> bool:
         """Whether a write may be attempted: the last one succeeded, or the retry pause has passed."""
-        return not self.failing or time.monotonic() >= self._retry_at
+        return self._backoff.may_write
 
     def close(self) -> None:
         self._log.close()
@@ -310,10 +302,10 @@
         try:
             self._append_in_segments(to_write, now)
         except OSError as error:
-            self._handle_failure(error)
+            self._backoff.failed(error, len(self._unwritten))
             return False
         self._unwritten = []
-        self._handle_recovery()
+        self._backoff.succeeded()
         return True
 
     def _append_in_segments(self, to_write: list[Record], now: float) -> None:
@@ -340,19 +332,6 @@
             if record.taken is not None:
                 record.taken.segment = self._log.newest
 
-    def _handle_failure(self, error: OSError) -> None:
-        now = time.monotonic()
-        if self._failed_since is None:
-            self._failed_since, self._retry_pause = now, FIRST_RETRY_PAUSE
-            log.error("folder_not_written", error=str(error), unwritten=len(self._unwritten))
-        self._retry_at = now + self._retry_pause
-        self._retry_pause = min(2.0 * self._retry_pause, MAX_RETRY_PAUSE)
-
-    def _handle_recovery(self) -> None:
-        if self._failed_since is not None:
-            log.info("folder_written_again", after_s=round(time.monotonic() - self._failed_since, 3))
-            self._failed_since = None
-
     def _free_segments(self, now: float) -> None:
         """Remove expired entries, then free the oldest segments until `FREE_SEGMENTS` are free."""
         self.drop_expired(now)
