Keyed messages from a stopped sender are not sent after their dedup window

A message that its client hands in again because another node died or did not answer began its window with the first attempt here, although that node may have sent it up to seconds before.

Cause: the window was counted from attempts that this node, or its former process, knows of.

Not where only one zone drops repeats, since the zone is not known.

Result: the new test was sent after the window before.

--- a/irisstack/choice.py
+++ b/irisstack/choice.py
@@ -418,6 +418,8 @@
         message.attempts = event.attempts
         message.may_have_run_at = event.may_have_run_at
         message.may_have_run_zone = event.may_have_run_zone
+        if event.from_dead_sender and message.may_have_run_at is None:
+            self._assume_sent_before(message)
         self._messages[event.message] = message
         self._pending_count += 1
         destination = self._get_destination(event.destination)
@@ -436,6 +438,17 @@
         if not message.finished and self._pending_count >= self._settings.max_pending:
             self._shed_load()
 
+    @staticmethod
+    def _assume_sent_before(message: Message) -> None:
+        """Begin the dedup window when the client first submitted the message to the sender that stopped.
+
+        That sender may have sent it, in a zone that is not known: where only one zone drops repeats, nothing
+        can be assumed.
+        """
+        message_class = message.message_class
+        if message_class.effect is Effect.KEYED and not message.zone_scoped_dedup:
+            message.may_have_run_at = message.due - message_class.deadline - MAX_SUBMISSION_DELAY
+
     def _expected_latency(self, message: Message) -> float:
         """Expected duration of a call with a message of this class to this destination, in seconds."""
         return self._get_destination(message.destination).latency_ema.get(
--- a/tests/test_decision_regressions.py
+++ b/tests/test_decision_regressions.py
@@ -1,5 +1,7 @@
 """Regression tests for faults of the decisions, one for each."""
 
+from dataclasses import replace
+
 import pytest
 
 from irisstack import interface as api
@@ -545,3 +547,19 @@
         second_sender.turn(due - 0.5, with_endpoint)
         assert second_sender.send_times(1) != []
         assert max(second_sender.send_times(1)) < window_end
+
+
+@pytest.mark.parametrize("from_dead_sender", [False, True])
+def test_a_keyed_message_from_a_stopped_sender_is_not_sent_after_its_dedup_window(
+    from_dead_sender: bool,
+) -> None:
+    """Its window began with the first attempt here, although the stopped sender may have sent it before."""
+    driver = Driver()
+    driver.turn(0.5, api.EndpointsUpdated(api.UpdateScope.FULL, 2, (endpoint(2, destination=2),)))
+    first_submitted_at, due = 1.0, 1.0 + CLASSES[KEYED_INDEX].deadline
+    submission = driver.message_received(1, 2.5, KEYED_INDEX, due=due)
+    driver.turn(2.5, replace(submission, from_dead_sender=from_dead_sender))
+    window_end = first_submitted_at + CLASSES[KEYED_INDEX].dedup_window
+    driver.turn(window_end + 0.1, api.EndpointsUpdated(api.UpdateScope.FULL, 3, (endpoint(1),)))
+    assert (driver.send_times(1) == []) is from_dead_sender
+    assert (1 in driver.failed) is from_dead_sender
