A destination that refuses calls for hours no longer ends the process

A shut destination that refuses every call: after some 1,750 refusals the node ended with OverflowError.

Cause: Sender._call_gap raises 1.5 to the number of refusals not offset by a success, without a bound.

Change: the exponent is bounded at 100, by which the gap is longer than any message lives.

Result: the new test plays over an hour of refusals in the model's time; OverflowError before, passes now.

--- a/irisstack/choice.py
+++ b/irisstack/choice.py
@@ -48,6 +48,8 @@
 """Remaining share of a reported limit below which calls are spaced before any is refused."""
 SLOWDOWN_FACTOR = 1.5
 """Each further refusal lengthens the gap between calls by this factor."""
+MAX_SLOWDOWN_EXPONENT = 100.0
+"""Refusals that lengthen the gap between calls; by then it is longer than any message lives."""
 MAX_INITIAL_CALL_GAP = 2.0
 """Seconds: the longest gap between calls after a first refusal where no rate is known."""
 BATCH_SLOWDOWN_RECOVERY = 0.25
@@ -385,9 +387,8 @@
     def _call_gap(self, breaker: CircuitBreaker, scope: BreakerScope) -> float:
         """Seconds between two calls of this sender while they are spaced after refusals."""
         max_gap = NEVER if scope.reported_limit or scope.listed_rate else MAX_INITIAL_CALL_GAP
-        return float(SLOWDOWN_FACTOR ** max(0.0, breaker.slowdown_steps - 1.0)) * min(
-            1.0 / self._rate_share(scope), max_gap
-        )
+        exponent = min(max(0.0, breaker.slowdown_steps - 1.0), MAX_SLOWDOWN_EXPONENT)
+        return float(SLOWDOWN_FACTOR**exponent) * min(1.0 / self._rate_share(scope), max_gap)
 
     def _warmup_rate(self, breaker: CircuitBreaker, scope: BreakerScope) -> float:
         """This sender's share of the calls per second that a recovering destination can take by now."""
--- a/tests/test_decision_regressions.py
+++ b/tests/test_decision_regressions.py
@@ -549,6 +549,20 @@
         assert max(second_sender.send_times(1)) < window_end
 
 
+def test_hours_of_refusals_do_not_end_the_process() -> None:
+    """The gap between calls is a factor to the power of the refusals, and the power overflowed."""
+    driver = Driver(endpoint(1, rate=4000.0), senders=1)
+    number = refusals = 0
+    while refusals < 2_000:
+        number += 1
+        driver.submit(number, float(number))
+        for _, send in driver.sends:
+            refusals += 1
+            driver.end_attempt(send.message, FULL, driver.now + 0.01)
+        driver.sends.clear()
+    assert driver.now > 3600.0
+
+
 @pytest.mark.parametrize("from_dead_sender", [False, True])
 def test_a_keyed_message_from_a_stopped_sender_is_not_sent_after_its_dedup_window(
     from_dead_sender: bool,
