X-Timeout may have any number of digits

What the format allows is taken; the class's deadline bounds it as before. The new test got 400 before.

--- a/irisstack/node/submission_parser.py
+++ b/irisstack/node/submission_parser.py
@@ -10,7 +10,7 @@
 
 MAX_HEADER_VALUE = 256
 """Maximum characters of an id or key in a header."""
-SECONDS_PATTERN = re.compile(r"[0-9]{1,6}(\.[0-9]{0,9})?")
+SECONDS_PATTERN = re.compile(r"[0-9]+(\.[0-9]*)?")
 NUMBER_PATTERN = re.compile(r"[0-9]{1,9}")
 
 
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -167,6 +167,13 @@
         assert node.submit("m2").status == 202
 
 
+def test_a_timeout_with_any_number_of_digits_is_accepted(tmp_path: Path) -> None:
+    """One with more than nine decimals was answered 400."""
+    with node_and_platform(tmp_path, ScriptedEndpoint()) as (node, _):
+        for number, timeout in enumerate(("2.0000000001", "2." + "3" * 400, "9" * 400, "2.")):
+            assert node.submit(f"m{number}", X_Timeout=timeout).status == 202
+
+
 def test_the_largest_body_and_pipelined_requests_are_accepted(tmp_path: Path) -> None:
     endpoint = ScriptedEndpoint()
     with node_and_platform(tmp_path, endpoint) as (node, _):
