Tests and laboratory: a port for a later server is reserved, not only found free

Cause: free_port bound a port, closed it and named it. Until the node listened there, the system could give the same port to any other server that asked for a free one. The same function stood three times.

Change: irisstack/lab/ports.py keeps the port bound, not listening, until its owner is gone; connections are refused meanwhile, and only a server that names the port may listen on it. The bare receiver binds any port and prints it.

--- a/irisstack/lab/capacity/measurements/measured_node.py
+++ b/irisstack/lab/capacity/measurements/measured_node.py
@@ -14,9 +14,8 @@
 from gevent import socket
 from gevent import subprocess as green
 
+from irisstack.lab.ports import HOST, PortReservation
 from irisstack.lab.sockets import http
-from irisstack.lab.sockets.nodes import free_port
-from irisstack.lab.sockets.partners import HOST
 
 READY_WITHIN_S = 600.0
 END_WITHIN_S = 10.0
@@ -44,7 +43,8 @@
         settings: Mapping[str, Any],
         disk_mb: float = 16.0,
     ) -> None:
-        self.address = (HOST, free_port())
+        self._port_reservation = PortReservation()
+        self.address = (HOST, self._port_reservation.port)
         self.state = folder / "state"
         self.state.mkdir(exist_ok=True)
         self._config = folder / "node.json"
--- a/irisstack/lab/scale/bare_receiver.py
+++ b/irisstack/lab/scale/bare_receiver.py
@@ -5,7 +5,8 @@
 
 from gevent import socket
 
-from irisstack.lab.scale.node_process import HOST, end_with_parent, free_port, processor_s
+from irisstack.lab.ports import HOST
+from irisstack.lab.scale.node_process import end_with_parent, processor_s
 
 MOST_BYTES = 257
 
@@ -14,17 +15,17 @@
     """The process as a context manager; it reads from the first datagram on."""
 
     def __init__(self) -> None:
-        self.address = (HOST, free_port())
+        self.address = (HOST, 0)  # its port is known once it has started
         self._process: subprocess.Popen[bytes] | None = None
 
     def __enter__(self) -> "BareReceiver":
         self._process = subprocess.Popen(
-            [sys.executable, "-m", "irisstack.lab.scale.bare_receiver", str(self.address[1])],
+            [sys.executable, "-m", "irisstack.lab.scale.bare_receiver"],
             stdout=subprocess.PIPE,
             preexec_fn=end_with_parent,
         )
         assert self._process.stdout is not None
-        self._process.stdout.readline()  # until it has bound its port
+        self.address = (HOST, int(self._process.stdout.readline()))
         return self
 
     def __exit__(self, *_: object) -> None:
@@ -38,14 +39,14 @@
         return processor_s(self._process.pid)
 
 
-def receive(port: int) -> None:
-    """Read and drop datagrams until the process is ended."""
+def receive() -> None:
+    """Print the port, then read and drop datagrams until the process is ended."""
     with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as sock:
-        sock.bind((HOST, port))
-        print("ready", flush=True)
+        sock.bind((HOST, 0))
+        print(sock.getsockname()[1], flush=True)
         while True:
             sock.recvfrom(MOST_BYTES)
 
 
 if __name__ == "__main__":
-    receive(int(sys.argv[1]))
+    receive()
--- a/irisstack/lab/scale/node_experiments.py
+++ b/irisstack/lab/scale/node_experiments.py
@@ -13,9 +13,10 @@
 from irisstack.lab import scenario, world
 from irisstack.lab.capacity import targets
 from irisstack.lab.node_settings import settings_object
+from irisstack.lab.ports import HOST
 from irisstack.lab.scale.bare_receiver import BareReceiver
 from irisstack.lab.scale.list_lines import whole_list
-from irisstack.lab.scale.node_process import HOST, NodeFile, NodeProcess
+from irisstack.lab.scale.node_process import NodeFile, NodeProcess
 from irisstack.lab.scale.results import Point, Slope, mean
 from irisstack.lab.scale.settings import NODE_SIZES
 
--- a/irisstack/lab/scale/node_process.py
+++ b/irisstack/lab/scale/node_process.py
@@ -14,7 +14,8 @@
 from pathlib import Path
 from typing import Any
 
-HOST = "127.0.0.1"
+from irisstack.lab.ports import HOST, PortReservation
+
 READY_WITHIN = 60.0
 END_WITHIN = 10.0
 LOOK_S = 0.005
@@ -42,13 +43,6 @@
         ctypes.CDLL(None).prctl(PR_SET_PDEATHSIG, signal.SIGKILL)
 
 
-def free_port() -> int:
-    """A port that nobody has just now."""
-    with socket.socket(socket.AF_INET, socket.SOCK_STREAM) as sock:
-        sock.bind((HOST, 0))
-        return int(sock.getsockname()[1])
-
-
 def processor_s(pid: int) -> float:
     """Seconds of processor time of a process's main thread; raises `OSError` elsewhere than on Linux."""
     return int(Path(f"/proc/{pid}/schedstat").read_text().split()[0]) / 1e9
@@ -58,7 +52,8 @@
     """A node in a folder of its own; use it as a context manager, so that its process always ends."""
 
     def __init__(self, folder: Path, file: NodeFile) -> None:
-        self.address = (HOST, free_port())
+        self._port_reservation, self._no_discovery = PortReservation(), PortReservation()
+        self.address = (HOST, self._port_reservation.port)
         self._folder = folder
         self._config = folder / "node.json"
         (folder / "state").mkdir(parents=True, exist_ok=True)
@@ -67,7 +62,7 @@
                 {
                     "name": "n0",
                     "listen": f"{HOST}:{self.address[1]}",
-                    "discovery": f"{HOST}:{free_port()}",
+                    "discovery": f"{HOST}:{self._no_discovery.port}",
                     "state": str(folder / "state"),
                     "seed": "5eed",
                     "limits": LIMITS,
--- a/irisstack/lab/sockets/nodes.py
+++ b/irisstack/lab/sockets/nodes.py
@@ -19,8 +19,8 @@
 
 from irisstack.lab import ledger as records
 from irisstack.lab.node_settings import settings_object
+from irisstack.lab.ports import HOST, PortReservation
 from irisstack.lab.sockets import http
-from irisstack.lab.sockets.partners import HOST
 from irisstack.lab.sockets.run_context import RunContext
 
 READY_WITHIN = 30.0
@@ -40,19 +40,13 @@
         ctypes.CDLL(None).prctl(PR_SET_PDEATHSIG, signal.SIGKILL)
 
 
-def free_port() -> int:
-    """A port that nobody has just now; a node binds it itself."""
-    with socket.socket(socket.AF_INET, socket.SOCK_STREAM) as sock:
-        sock.bind((HOST, 0))
-        return int(sock.getsockname()[1])
-
-
 class NodeProcess:
     """One node: its folder, its address, and its process while it has one."""
 
     def __init__(self, number: int, folder: Path, context: RunContext, platform: str) -> None:
         self.number = number
-        self.address = (HOST, free_port())
+        self._port_reservation = PortReservation()
+        self.address = (HOST, self._port_reservation.port)
         self.up = False
         self.cpu_s = 0.0
         self._context = context
--- a/irisstack/lab/sockets/partners.py
+++ b/irisstack/lab/sockets/partners.py
@@ -11,10 +11,10 @@
 
 from irisstack.lab import ledger as records
 from irisstack.lab.partner import Answer, Destination, Endpoint, Item, PartnerCall
+from irisstack.lab.ports import HOST
 from irisstack.lab.sockets import http
 from irisstack.lab.sockets.run_context import RunContext, Submission
 
-HOST = "127.0.0.1"
 MOST_BODY = 64 * 1024
 BACKLOG = 512
 CROSSING = 0.05
--- a/irisstack/lab/sockets/platform.py
+++ b/irisstack/lab/sockets/platform.py
@@ -15,9 +15,9 @@
 
 from irisstack.lab import ledger as records
 from irisstack.lab.node_settings import ZONE
+from irisstack.lab.ports import HOST
 from irisstack.lab.sampling import sample
 from irisstack.lab.sockets import http
-from irisstack.lab.sockets.partners import HOST
 from irisstack.lab.sockets.run_context import RunContext
 
 BEAT = 2.0
--- a/tests/node/test_shutdown.py
+++ b/tests/node/test_shutdown.py
@@ -15,6 +15,7 @@
 from gevent import socket as gevent_socket
 from gevent.event import Event
 
+from irisstack.lab.ports import PortReservation
 from irisstack.node import http, intake, service
 from irisstack.node.config import load
 from irisstack.node.counters import Counters
@@ -29,7 +30,6 @@
     ScriptedEndpoint,
     ScriptedPlatform,
     eventually,
-    free_port,
     http_response,
     message_request,
     node_and_platform,
@@ -195,7 +195,8 @@
     directory: Path, platform: ScriptedPlatform
 ) -> Iterator[tuple[Service, Event, Event, tuple[str, int]]]:
     """A complete node in this process."""
-    address = ("127.0.0.1", free_port())
+    reservation = PortReservation()
+    address = ("127.0.0.1", reservation.port)
     config = {
         "name": "n",
         "listen": f"127.0.0.1:{address[1]}",
--- a/tests/node_support.py
+++ b/tests/node_support.py
@@ -13,6 +13,7 @@
 from pathlib import Path
 from typing import Any
 
+from irisstack.lab.ports import PortReservation
 from irisstack.node import http
 from irisstack.node.buffer import Buffer
 
@@ -74,12 +75,6 @@
     raise AssertionError(f"timed out waiting for {description}")
 
 
-def free_port() -> int:
-    with socket.socket() as probe:
-        probe.bind(("127.0.0.1", 0))
-        return int(probe.getsockname()[1])
-
-
 class ScriptedServer:
     """Accepts connections, records each request and answers it with `reply`."""
 
@@ -240,7 +235,8 @@
     """The real program with a fixed name and address; it can be started, killed and restarted."""
 
     def __init__(self, directory: Path, platform: ScriptedPlatform, **limits: float) -> None:
-        self.port = free_port()
+        self._port_reservation = PortReservation()
+        self.port = self._port_reservation.port
         self.state = directory / "state"
         self.state.mkdir(exist_ok=True)
         self.log = directory / "log"
--- a/tests/test_node_gossip.py
+++ b/tests/test_node_gossip.py
@@ -5,6 +5,7 @@
 from collections.abc import Iterator
 from pathlib import Path
 
+from irisstack.lab.ports import PortReservation
 from irisstack.node import http
 from tests.node_support import (
     SETTINGS,
@@ -12,7 +13,6 @@
     ScriptedEndpoint,
     ScriptedPlatform,
     eventually,
-    free_port,
     http_response,
     node_and_platform,
 )
@@ -25,13 +25,14 @@
     platform = ScriptedPlatform()
     platform.add_member(endpoint, 1)
     nodes = []
+    nobody = PortReservation()
     for name in ("a", "b"):
         (directory / name).mkdir()
         nodes.append(Node(directory / name, platform))
     for node, other in (nodes, nodes[::-1]):
         node.config_data |= {
             "settings": GOSSIP_SETTINGS,
-            "peers": [f"127.0.0.1:{other.port}", f"127.0.0.1:{free_port()}"],
+            "peers": [f"127.0.0.1:{other.port}", f"127.0.0.1:{nobody.port}"],
         }
     try:
         yield nodes[0].start(), nodes[1].start()
