--- a/irisstack/lab/capacity/curve.py
+++ b/irisstack/lab/capacity/curve.py
@@ -5,8 +5,6 @@
 from enum import Enum, auto
 from itertools import pairwise
 
-import numpy as np
-
 from irisstack.lab.capacity.fit import Fit, fit
 from irisstack.lab.capacity.result import Point
 
@@ -44,8 +42,9 @@
         """The value at a size: between two points on the line through them, elsewhere the fit's."""
         if not self.points[0].size <= size <= self.largest_size:
             return self.fit.at(size)
-        sizes, values = [p.size for p in self.points], [p.value for p in self.points]
-        return float(np.interp(size, sizes, values))
+        before, after = next(pair for pair in pairwise(self.points) if size <= pair[1].size)
+        slope = (after.value - before.value) / (after.size - before.size)
+        return before.value + slope * (size - before.size)
 
     def crossing(self, value: float) -> Crossing:
         """The smallest size at which a value is reached."""
