The log and the counters say how much memory a node holds, and why clients' connections end

The node reads limits.memory_mb for this (192 if missing, as the checked form of the file has it); nothing is decided by it yet.

--- a/irisstack/node/config.py
+++ b/irisstack/node/config.py
@@ -15,6 +15,8 @@
 
 DEFAULT_SOCKETS = 1024
 DEFAULT_DISK_MB = 64.0
+DEFAULT_MEMORY_MB = 192.0
+BYTES_PER_MB = 1_000_000
 MIN_DISK_BYTES_WITH_DYNAMIC_SETTINGS = 2_000_000
 """Larger than without, since the saved settings take a part of the state directory."""
 DEFAULT_SETTINGS_BYTES_PER_S = 11_000
@@ -51,6 +53,8 @@
     seed: int
     sockets: int
     disk_bytes: int
+    memory_bytes: int
+    """Limit of the resident memory, above which the platform ends the process."""
     known: Mapping[str, Any]
     settings: Settings
     peers: tuple[HostPort, ...] = ()
@@ -128,7 +132,8 @@
             state=Path(env_or_file("RELAY_STATE", "state")),
             seed=_parse_seed(raw.text("seed", "0")),
             sockets=limits.integer("sockets", DEFAULT_SOCKETS),
-            disk_bytes=int(limits.number("disk_mb", DEFAULT_DISK_MB) * 1_000_000),
+            disk_bytes=int(limits.number("disk_mb", DEFAULT_DISK_MB) * BYTES_PER_MB),
+            memory_bytes=int(limits.number("memory_mb", DEFAULT_MEMORY_MB) * BYTES_PER_MB),
             known=known,
             settings=settings,
             peers=peers,
@@ -209,6 +214,10 @@
         raise ConfigError(f"limits.sockets: expected at least 64, got {config.sockets}")
     if config.disk_bytes < 1_000_000:
         raise ConfigError(f"limits.disk_mb: expected at least 1, got {config.disk_bytes / 1_000_000}")
+    if config.memory_bytes <= 0:
+        raise ConfigError(
+            f"limits.memory_mb: expected more than 0, got {config.memory_bytes / BYTES_PER_MB:g}"
+        )
     if config.dynamic_settings is not None and config.disk_bytes < MIN_DISK_BYTES_WITH_DYNAMIC_SETTINGS:
         raise ConfigError(
             f"limits.disk_mb: expected at least 2 with dynamic_settings, got {config.disk_bytes / 1_000_000}"
--- a/irisstack/node/intake.py
+++ b/irisstack/node/intake.py
@@ -77,7 +77,7 @@
 
 
 class _CloseReason(Enum):
-    """Why a client's connection ends; the values are logged."""
+    """Why a client's connection ends; the values are logged and name counters."""
 
     CLIENT_ENDED = "client_ended_or_stayed_silent"
     CLIENT_GONE = "client_gone"
@@ -108,6 +108,11 @@
         """Whether the current answer, or the one before it, is the last on this connection."""
         return self._close_after_answer or self._intake.stage is not Stage.ACCEPTING
 
+    @property
+    def held_bytes(self) -> int:
+        """Bytes received and held: unread ones, and the body of an incomplete request."""
+        return len(self._buffer) + len(self._reader.message.body)
+
     def _enter_phase(self, phase: _Phase) -> None:
         if phase is not self.phase:
             self.phase, self.phase_since = phase, time.monotonic()
@@ -123,6 +128,7 @@
             log.debug("client_disconnected", error=str(error))
         finally:
             self._socket.close()
+            self._intake.counters.add(f"clients_closed_{self._reason.value}")
             log.debug("client_closed", reason=self._reason.value, phase=self.phase.name)
 
     def _serve(self) -> None:
@@ -142,6 +148,7 @@
                 gevent.sleep(0)  # let other greenlets run between pipelined requests
         except http.BadMessage as error:
             self._intake.counters.add("unreadable")
+            self._intake.counters.add(f"unreadable_{error.status.value}")
             self._reason = _CloseReason.UNREADABLE
             self._close_after_answer = True
             self._write(error.status, f"{error}\n".encode())
@@ -383,6 +390,15 @@
         """Whether all connections have been answered and closed."""
         return not self._connections
 
+    def usage(self) -> dict[str, int]:
+        """How many connections are open, in all and in each phase, and the bytes of input that they hold."""
+        connections = self._connections.values()
+        counts = {
+            f"clients_{phase.name.lower()}": sum(c.phase is phase for c in connections) for phase in _Phase
+        }
+        held = sum(c.held_bytes for c in connections)
+        return {"clients": len(connections), **counts, "client_input_bytes": held}
+
     def drain(self) -> None:
         """Answer at most one more request on each connection, and end idle connections now.
 
@@ -409,6 +425,7 @@
             connection.reject()
             return
         self._connections[id(connection)] = connection
+        self.counters.record_max("clients_max", len(self._connections))
         try:
             connection.serve()
         finally:
@@ -428,6 +445,7 @@
                 if c.phase is phase and not c.stopped and c.phase_since + min_age <= now
             ]
             if candidates:
+                self.counters.add(f"clients_evicted_{phase.name.lower()}")
                 min(candidates, key=lambda c: c.phase_since).stop()
                 return True
         return False
--- a/irisstack/node/service.py
+++ b/irisstack/node/service.py
@@ -24,6 +24,7 @@
 from irisstack.node.endpoint import Command, Endpoint, Reconfigure, Retire
 from irisstack.node.intake import Intake, Stage
 from irisstack.node.list_reader import ListReader
+from irisstack.node.memory import MemoryMonitor
 from irisstack.node.notices import NoticeSender
 from irisstack.node.peers import GossipSocket
 from irisstack.node.retry import retry
@@ -118,6 +119,7 @@
             self._intake.update_settings(
                 settings, self._live_settings.in_force.classes, self._live_settings.in_force.tenants
             )
+        self._memory_monitor = MemoryMonitor(config.memory_bytes, self._memory_usage, self.counters)
         self._retire_unlisted(cached_list)
         self._decider.recover(cached_list)
 
@@ -135,6 +137,7 @@
             self._discovery.run,
             self._notices.run,
             self._reload_configuration,
+            self._memory_monitor.run,
         ]
         try:
             if self._gossip is not None:
@@ -153,6 +156,8 @@
             name=self._config.name,
             listen=format_host_port(self._config.listen),
             discovery=format_host_port(self._config.discovery),
+            memory_limit_kb=self._config.memory_bytes // 1024,
+            max_clients=self._max_clients,
             **self.counters.snapshot(),
         )
         self._stop.wait()
@@ -234,6 +239,15 @@
         self._store.close()
         log.info("stopped", clients_left=not self._intake.no_clients, **self.counters.snapshot())
 
+    def _memory_usage(self) -> dict[str, int]:
+        """What the parts hold, for the log."""
+        return {
+            **self._intake.usage(),
+            "messages": len(self._store.entries),
+            "calls_in_flight": self._decider.calls_in_flight,
+            "endpoints": len(self._endpoints) + len(self._retired_endpoints),
+        }
+
     # ---- messages between the parts ----
 
     def _send_gossip(self, peer: int | None, data: bytes) -> None:
