--- /dev/null
+++ b/tests/node/test_memory_limit.py
@@ -0,0 +1,73 @@
+"""A node stays within `limits.memory_mb`, whatever hundreds of its clients leave unfinished."""
+
+import threading
+from pathlib import Path
+
+import pytest
+
+from tests.node.hostile_clients import INCOMPLETE_REQUESTS, WRITE_SIZE, crowd, peak_memory_bytes
+from tests.node_support import Node, ScriptedEndpoint, node_and_platform
+
+SOCKETS = 1024
+MEMORY_MB = 64
+CROWD_SIZE = 400
+CROWD_S = 4.0
+"""Seconds for which a crowd stays: longer than the time in which a request must be complete."""
+ENDED_WITHIN_S = 3.0 + 0.5
+"""Seconds from connecting within which a bad client is owed an error or a close, and 0.5 s for the test."""
+SUBMISSION_INTERVAL_S = 0.1
+
+
+class UsualClient(threading.Thread):
+    """Submits a message at regular intervals and keeps the answers."""
+
+    def __init__(self, node: Node) -> None:
+        super().__init__(daemon=True)
+        self._node = node
+        self.stopped = threading.Event()
+        self.statuses: list[int | str] = []
+
+    def run(self) -> None:
+        while not self.stopped.wait(SUBMISSION_INTERVAL_S):
+            try:
+                self.statuses.append(self._node.submit(f"usual-{len(self.statuses)}").status)
+            except OSError as error:
+                self.statuses.append(repr(error))
+
+
+def assert_survives_crowd(directory: Path, data: bytes, write_size: int, memory_mb: int) -> None:
+    endpoint = ScriptedEndpoint()
+    with node_and_platform(directory, endpoint, sockets=SOCKETS, memory_mb=memory_mb) as (node, _):
+        usual = UsualClient(node)
+        usual.start()
+        with crowd(node.port, CROWD_SIZE, data, write_size) as clients:
+            clients.run(CROWD_S)
+            ended = clients.ended_after_s
+        usual.stopped.set()
+        usual.join()
+        assert node.process.poll() is None
+        assert peak_memory_bytes(node.process.pid) <= memory_mb * 1_000_000, node.counters()
+        assert len(ended) == CROWD_SIZE
+        assert max(ended) < ENDED_WITHIN_S
+        assert set(usual.statuses) == {202}
+        assert len(usual.statuses) > CROWD_S / SUBMISSION_INTERVAL_S / 4
+
+
+@pytest.mark.parametrize("kind", INCOMPLETE_REQUESTS)
+def test_clients_that_stop_within_a_request_do_not_exhaust_memory(tmp_path: Path, kind: str) -> None:
+    assert_survives_crowd(tmp_path, INCOMPLETE_REQUESTS[kind](), 1 << 20, MEMORY_MB)
+
+
+@pytest.mark.parametrize("kind", ["short_fields", "half_body"])
+def test_clients_that_write_slowly_do_not_exhaust_memory(tmp_path: Path, kind: str) -> None:
+    assert_survives_crowd(tmp_path, INCOMPLETE_REQUESTS[kind](), 8 * WRITE_SIZE, MEMORY_MB)
+
+
+@pytest.mark.parametrize("memory_mb", [MEMORY_MB, 192])
+def test_crowds_one_after_another_do_not_exhaust_memory(tmp_path: Path, memory_mb: int) -> None:
+    with node_and_platform(tmp_path, ScriptedEndpoint(), sockets=SOCKETS, memory_mb=memory_mb) as (node, _):
+        for make_request in INCOMPLETE_REQUESTS.values():
+            with crowd(node.port, CROWD_SIZE, make_request()) as clients:
+                clients.run(1.0)
+        assert node.submit("m1").status == 202
+        assert peak_memory_bytes(node.process.pid) <= memory_mb * 1_000_000
--- a/tests/test_decision_regressions.py
+++ b/tests/test_decision_regressions.py
@@ -1,5 +1,6 @@
 """Regression tests for faults of the decisions, one for each."""
 
+import gc
 from dataclasses import replace
 
 import pytest
@@ -13,6 +14,7 @@
     STALE_LOSS_THRESHOLD,
     TOLERATED_FAILURE_RATIO,
 )
+from irisstack.delivery_state import Destination
 from tests.support import CLASSES, KEYED_INDEX, SETTINGS, UNSAFE_INDEX, Driver, address, endpoint
 
 OK, FULL, ERROR, RESET = api.Outcome.OK, api.Outcome.FULL, api.Outcome.ERROR, api.Outcome.RESET
@@ -576,3 +578,15 @@
     driver.turn(window_end + 0.1, api.EndpointsUpdated(api.UpdateScope.FULL, 3, (endpoint(1),)))
     assert (driver.send_times(1) == []) is from_dead_sender
     assert (1 in driver.failed) is from_dead_sender
+
+
+def test_destinations_that_only_clients_name_are_forgotten() -> None:
+    """Each new number in a request was kept for ever where no list says which destinations there are."""
+    driver = Driver()
+    for number in range(1, 2_000):
+        driver.submit(number, number / 100.0, destination=1_000 + number)
+    driver.turn(3_600.0)
+    driver.submit(2_000, 3_600.0)
+    kept = [each for each in gc.get_objects() if isinstance(each, Destination)]
+    assert len(kept) < 10
+    assert driver.refused.keys() | driver.failed == set(range(1, 2_000))
