Requests of clients that have left are freed at once, not by a garbage collection

Cause: a parser refers to its reader, which refers to the parser. Only the collector frees such a pair, and it counts objects, not bytes: the bodies of hundreds of incomplete requests waited for it.

Change: a reader makes its parser for the first bytes of a message and drops it with the message; who ends a connection resets its reader. Connections to endpoints do so too.

New tests: a reader is freed with the collector switched off; before, it was not.

Class of bug: memory whose release waits for the cycle collector.

--- a/irisstack/node/connection.py
+++ b/irisstack/node/connection.py
@@ -159,6 +159,7 @@
         )
         self._socket.close()
         self._socket = None
+        self._reader.reset()
 
     def execute(
         self,
--- a/irisstack/node/http.py
+++ b/irisstack/node/http.py
@@ -69,10 +69,14 @@
         self.max_body = max_body
         self._kept_headers: frozenset[bytes] | None = None
         if kept_headers is not None:
-            self._kept_headers = frozenset(name.encode() for name in [*FRAMING_HEADERS, *kept_headers])
-        self._reset()
+            self._kept_headers = frozenset(name.encode() for name in {*FRAMING_HEADERS}.union(kept_headers))
+        self.reset()
 
-    def _reset(self) -> None:
+    def reset(self) -> None:
+        """Drop what is held of an incomplete message; call it when its connection ends.
+
+        The parser refers to its reader. Without this, only a garbage collection would free the two and the body.
+        """
         self.message = Message()
         self.headers_complete = self._complete = False
         self._head_size = 0
@@ -80,7 +84,7 @@
         self._first_line_read = False
         self._body_remaining: int | None = None  # bytes still to be received; None without a Content-Length
         self._chunked = False
-        self._parser: Parser = self._make_parser(self)
+        self._parser: Parser | None = None  # made for the first bytes of a message
 
     @property
     def started(self) -> bool:
@@ -99,6 +103,8 @@
                 if self._head_size > MAX_HEAD:
                     raise BadMessage(HTTPStatus.REQUEST_HEADER_FIELDS_TOO_LARGE, "the head is too long")
             data = buffer.take(size)
+            if self._parser is None:
+                self._parser = self._make_parser(self)
             try:
                 self._parser.feed_data(data)
                 self._first_line_read = self._first_line_read or b"\n" in data
@@ -115,7 +121,7 @@
         if not self._complete:
             return None
         message = self.message
-        self._reset()
+        self.reset()
         return message
 
     def _feed_size(self, buffer: Buffer) -> int:
@@ -145,6 +151,7 @@
         self.headers_complete = True
         headers = self.message.headers
         self._chunked = "chunked" in headers.get("transfer-encoding", "").lower()
+        assert self._parser is not None
         self.message.keep_alive = self._parser.should_keep_alive()
         length = headers.get("content-length")
         if length is not None and not self._chunked:
@@ -173,6 +180,7 @@
         self.message.path += url.decode("latin-1")
 
     def on_headers_complete(self) -> None:
+        assert self._parser is not None
         self.message.method = self._parser.get_method().decode("latin-1")
         super().on_headers_complete()
 
@@ -193,6 +201,7 @@
         self.message.reason += reason.decode("latin-1")
 
     def on_headers_complete(self) -> None:
+        assert self._parser is not None
         self.message.status = self._parser.get_status_code()
         super().on_headers_complete()
 
@@ -219,7 +228,11 @@
     @property
     def status_is_ok(self) -> bool:
         """Whether an unfinished response has status 200, which holds whatever follows."""
-        return self._first_line_read and self._parser.get_status_code() == HTTPStatus.OK
+        return (
+            self._parser is not None
+            and self._first_line_read
+            and self._parser.get_status_code() == HTTPStatus.OK
+        )
 
     def take_body(self) -> bytes:
         """Remove and return the part of a streamed body received so far."""
--- a/irisstack/node/intake.py
+++ b/irisstack/node/intake.py
@@ -131,6 +131,7 @@
             log.debug("client_disconnected", error=str(error))
         finally:
             self._socket.close()
+            self._reader.reset()
             self._intake.counters.add(f"clients_closed_{self._reason.value}")
             log.debug("client_closed", reason=self._reason.value, phase=self.phase.name)
 
--- a/tests/node/test_http.py
+++ b/tests/node/test_http.py
@@ -1,6 +1,8 @@
 """Messages are parsed alike however they arrive, and an incomplete one takes up little more than its size."""
 
+import gc
 import tracemalloc
+import weakref
 
 import pytest
 
@@ -85,3 +87,29 @@
     assert response is not None
     assert response.status_line_in_headers
     assert response.headers == {"content-length": "0"}
+
+
+@pytest.mark.parametrize("data", [HEAD, HEAD + b"Content-Length: 9\r\n\r\nhalf"], ids=["head", "body"])
+def test_an_incomplete_request_is_freed_without_a_garbage_collection(data: bytes) -> None:
+    gc.disable()
+    try:
+        reader = http.RequestReader(KEPT)
+        assert parse(reader, Pieces(data)) == []
+        freed = weakref.ref(reader)
+        reader.reset()
+        del reader
+        assert freed() is None
+    finally:
+        gc.enable()
+
+
+def test_a_reader_between_two_requests_is_freed_without_a_garbage_collection() -> None:
+    gc.disable()
+    try:
+        reader = http.RequestReader(KEPT)
+        assert len(parse(reader, Pieces(REQUESTS))) == len(EXPECTED)
+        freed = weakref.ref(reader)
+        del reader
+        assert freed() is None
+    finally:
+        gc.enable()
