A node stays within limits.memory_mb while hundreds of clients stop within a large request

What callers saw: a process with little memory and 1,024 descriptors was killed while hundreds of clients stopped half way through a large request: 69 MB resident, 35 MB idle, and more for a chunk or a trailer that does not end.

Cause: the node read limits.sockets and limits.disk_mb, never limits.memory_mb. A third of the descriptors times the largest request is 22 MB, whatever the memory.

Change: node/memory_budget.py (pure) divides what is free once the node has started. Connections of clients are limited by it too, and so are all requests together that are incomplete or not answered: over that, the large incomplete request that began first is answered 503 and ended, and a whole large one is refused 503 with Retry-After. Requests of up to 4 KiB are not touched.

Class of bug: a limit that the settings give is not known to the part that has to keep it.

--- a/irisstack/node/http.py
+++ b/irisstack/node/http.py
@@ -75,7 +75,7 @@
     def reset(self) -> None:
         """Drop what is held of an incomplete message; call it when its connection ends.
 
-        The parser refers to its reader. Without this, only a garbage collection would free the two and the body.
+        The parser refers to its reader: without this, only a garbage collection would free the two.
         """
         self.message = Message()
         self.headers_complete = self._complete = False
--- a/irisstack/node/intake.py
+++ b/irisstack/node/intake.py
@@ -45,6 +45,8 @@
 """Seconds in which the client must read the rest of an answer that the socket took only in part."""
 MALFORMED_PAUSE = 0.1
 """Seconds after a malformed request in which its connection is not read from."""
+SMALL_REQUEST_BYTES = 4096
+"""Incomplete requests up to this size are not ended to free memory."""
 LINGER_TIMEOUT = 3.0
 """Seconds for which a closing connection is still read."""
 LINGER_BYTES = 64 * 1024 * 1024
@@ -103,6 +105,8 @@
         self.stopped = False
         self._stop_wakeup = False  # `stop` has shut down reading; the next read error may stem from that
         self.phase_since = time.monotonic()
+        self.counted_bytes = 0  # bytes of its request that count against the intake's limit
+        self._out_of_memory = False  # its request is to be rejected, since it takes up too much memory
         self._reason = _CloseReason.CLIENT_ENDED
         self._unsent = b""  # rest of an answer that the socket took only in part
 
@@ -111,11 +115,6 @@
         """Whether the current answer, or the one before it, is the last on this connection."""
         return self._close_after_answer or self._intake.stage is not Stage.ACCEPTING
 
-    @property
-    def held_bytes(self) -> int:
-        """Bytes received and held: unread ones, and the body of an incomplete request."""
-        return len(self._buffer) + len(self._reader.message.body)
-
     def _enter_phase(self, phase: _Phase) -> None:
         if phase is not self.phase:
             self.phase, self.phase_since = phase, time.monotonic()
@@ -140,11 +139,16 @@
         try:
             while (request := self._read_request()) is not None:
                 self._enter_phase(_Phase.WAITING)
+                self._intake.count_input(self, len(request.body))
                 self._close_after_answer = not request.keep_alive or self.stopped
-                if self.stopped:  # the request arrived while `stop` closed the connection: the client retries
+                large = len(request.body) > SMALL_REQUEST_BYTES
+                # Either it arrived while `stop` closed the connection, or there is no memory for it.
+                if self.stopped or (large and self._intake.input_exceeds_limit):
+                    self._intake.counters.add("requests_turned_away")
                     self._write(HTTPStatus.SERVICE_UNAVAILABLE, retry_after=self._intake.retry_after)
                 else:
                     self._handle(request)
+                self._intake.count_input(self, 0)
                 self._send_unsent()
                 if self._is_last_answer:
                     self._reason = _CloseReason.STOPPED if self.stopped else _CloseReason.LAST_ANSWER
@@ -155,7 +159,9 @@
             self._intake.counters.add(f"unreadable_{error.status.value}")
             self._reason = _CloseReason.UNREADABLE
             self._close_after_answer = True
-            self._write(error.status, f"{error}\n".encode())
+            busy = error.status is HTTPStatus.SERVICE_UNAVAILABLE
+            retry_after = self._intake.retry_after if busy else None
+            self._write(error.status, f"{error}\n".encode(), retry_after)
         except OSError:
             raise
         except Exception as error:  # an unexpected error must not leave a request without an answer
@@ -172,8 +178,11 @@
             if started:
                 self._enter_phase(_Phase.READING)
                 deadline = deadline or self.phase_since + WHOLE_BY
+                self._intake.count_input(self, len(self._buffer) + len(self._reader.message.body))
                 self._send_continue()
                 gevent.sleep(0)
+                if self._out_of_memory:
+                    raise http.BadMessage(HTTPStatus.SERVICE_UNAVAILABLE, "no memory for the request")
             elif not first:
                 self._enter_phase(_Phase.IDLE)
             try:
@@ -295,6 +304,9 @@
     def _close_gracefully(self) -> None:
         """Shut down sending first and read what still arrives, so that no reset loses the answer."""
         self._send_unsent()
+        self._buffer = Buffer()
+        self._reader.reset()
+        self._intake.count_input(self, 0)
         self._enter_phase(_Phase.LEAVING)
         self._socket.shutdown(socket.SHUT_WR)
         end, bytes_left = self.phase_since + LINGER_TIMEOUT, LINGER_BYTES
@@ -306,6 +318,11 @@
             bytes_left -= received
             gevent.sleep(0)
 
+    def end_for_memory(self) -> None:
+        """Reject the request that is arriving, to free its memory."""
+        self._out_of_memory = True
+        self.stop()
+
     def stop(self) -> None:
         """End the connection without accepting another request, not even one that has arrived in part.
 
@@ -360,7 +377,9 @@
         post: Callable[[Submission], None],
         counters: Counters,
         max_connections: int,
+        max_input_bytes: int,
     ) -> None:
+        """`max_input_bytes` limits the requests of all clients that are incomplete or not answered yet."""
         self.post = post
         self.parser = SubmissionParser()
         self.update_settings(
@@ -370,6 +389,8 @@
         )
         self._max_connections = max_connections
         self._connections: dict[int, _Connection] = {}
+        self._max_input_bytes = max_input_bytes
+        self._input_bytes = 0
         self._server = _Listener(listen, self._serve, backlog=BACKLOG)
         self.counters = counters
         self.stage = Stage.ACCEPTING
@@ -401,8 +422,41 @@
         counts = {
             f"clients_{phase.name.lower()}": sum(c.phase is phase for c in connections) for phase in _Phase
         }
-        held = sum(c.held_bytes for c in connections)
-        return {"clients": len(connections), **counts, "client_input_bytes": held}
+        return {"clients": len(connections), **counts, "client_input_bytes": self._input_bytes}
+
+    @property
+    def input_exceeds_limit(self) -> bool:
+        """Whether the clients' requests take up more memory than they may."""
+        return self._input_bytes > self._max_input_bytes
+
+    def count_input(self, connection: _Connection, size: int) -> None:
+        """Count the bytes of a connection's request; over the limit, end the oldest large incomplete ones."""
+        if connection.stopped:  # what it still reads is discarded
+            size = min(size, connection.counted_bytes)
+        self._input_bytes += size - connection.counted_bytes
+        connection.counted_bytes = size
+        self.counters.record_max("client_input_max_kb", self._input_bytes // 1024)
+        while self.input_exceeds_limit and self._end_large_request():
+            self.counters.add("clients_evicted_for_memory")
+
+    def _end_large_request(self) -> bool:
+        """End the large incomplete request that began first; returns whether there was one."""
+        large = [
+            c
+            for c in self._connections.values()
+            if c.phase is _Phase.READING and not c.stopped and c.counted_bytes > SMALL_REQUEST_BYTES
+        ]
+        if not large:
+            return False
+        oldest = min(large, key=lambda c: c.phase_since)
+        self._uncount_input(oldest)
+        oldest.end_for_memory()
+        return True
+
+    def _uncount_input(self, connection: _Connection) -> None:
+        """Leave out a connection that ends and frees its memory at once."""
+        self._input_bytes -= connection.counted_bytes
+        connection.counted_bytes = 0
 
     def drain(self) -> None:
         """Answer at most one more request on each connection, and end idle connections now.
@@ -434,6 +488,7 @@
         try:
             connection.serve()
         finally:
+            self._uncount_input(connection)
             del self._connections[id(connection)]
 
     def _make_room(self) -> bool:
--- a/irisstack/node/service.py
+++ b/irisstack/node/service.py
@@ -24,7 +24,8 @@
 from irisstack.node.endpoint import Command, Endpoint, Reconfigure, Retire
 from irisstack.node.intake import Intake, Stage
 from irisstack.node.list_reader import ListReader
-from irisstack.node.memory import MemoryMonitor
+from irisstack.node.memory import MemoryMonitor, resident_bytes
+from irisstack.node.memory_budget import divide_memory
 from irisstack.node.notices import NoticeSender
 from irisstack.node.peers import GossipSocket
 from irisstack.node.retry import retry
@@ -69,7 +70,8 @@
         self._reload = reload
         self.counters = Counters()
         self._store = self._open_store()
-        self._max_clients = config.sockets // 3
+        budget = divide_memory(config.memory_bytes, resident_bytes())
+        self._max_clients = min(config.sockets // 3, budget.max_clients)
         self._live_settings: LiveSettings | None = None
         self._settings_watch: SettingsWatch[AcceptedSettings] | None = None
         if config.dynamic_settings is not None:
@@ -113,7 +115,12 @@
             )
             self._gossip = sockets.retry_while_out_of_resources(open_gossip_socket, LISTEN_TIMEOUT)
         self._intake = Intake(
-            config.listen, settings, self._decider.mailbox.put, self.counters, self._max_clients
+            config.listen,
+            settings,
+            self._decider.mailbox.put,
+            self.counters,
+            self._max_clients,
+            budget.input_bytes,
         )
         if self._live_settings is not None:
             self._intake.update_settings(
--- a/tests/node/test_settings_parts.py
+++ b/tests/node/test_settings_parts.py
@@ -25,7 +25,7 @@
 from irisstack.node.store import Store
 from irisstack.settings import Reader, SettingsError, read
 from tests.node.support import listening_socket, wait_until
-from tests.node_support import SETTINGS, http_response
+from tests.node_support import MAX_INPUT_BYTES, SETTINGS, http_response
 
 FILE_SETTINGS = read(Reader(SETTINGS))
 MEMBERS = ["10.0.0.1:2379", "10.0.0.2:2379"]
@@ -393,7 +393,7 @@
 
 
 def test_intake_maps_offered_classes_and_tenants_to_their_positions() -> None:
-    intake = Intake(("127.0.0.1", 0), FILE_SETTINGS, lambda _: None, Counters(), 10)
+    intake = Intake(("127.0.0.1", 0), FILE_SETTINGS, lambda _: None, Counters(), 10, MAX_INPUT_BYTES)
     settings = replace(
         FILE_SETTINGS,
         advises_retry_after=False,
--- a/tests/node/test_shutdown.py
+++ b/tests/node/test_shutdown.py
@@ -25,6 +25,7 @@
 from irisstack.settings import Reader, read
 from tests.node.support import read_to_end, wait_until
 from tests.node_support import (
+    MAX_INPUT_BYTES,
     SETTINGS,
     Node,
     ScriptedEndpoint,
@@ -48,7 +49,7 @@
         if (answer := answers[0]) is not None:
             submission.client.answer(answer)
 
-    listening_intake = Intake(("127.0.0.1", 0), read(Reader(SETTINGS)), post, Counters(), 10)
+    listening_intake = Intake(("127.0.0.1", 0), read(Reader(SETTINGS)), post, Counters(), 10, MAX_INPUT_BYTES)
     listening_intake.start()
     yield listening_intake, submissions
     listening_intake.close()
--- a/tests/node_support.py
+++ b/tests/node_support.py
@@ -17,6 +17,8 @@
 from irisstack.node import http
 from irisstack.node.buffer import Buffer
 
+MAX_INPUT_BYTES = 10_000_000
+"""Bytes of unanswered requests for an intake whose limit a test does not reach."""
 TIMEOUT_S = 20.0
 """Seconds after which a wait counts as failed."""
 SETTINGS: dict[str, Any] = {
--- a/tests/test_node_clients.py
+++ b/tests/test_node_clients.py
@@ -18,6 +18,7 @@
 from irisstack.node.intake import Intake
 from irisstack.settings import Reader, read
 from tests.node_support import (
+    MAX_INPUT_BYTES,
     SETTINGS,
     ScriptedEndpoint,
     ScriptedPlatform,
@@ -130,11 +131,18 @@
 
 
 @contextlib.contextmanager
-def small_intake(max_connections: int) -> Iterator[tuple[Intake, list[Submission]]]:
+def small_intake(
+    max_connections: int, max_input_bytes: int = MAX_INPUT_BYTES
+) -> Iterator[tuple[Intake, list[Submission]]]:
     """An intake with room for few connections; submitted messages are collected and left unanswered."""
     submissions: list[Submission] = []
     listening_intake = Intake(
-        ("127.0.0.1", 0), read(Reader(SETTINGS)), submissions.append, Counters(), max_connections
+        ("127.0.0.1", 0),
+        read(Reader(SETTINGS)),
+        submissions.append,
+        Counters(),
+        max_connections,
+        max_input_bytes,
     )
     listening_intake.start()
     yield listening_intake, submissions
@@ -186,6 +194,40 @@
             client.close()
 
 
+def test_the_oldest_large_incomplete_request_makes_room_for_a_new_one() -> None:
+    large = message_request("m1", body=bytes(40_000))
+    with small_intake(10, max_input_bytes=100_000) as (listening_intake, submissions):
+        small = connect(listening_intake, message_request("m0")[:-1])
+        incomplete = [connect(listening_intake, large[:-1]) for _ in range(2)]
+        whole = connect(listening_intake, large)
+        assert [submission.id for submission in submissions] == ["m1"]
+        assert incomplete[0].recv(65536).startswith(b"HTTP/1.1 503 ")
+        incomplete[1].sendall(large[-1:])
+        small.sendall(message_request("m0")[-1:])
+        gevent.sleep(0.05)
+        assert [submission.id for submission in submissions] == ["m1", "m1", "m0"]
+        for client in (small, *incomplete, whole):
+            client.close()
+
+
+def test_a_large_request_is_refused_while_unanswered_ones_fill_the_memory() -> None:
+    large = message_request("m1", body=bytes(40_000))
+    with small_intake(10, max_input_bytes=100_000) as (listening_intake, submissions):
+        waiting = [connect(listening_intake, large) for _ in range(2)]
+        refused = connect(listening_intake, large)
+        assert refused.recv(65536).startswith(b"HTTP/1.1 503 ")
+        small = connect(listening_intake, message_request("m2"))
+        assert [submission.id for submission in submissions] == ["m1", "m1", "m2"]
+        for submission in submissions:
+            submission.client.answer(HTTPStatus.ACCEPTED)
+        gevent.sleep(0.05)
+        refused.sendall(large)
+        gevent.sleep(0.05)
+        assert [submission.id for submission in submissions] == ["m1", "m1", "m2", "m1"]
+        for client in (*waiting, refused, small):
+            client.close()
+
+
 def test_flood_on_one_connection_does_not_starve_others() -> None:
     with small_intake(10) as (listening_intake, submissions):
         flood = connect(listening_intake, message_request("m1", X_Timeout="no") * 2000)
--- a/tests/test_node_parts.py
+++ b/tests/test_node_parts.py
@@ -29,7 +29,7 @@
 from irisstack.node.results import EndReason, Reached, answer_result, batch_results, unanswered_result
 from irisstack.node.store import Entry, Store
 from irisstack.settings import Reader, read
-from tests.node_support import SETTINGS, http_response, message_request
+from tests.node_support import MAX_INPUT_BYTES, SETTINGS, http_response, message_request
 
 
 class ChunkedSource:
@@ -758,7 +758,7 @@
 
 
 def test_a_request_that_fails_with_an_internal_error_is_answered(monkeypatch: pytest.MonkeyPatch) -> None:
-    intake = Intake(("127.0.0.1", 0), read(Reader(SETTINGS)), lambda _: None, Counters(), 10)
+    intake = Intake(("127.0.0.1", 0), read(Reader(SETTINGS)), lambda _: None, Counters(), 10, MAX_INPUT_BYTES)
     monkeypatch.setattr(intake.parser, "parse", lambda *_: 1 / 0)
     intake.start()
     with gevent_socket.create_connection(intake.address) as client:
