A request whose client closed over much unread input is not sent on

What callers saw: a client closed its connection with much still unread, and its request was sent on afterwards.

Cause: Connection.answer looks for the end of the client's stream before it answers. The end waits in the client's system behind what that cannot send yet, so that it is not there to be seen when 2 MB lie unread. The 202 was written to a connection that nobody reads; the first of the unread requests ran, the rest were seen to be withdrawn by the reset that the 202 brought.

Change: where more input is unread behind a request, the node looks for that reset once the 202 is written, before the call is sent in the same turn. Where nothing is unread the end could not have been hidden; such a client may close as soon as it has its answer, and is not taken for one that left.

Class of bug: an absence (no end of stream) is taken for a presence (the client is there).

--- a/irisstack/node/intake.py
+++ b/irisstack/node/intake.py
@@ -252,8 +252,11 @@
         A client that has closed its sending side gets a 503: if it still reads, it may retry.
         """
         connected = not sockets.peer_closed(self._socket)
+        # A close waits behind bytes that the client's system could not send yet. The answer brings its reset.
+        more_unread = len(self._buffer) > 0 or not sockets.nothing_to_read(self._socket)
         try:
             self._write(status if connected else HTTPStatus.SERVICE_UNAVAILABLE, retry_after=retry_after)
+            connected = connected and not (more_unread and sockets.is_broken(self._socket))
         except OSError:
             connected = False
         self._intake.counters.add(f"answered_{status.value}" if connected else "clients_left")
--- a/irisstack/node/sockets.py
+++ b/irisstack/node/sockets.py
@@ -98,6 +98,11 @@
     return _has_events(connection, select.POLLRDHUP | BROKEN_EVENTS)
 
 
+def is_broken(connection: socket.socket) -> bool:
+    """Whether the connection was reset or has failed; a remote side that only stops sending does not count."""
+    return _has_events(connection, BROKEN_EVENTS)
+
+
 def receive_before(connection: socket.socket, buffer: Buffer, deadline: float) -> int:
     """Read once into the buffer; returns the number of bytes, 0 at the end of the stream.
 
--- a/tests/node/test_departed_clients.py
+++ b/tests/node/test_departed_clients.py
@@ -69,3 +69,22 @@
         assert node.submit("last").status == 202
         eventually(lambda: endpoint.calls_with("last"))
         assert len(endpoint.calls_with("again")) == 1
+
+
+def test_pipelined_requests_are_sent_while_their_client_stays(tmp_path: Path) -> None:
+    endpoint = ScriptedEndpoint()
+    with node_and_platform(tmp_path, endpoint) as (node, _):
+        client = node.connect()
+        client.send(b"".join(message_request(f"m{number}", "unsafe") for number in range(5)))
+        assert [client.read_response().status for _ in range(5)] == [202] * 5
+        eventually(lambda: all(endpoint.calls_with(f"m{number}") for number in range(5)))
+        client.close()
+
+
+def test_a_client_that_closes_behind_its_answer_has_not_left(tmp_path: Path) -> None:
+    endpoint = ScriptedEndpoint()
+    with node_and_platform(tmp_path, endpoint) as (node, _):
+        for number in range(50):
+            assert node.submit(f"m{number}", "unsafe").status == 202
+        eventually(lambda: all(endpoint.calls_with(f"m{number}") for number in range(50)))
+        assert node.counters().get("clients_left", 0) == 0
