An id that comes again after its deadline does not run twice

What callers saw: an id ran twice when it came again after its client had left.

Cause: a finished message was forgotten at its deadline. The same id after it, with X-Timeout counted anew, was a new message: a client that leaves in the middle of its requests and hands them in again later, or a request that lay unread for so long, ran once more, also where it may not be repeated.

Change: a message that may have run is known by its id for 60 s beyond its deadline, in memory and on record; the room of the state directory still comes first, and those that have not run are forgotten at their deadline as before.

Class of bug: a memory that guards against repeats ends with the life of what it guards.

--- a/irisstack/node/sockets.py
+++ b/irisstack/node/sockets.py
@@ -99,7 +99,7 @@
 
 
 def is_broken(connection: socket.socket) -> bool:
-    """Whether the connection was reset or has failed; a remote side that only stops sending does not count."""
+    """Whether the connection was reset or has failed; an end of the remote side's stream does not count."""
     return _has_events(connection, BROKEN_EVENTS)
 
 
--- a/irisstack/node/store.py
+++ b/irisstack/node/store.py
@@ -23,6 +23,8 @@
 """Segments kept free: one to be filled, one for rewritten entries and one spare."""
 RESERVED_SEGMENTS = 5
 """Segments that pending messages may not fill, so that `FREE_SEGMENTS` can always be freed."""
+ID_RETENTION_S = 60.0
+"""Seconds after its deadline for which a message that may have run is known by its id, if there is room."""
 RECORD_OVERHEAD_BYTES = 512
 """Bytes counted for the records of a message, in addition to its body, id and key."""
 
@@ -60,6 +62,12 @@
         """Whether the platform has yet to acknowledge the notice of the result."""
         return self.result in ("dead", "bounced") and not self.told
 
+    @property
+    def forgotten_at(self) -> float:
+        """Until when a finished message is kept, so that it is not accepted again under its id."""
+        may_have_run = self.ran_at is not None or self.result == "delivered"
+        return self.due + ID_RETENTION_S if may_have_run else self.due
+
     @property
     def reserved_bytes(self) -> int:
         """Bytes that count against the disk limit."""
@@ -90,7 +98,7 @@
         self._backoff = WriteBackoff()
         self._freed_at = 0  # the newest segment when segments were last freed
         self._reserved_bytes = 0
-        self._finished: list[tuple[float, int]] = []  # heap of deadline and number of finished messages
+        self._finished: list[tuple[float, int]] = []  # heap of `forgotten_at` and number of finished messages
         self.entries: dict[int, Entry] = {}
         self.by_id: dict[str, int] = {}
         self.next_number = 1
@@ -132,7 +140,7 @@
                 self._reserved_bytes += entry.reserved_bytes
                 self.next_number = max(self.next_number, entry.number + 1)
                 if not entry.pending:
-                    heappush(self._finished, (entry.due, entry.number))
+                    heappush(self._finished, (entry.forgotten_at, entry.number))
             case "out":
                 for number, attempt in record["n"]:
                     if sent := self.entries.get(number):
@@ -165,12 +173,12 @@
         self._reserved_bytes -= entry.reserved_bytes
         entry.result, entry.wait_ms, entry.body = result, wait_ms, b""
         self._reserved_bytes += entry.reserved_bytes
-        heappush(self._finished, (entry.due, entry.number))
+        heappush(self._finished, (entry.forgotten_at, entry.number))
 
     def _apply_notified(self, entry: Entry) -> None:
         entry.told = True
         # `_drop_earliest` may have taken it off the heap while the notice was pending.
-        heappush(self._finished, (entry.due, entry.number))
+        heappush(self._finished, (entry.forgotten_at, entry.number))
 
     # ---- recording ----
 
@@ -242,12 +250,12 @@
         self.write([Record(records.encode({"t": "told", "n": known}))], now)
 
     def drop_expired(self, now: float) -> None:
-        """Remove finished messages whose deadline has passed and whose notice is acknowledged."""
+        """Remove finished messages that need not be recognized any more and whose notice is acknowledged."""
         while self._finished and self._finished[0][0] < now:
             self._drop_earliest()
 
     def _drop_earliest(self) -> None:
-        """Remove the finished message with the earliest deadline.
+        """Remove the finished message that is to be forgotten first.
 
         One whose notice is pending stays; it returns to the heap when the notice is acknowledged.
         """
--- a/tests/node/test_departed_clients.py
+++ b/tests/node/test_departed_clients.py
@@ -12,7 +12,7 @@
 BODY_BYTES = 20_000
 """Many requests of this size do not fit into the node's receive buffer, so that the end stays unsent."""
 SEND_BUFFER_BYTES = 4_000_000
-SHORT_TIMEOUT_S = 0.4
+SHORT_TIMEOUT_S = 1.0
 
 
 def leave_unread(node: Node, data: bytes) -> None:
