Another process at an address is another endpoint, also under the id of the one before

What callers saw: a new process came up at the address of one that had gone and was taken for the old one: work went to the wrong place. A member whose address serves another destination under its old id got all 12 messages for the old destination.

Cause: ListReader told a new endpoint at an address by its id alone, and Sender kept the route of the old destination when a line named another one. Connections, calls that were not sent yet and the zone that drops repeats stayed with the address.

Change: a line whose destination, kind or zone differs, or whose process started at another time, is the end of the old endpoint and the begin of a new one, as a new id is. Sender removes a route when its address goes to another destination. An end carries the fields of the endpoint that ended.

New unit tests of the three changes.

Class of bug: an identity (a process) is replaced by a place (its address).

--- a/irisstack/choice.py
+++ b/irisstack/choice.py
@@ -793,6 +793,8 @@
             if endpoint.state is not api.EndpointState.READY:
                 self._remove_endpoint(endpoint.address)
                 continue
+            if self._destination_by_address.get(endpoint.address) != endpoint.destination:
+                self._remove_endpoint(endpoint.address)  # it belonged to another destination
             destination = self._get_destination(endpoint.destination)
             destination.kind = self._settings.kinds[endpoint.kind]
             if endpoint.address not in destination.routes:
--- a/irisstack/node/list_reader.py
+++ b/irisstack/node/list_reader.py
@@ -142,10 +142,11 @@
         )
 
     def _update_addresses(self, id_: str, endpoint: api.Endpoint) -> list[api.Endpoint]:
-        """Record an entry; returns the changes by address. An address under a new id is a new endpoint.
+        """Record an entry; returns the changes by address.
 
-        The previous endpoint at that address is then gone, and a later drain or removal under its id does not
-        affect the address.
+        An address under a new id is a new endpoint, and so is one that serves something else now under its
+        old id, or that has started again. The previous endpoint at that address is then gone, and a later
+        drain or removal under its id does not affect the address.
         """
         address, state = endpoint.address, endpoint.state
         known = self._endpoints_by_id.get(id_)
@@ -153,7 +154,9 @@
         changes: list[api.Endpoint] = []
         if known is not None and known.address != address and self._ids_by_address.get(known.address) == id_:
             del self._ids_by_address[known.address]
-            changes.append(replace(endpoint, address=known.address, state=api.EndpointState.GONE))
+            changes.append(replace(known, state=api.EndpointState.GONE))
+        elif known is not None and id_at_address == id_ and _is_replaced(known, endpoint):
+            changes.append(replace(known, state=api.EndpointState.GONE))
         if state is api.EndpointState.GONE:
             self._endpoints_by_id.pop(id_, None)
         else:
@@ -167,3 +170,10 @@
         else:
             self._ids_by_address[address] = id_
         return [*changes, endpoint]
+
+
+def _is_replaced(known: api.Endpoint, endpoint: api.Endpoint) -> bool:
+    """Whether another process is at the address of a known endpoint."""
+    if (known.destination, known.kind, known.zone) != (endpoint.destination, endpoint.kind, endpoint.zone):
+        return True
+    return None not in (known.added_at, endpoint.added_at) and known.added_at != endpoint.added_at
--- a/tests/node/test_reused_address.py
+++ b/tests/node/test_reused_address.py
@@ -36,3 +36,18 @@
         eventually(lambda: all(moved.calls_with(id_) or other.calls_with(id_) for id_ in ids))
         assert [id_ for id_ in ids if moved.calls_with(id_)] == []
         other.close()
+
+
+def test_a_destination_stays_known_when_its_only_address_goes_to_another_one(tmp_path: Path) -> None:
+    moved, late = ScriptedEndpoint(), ScriptedEndpoint()
+    platform = ScriptedPlatform()
+    with node_and_platform(tmp_path, moved, platform=platform) as (node, _):
+        eventually(lambda: platform.watchers, "a watch")
+        member = platform.members[0]
+        platform.update_members({**member, "phase": "DELETED"}, {**member, "id": "s-9", "cell": NEW})
+        eventually(lambda: node.submit("probe", X_Consignee=f"dest={NEW}").status in (200, 202))
+        assert node.submit("waits", X_Consignee=f"dest={OLD}").status == 202
+        platform.update_members(platform.add_member(late, 3, cell=OLD))
+        eventually(lambda: late.calls_with("waits"))
+        assert not moved.calls_with("waits")
+        late.close()
--- a/tests/test_node_parts.py
+++ b/tests/test_node_parts.py
@@ -714,6 +714,24 @@
     assert read_states(make_member(4, host_port=address)) == [states.READY]
 
 
+@pytest.mark.parametrize(
+    "change", [{"cell": 7}, {"locality": "elsewhere"}, {"up_since_ms": 2_000}], ids=lambda change: min(change)
+)
+def test_another_process_at_an_address_is_another_endpoint_under_the_same_id(change: dict[str, Any]) -> None:
+    reader = ListReader(read(Reader(SETTINGS)))
+
+    def states(member: dict[str, Any]) -> list[api.EndpointState]:
+        update = reader.parse_update({"revision": 1, "complete": False, "members": [member]})
+        return [endpoint.state for endpoint in update.endpoints]
+
+    member = make_member(1, up_since_ms=1_000)
+    assert states(member) == [api.EndpointState.READY]
+    assert states({**member, "size": 9.0}) == [api.EndpointState.READY]
+    assert states({**member, **change}) == [api.EndpointState.GONE, api.EndpointState.READY]
+    assert states({**member, **change}) == [api.EndpointState.READY]
+    assert states({**member, **change, "phase": "DRAINING"}) == [api.EndpointState.DRAINING]
+
+
 def test_a_destination_stays_known_for_a_while_after_its_last_endpoint_is_gone(tmp_path: Path) -> None:
     settings = read(Reader(SETTINGS))
     decider = Decider(
