A destination stays known for a while when its only address goes to another one

What callers saw: found on the paths beside the reused address: messages for the destination that an address had belonged to were answered 404 as soon as the list gave the address to another one, although a destination that loses its last endpoint in any other way stays known for the longest deadline, since its next endpoint may be on its way.

Cause: Decider reckoned the known destinations from the endpoints that it keeps by address.

Change: it keeps when each destination was last listed.

Result: test_a_destination_stays_known_when_its_only_address_goes_to_another_one got 404 before, passes now; the test of the retention passes unchanged.

--- a/irisstack/node/decider.py
+++ b/irisstack/node/decider.py
@@ -147,7 +147,8 @@
         self._endpoints: dict[api.Address, api.Endpoint] = {}  # listed now or until recently
         self._deferred_notices: list[Entry] = []  # finished messages whose result is not written yet
         self._unlisted_since: dict[api.Address, float] = {}  # keys of `_endpoints` that are no longer listed
-        self._destinations: set[int] = set()
+        self._destinations: set[int] = set()  # listed now or until recently
+        self._destinations_listed_at: dict[int, float] = {}  # when each was last listed
         self._last_turn_at = -1.0
         self._set_settings(settings)
         self.rejecting = False  # new messages are rejected
@@ -453,6 +454,7 @@
         """
         if update.scope is api.UpdateScope.FAILED:
             return
+        listed_before = self._listed_destinations
         self._endpoints.update((endpoint.address, endpoint) for endpoint in update.endpoints)
         available = {e.address for e in update.endpoints if e.state is not api.EndpointState.GONE}
         covered = (
@@ -472,7 +474,23 @@
         ]
         for address in expired:
             del self._unlisted_since[address], self._endpoints[address]
-        self._destinations = {endpoint.destination for endpoint in self._endpoints.values()}
+        self._destinations_listed_at.update(dict.fromkeys(listed_before | self._listed_destinations, now))
+        self._destinations = {
+            destination
+            for destination, listed_at in self._destinations_listed_at.items()
+            if listed_at + self._endpoint_retention >= now
+        }
+        for destination in self._destinations_listed_at.keys() - self._destinations:
+            del self._destinations_listed_at[destination]
+
+    @property
+    def _listed_destinations(self) -> set[int]:
+        """The destinations of the endpoints that are listed now."""
+        return {
+            endpoint.destination
+            for address, endpoint in self._endpoints.items()
+            if address not in self._unlisted_since
+        }
 
     def _destination_kind(self, address: api.Address) -> api.DestinationKind:
         return self._settings.kinds[self._endpoints[address].kind]
