A Retry-After is that of the destination that was called, also when its address was reused

An endpoint whose address belongs to another destination by now answers an earlier call with Retry-After: calls to its own destination that had not left were sent all the same, and those of the other destination were held back.

Cause: Decider kept calls in flight by address and looked up their destination when the answer came.

Change: it keeps the endpoint as it was listed when the call was sent. A command to withhold calls names the destination, and calls say which one they were decided for.

Result: the new test fails on the code before (the command went to the reused address instead of the other endpoint of the destination) and passes now.

Class of bug: an identity is replaced by a place.

--- a/irisstack/node/call.py
+++ b/irisstack/node/call.py
@@ -28,6 +28,7 @@
     messages: Sequence[OutgoingMessage]
     sent_at: float  # for the record: seconds on the record clock
     zone: str = ""  # for the record: the endpoint's zone
+    destination: int | None = None  # that its endpoint belonged to when it was decided
     worker: "gevent.Greenlet[..., None] | None" = None
     started: bool = False
     ended: bool = False  # completed or cancelled
--- a/irisstack/node/decider.py
+++ b/irisstack/node/decider.py
@@ -92,6 +92,16 @@
 """An item of the decider's mailbox."""
 
 
+@dataclass(slots=True, frozen=True)
+class Attempt:
+    """An attempt in flight."""
+
+    endpoint: api.Endpoint
+    """As listed when it was sent; its address may belong to another endpoint by now."""
+    sent_at: float
+    """Seconds on the monotonic clock."""
+
+
 @dataclass(slots=True)
 class _Turn:
     """The effects of one turn, in the order in which they are carried out."""
@@ -143,7 +153,7 @@
         self.set_mailbox_capacity(mailbox_capacity)
         self._next_events: list[api.Event] = []  # events that the next turn begins with
         self._timers: list[tuple[float, int]] = []  # heap of time and token
-        self._in_flight: dict[int, tuple[api.Address, float]] = {}  # endpoint and send time, by message
+        self._in_flight: dict[int, Attempt] = {}  # by message
         self._endpoints: dict[api.Address, api.Endpoint] = {}  # listed now or until recently
         self._deferred_notices: list[Entry] = []  # finished messages whose result is not written yet
         self._unlisted_since: dict[api.Address, float] = {}  # keys of `_endpoints` that are no longer listed
@@ -372,7 +382,8 @@
     def _handle_attempt_result(
         self, attempt_result: AttemptResult, turn: _Turn, events: list[api.Event], now: float
     ) -> None:
-        _, sent_at = self._in_flight.pop(attempt_result.number)
+        attempt = self._in_flight.pop(attempt_result.number)
+        sent_at = attempt.sent_at
         result = attempt_result.result
         entry = self._store.entries.get(attempt_result.number)
         pending = entry is not None and entry.pending
@@ -398,7 +409,7 @@
                 final_result = "delivered" if result.outcome is api.Outcome.OK else "withdrawn"
                 turn.records.append(self._finish(attempt_result.number, final_result))
         if result.retry_after:
-            self._withhold_calls(attempt_result.address, now + result.retry_after)
+            self._withhold_calls(attempt.endpoint, now + result.retry_after)
         events.append(
             api.AttemptEnded(
                 attempt_result.number,
@@ -431,20 +442,20 @@
         # It may have run, and a refusal would promise that it can be submitted under another id.
         return HTTPStatus.INTERNAL_SERVER_ERROR
 
-    def _withhold_calls(self, address: api.Address, until: float) -> None:
+    def _withhold_calls(self, endpoint: api.Endpoint, until: float) -> None:
         """Withhold calls that are not sent yet, after a Retry-After from this endpoint.
 
         It applies to the whole destination, or only to the endpoint if its kind has separate routes.
         """
-        destination, separate_routes = (
-            self._endpoints[address].destination,
-            self._destination_kind(address).separate_routes,
-        )
-        for other in {called for called, _ in self._in_flight.values()}:
-            if other == address or (
-                not separate_routes and self._endpoints[other].destination == destination
-            ):
-                self._send_command(other, WithholdCalls(until))
+        separate_routes = self._settings.kinds[endpoint.kind].separate_routes
+        called = {
+            attempt.endpoint.address
+            for attempt in self._in_flight.values()
+            if attempt.endpoint.destination == endpoint.destination
+        }
+        for address in called:
+            if address == endpoint.address or not separate_routes:
+                self._send_command(address, WithholdCalls(until, endpoint.destination))
 
     def _apply_update(self, update: api.EndpointsUpdated, now: float) -> None:
         """Update the known endpoints and destinations.
@@ -466,7 +477,7 @@
             self._unlisted_since.setdefault(address, now)
         for address in available & self._unlisted_since.keys():
             del self._unlisted_since[address]
-        in_use = {address for address, _ in self._in_flight.values()}
+        in_use = {attempt.endpoint.address for attempt in self._in_flight.values()}
         expired = [
             address
             for address, since in self._unlisted_since.items()
@@ -605,7 +616,8 @@
         match action:
             case api.Cancel(number, attempt):
                 if number in self._in_flight:
-                    self._send_command(self._in_flight[number][0], CancelAttempt(number, attempt))
+                    address = self._in_flight[number].endpoint.address
+                    self._send_command(address, CancelAttempt(number, attempt))
             case api.CloseIdle(address):
                 self._send_command(address, CloseIdle())
             case api.Subscribe() | api.FetchEndpoints():
@@ -629,7 +641,7 @@
                 continue
             if self.sends_stopped:
                 continue
-            self._in_flight[send.message] = send.endpoint, now
+            self._in_flight[send.message] = Attempt(self._endpoints[send.endpoint], now)
             log.debug(
                 "attempt_decided",
                 id=entry.id,
@@ -657,5 +669,6 @@
                     messages[start : start + max_batch],
                     self._clock.to_record_time(now),
                     self._zone_name(address),
+                    self._endpoints[address].destination,
                 )
                 self._send_command(address, call)
--- a/irisstack/node/endpoint.py
+++ b/irisstack/node/endpoint.py
@@ -59,6 +59,8 @@
     """Withhold calls that are not sent yet until this time: the destination sent a retry-after."""
 
     until: float
+    destination: int | None = None
+    """The destination. Calls for another one, to which the address belongs now, are not withheld."""
 
 
 @dataclass(slots=True, frozen=True)
@@ -137,7 +139,7 @@
         self._idle: deque[Connection] = deque()
         self._body_variety = BodyVariety()
         self._retired = False
-        self._withheld_until = 0.0
+        self._withheld_until: dict[int | None, float] = {}  # by destination
         self.worker: gevent.Greenlet[..., None] = gevent.Greenlet(self.run)
 
     def _reconfigure(self, new: Reconfigure) -> None:
@@ -185,8 +187,8 @@
             case Reconfigure():
                 self._reconfigure(command)
                 self._trim_idle()
-            case WithholdCalls(until):
-                self._withheld_until = max(self._withheld_until, until)
+            case WithholdCalls(until, destination):
+                self._withheld_until[destination] = max(self._withheld_until.get(destination, 0.0), until)
             case Retire():
                 self._retired = True
                 self._trim_idle()
@@ -255,7 +257,7 @@
         now = time.monotonic()
         if self._retired:
             return WithheldReason.RETIRED
-        if now < self._withheld_until:
+        if now < self._withheld_until.get(call.destination, 0.0):
             return WithheldReason.RETRY_AFTER
         if now >= call.write_deadline:
             return WithheldReason.WRITE_DEADLINE_PASSED
--- a/tests/node/test_settings_parts.py
+++ b/tests/node/test_settings_parts.py
@@ -16,7 +16,7 @@
 from irisstack.node.call import Call, OutgoingMessage
 from irisstack.node.config import ConfigError, DynamicSettings, load
 from irisstack.node.counters import Counters
-from irisstack.node.decider import Decider, NewSettings
+from irisstack.node.decider import Attempt, Decider, NewSettings
 from irisstack.node.endpoint import AttemptResult, Endpoint, Reconfigure
 from irisstack.node.intake import Intake
 from irisstack.node.list_reader import ListReader
@@ -363,9 +363,10 @@
     decider = make_decider(tmp_path, [])
     turns = record_turns(decider, monkeypatch)
     address = (bytes([10, 0, 0, 1]), 7070)
+    endpoint = api.Endpoint(address, api.EndpointState.READY, 0, 1, 0, 1.0, None)
 
     def attempt_result(number: int, fields: tuple[str, ...]) -> AttemptResult:
-        decider._in_flight[number] = address, 0.0
+        decider._in_flight[number] = Attempt(endpoint, 0.0)
         result = Result(api.Outcome.OK, Reached.ANSWERED, report=(0.5, 7.0), report_fields=fields)
         return AttemptResult(number, 0, address, result)
 
--- a/tests/test_node_parts.py
+++ b/tests/test_node_parts.py
@@ -7,6 +7,7 @@
 import time
 from contextlib import suppress
 from dataclasses import replace
+from http import HTTPStatus
 from pathlib import Path
 from typing import Any
 
@@ -20,13 +21,20 @@
 from irisstack.node.call import Call, OutgoingMessage
 from irisstack.node.config import ConfigError, load
 from irisstack.node.counters import Counters
-from irisstack.node.decider import Decider
+from irisstack.node.decider import Decider, Submission
 from irisstack.node.discovery import Discovery
-from irisstack.node.endpoint import AttemptResult, CancelAttempt, Endpoint, Retire, WithholdCalls
+from irisstack.node.endpoint import AttemptResult, CancelAttempt, Command, Endpoint, Retire, WithholdCalls
 from irisstack.node.intake import Intake
 from irisstack.node.list_reader import ListReader
 from irisstack.node.record_clock import wall_clock
-from irisstack.node.results import EndReason, Reached, answer_result, batch_results, unanswered_result
+from irisstack.node.results import (
+    EndReason,
+    Reached,
+    Result,
+    answer_result,
+    batch_results,
+    unanswered_result,
+)
 from irisstack.node.store import Entry, Store
 from irisstack.settings import Reader, read
 from tests.node_support import MAX_INPUT_BYTES, SETTINGS, http_response, message_request
@@ -760,6 +768,57 @@
     assert len(decider._endpoints) == 2
 
 
+class RecordingClient:
+    """A client that takes any answer."""
+
+    def answer(self, status: HTTPStatus, retry_after: float | None = None) -> bool:
+        return True
+
+
+def test_a_retry_after_of_an_endpoint_whose_address_was_reused_is_that_of_its_destination(
+    tmp_path: Path,
+) -> None:
+    commands: list[tuple[api.Address, Command]] = []
+    settings = read(Reader(SETTINGS))
+    decider = Decider(
+        settings,
+        1,
+        Store(tmp_path, 3_000_000),
+        Counters(),
+        send_command=lambda address, command: commands.append((address, command)),
+        request_endpoints=lambda _: None,
+        post_notice=lambda _: None,
+        mailbox_capacity=10,
+    )
+    reader = ListReader(settings)
+
+    def submit(id_: str, destination: int) -> None:
+        due = time.monotonic() + 10.0
+        submission = Submission(RecordingClient(), id_, "", 0, 0, destination, due, False, False, b"")
+        decider._turn([submission])
+
+    def listed(*members: dict[str, Any]) -> api.EndpointsUpdated:
+        return reader.parse_update({"revision": 1, "complete": True, "members": list(members)})
+
+    decider.recover(listed(make_member(1), make_member(2, cell=1)))
+    submit("m1", 1)
+    submit("m2", 1)
+    (first, first_call), (second, _) = commands
+    assert isinstance(first_call, Call)
+    assert first != second
+    number = first_call.messages[0].number
+    reused, kept = "10.0.0.1:7070", make_member(2, cell=1)
+    if first[0] != bytes([10, 0, 0, 1]):
+        reused, kept = "10.0.0.2:7070", make_member(1)
+    decider._turn([listed(make_member(9, host_port=reused, cell=9), kept)])
+    submit("m3", 9)
+    commands.clear()
+    refused = Result(api.Outcome.FULL, Reached.ANSWERED, retry_after=2.0)
+    decider._turn([AttemptResult(number, 0, first, refused)])
+    withheld = [(to, command.destination) for to, command in commands if isinstance(command, WithholdCalls)]
+    assert withheld == [(second, 1)]
+
+
 def test_a_finished_message_is_dropped_after_its_deadline_and_its_acknowledged_notice(tmp_path: Path) -> None:
     store = Store(tmp_path, 3_000_000, 1000.0)
     for number in (1, 2):
