Destinations that only clients have named are forgotten

What callers saw: memory grew without end while one client sent small requests under ever new names. Shown here where the node has no endpoint list yet, so that it cannot tell a wrong destination: the decisions kept each number that a client named, 2,000 of 2,000, for as long as the process lived.

Cause: Sender makes the state of a destination for the first message to it and never drops it.

Change: with its last message goes a destination that no list has named. What a list has named stays, since its breaker has to be known when it returns.

The decisions' other tests pass unchanged.

Class of bug: state under a name that a peer may choose, with no end.

--- a/irisstack/choice.py
+++ b/irisstack/choice.py
@@ -424,6 +424,7 @@
         self._messages[event.message] = message
         self._pending_count += 1
         destination = self._get_destination(event.destination)
+        destination.messages += 1
         decay = max(0.0, 1.0 - (self._now - destination.arrival_rate_at) / FAILURE_WINDOW)
         destination.arrival_rate = destination.arrival_rate * decay + 1.0 / FAILURE_WINDOW
         destination.arrival_rate_at = self._now
@@ -553,6 +554,7 @@
         If the last attempt may still be running at the endpoint, the next message waits for the order pause.
         """
         del self._messages[message.id]
+        self._forget_unlisted_destination(message)
         if message.ordering_key is None:
             return
         key_queue = self._messages_by_key[message.ordering_key]
@@ -563,6 +565,15 @@
         else:
             self._start_next_of_key(message.ordering_key)
 
+    def _forget_unlisted_destination(self, message: Message) -> None:
+        """Count a removed message; with the last one, drop a destination that only clients have named."""
+        destination = self._get_destination(message.destination)
+        destination.messages -= 1
+        if not destination.messages and not destination.listed:
+            for queue in destination.queues.values():
+                self._active_queues.pop(queue, None)
+            del self._destinations[destination.number]
+
     def _start_next_of_key(self, key: int) -> None:
         """Queue the next message of an ordering key; only one of them at a time is queued or in flight."""
         key_queue = self._messages_by_key[key]
@@ -796,6 +807,7 @@
             if self._destination_by_address.get(endpoint.address) != endpoint.destination:
                 self._remove_endpoint(endpoint.address)  # it belonged to another destination
             destination = self._get_destination(endpoint.destination)
+            destination.listed = True
             destination.kind = self._settings.kinds[endpoint.kind]
             if endpoint.address not in destination.routes:
                 separate = destination.kind.separate_routes
--- a/irisstack/delivery_state.py
+++ b/irisstack/delivery_state.py
@@ -86,6 +86,10 @@
     arrival_rate_at: float = 0.0
     """When `arrival_rate` was last updated."""
     calls_in_flight: int = 0
+    messages: int = 0
+    """Messages for it that are not removed yet."""
+    listed: bool = False
+    """Whether the endpoint list has named it, now or before; otherwise only clients have."""
 
     def queue(self, zone: int | None) -> "DestinationQueue":
         return self.queues.get(zone) or self.queues.setdefault(zone, DestinationQueue(self, zone))
--- a/tests/test_decision_regressions.py
+++ b/tests/test_decision_regressions.py
@@ -587,6 +587,7 @@
         driver.submit(number, number / 100.0, destination=1_000 + number)
     driver.turn(3_600.0)
     driver.submit(2_000, 3_600.0)
+    gc.collect()
     kept = [each for each in gc.get_objects() if isinstance(each, Destination)]
     assert len(kept) < 10
     assert driver.refused.keys() | driver.failed == set(range(1, 2_000))
