Accepted messages stay within the memory of the settings too

With a large state directory a node accepted messages until its memory was over the limit: 800 of 60 KB each, 87 MB resident of 64 MB.

Cause: only the state directory bounded what is accepted; each pending message is in memory as well.

Recovered messages come first.

Class of bug: a limit that the settings give is not known to the part that has to keep it.

--- a/irisstack/node/service.py
+++ b/irisstack/node/service.py
@@ -72,6 +72,7 @@
         self._store = self._open_store()
         budget = divide_memory(config.memory_bytes, resident_bytes())
         self._max_clients = min(config.sockets // 3, budget.max_clients)
+        self._store.limit_memory(budget.message_bytes)
         self._live_settings: LiveSettings | None = None
         self._settings_watch: SettingsWatch[AcceptedSettings] | None = None
         if config.dynamic_settings is not None:
--- a/irisstack/node/store.py
+++ b/irisstack/node/store.py
@@ -8,6 +8,7 @@
 caller learns that it was not written.
 """
 
+import math
 from collections.abc import Collection, Iterable
 from dataclasses import dataclass, fields
 from heapq import heappop, heappush
@@ -26,7 +27,9 @@
 ID_RETENTION_S = 60.0
 """Seconds after its deadline for which a message that may have run is known by its id, if there is room."""
 RECORD_OVERHEAD_BYTES = 512
-"""Bytes counted for the records of a message, in addition to its body, id and key."""
+"""Bytes of disk counted for the records of a message, in addition to its body, id and key."""
+PENDING_MEMORY_BYTES, FINISHED_MEMORY_BYTES = 6_000, 1_000
+"""Memory counted for a message in addition to its body; a pending one has state in the decisions as well."""
 
 
 @dataclass(slots=True)
@@ -73,6 +76,11 @@
         """Bytes that count against the disk limit."""
         return len(self.body) + len(self.id) + len(self.key) + RECORD_OVERHEAD_BYTES
 
+    @property
+    def memory_bytes(self) -> int:
+        """Bytes that count against the memory limit."""
+        return len(self.body) + (PENDING_MEMORY_BYTES if self.pending else FINISHED_MEMORY_BYTES)
+
 
 @dataclass(slots=True, frozen=True)
 class Record:
@@ -92,12 +100,13 @@
     def __init__(self, directory: Path, disk_bytes: int, now: float | None = None) -> None:
         """`now` is the time on the record clock; by default its current time."""
         self._disk_bytes = disk_bytes
+        self._max_memory_bytes = math.inf
         self._segment_size = disk_bytes // SEGMENT_COUNT
         self._log = SegmentLog(directory)
         self._unwritten: list[Record] = []  # records that could not be written yet, oldest first
         self._backoff = WriteBackoff()
         self._freed_at = 0  # the newest segment when segments were last freed
-        self._reserved_bytes = 0
+        self._reserved_bytes = self._memory_bytes = 0
         self._finished: list[tuple[float, int]] = []  # heap of `forgotten_at` and number of finished messages
         self.entries: dict[int, Entry] = {}
         self.by_id: dict[str, int] = {}
@@ -134,10 +143,10 @@
                 entry = Entry(**record, body=body, segment=segment)
                 previous = self.entries.get(entry.number)
                 if previous is not None:
-                    self._reserved_bytes -= previous.reserved_bytes
+                    self._release(previous)
                 self.entries[entry.number] = entry
                 self.by_id[entry.id] = entry.number
-                self._reserved_bytes += entry.reserved_bytes
+                self._reserve(entry)
                 self.next_number = max(self.next_number, entry.number + 1)
                 if not entry.pending:
                     heappush(self._finished, (entry.forgotten_at, entry.number))
@@ -170,9 +179,9 @@
         entry.out_at, entry.out_in = None, ""
 
     def _apply_finish(self, entry: Entry, result: str, wait_ms: int) -> None:
-        self._reserved_bytes -= entry.reserved_bytes
+        self._release(entry)
         entry.result, entry.wait_ms, entry.body = result, wait_ms, b""
-        self._reserved_bytes += entry.reserved_bytes
+        self._reserve(entry)
         heappush(self._finished, (entry.forgotten_at, entry.number))
 
     def _apply_notified(self, entry: Entry) -> None:
@@ -187,18 +196,39 @@
 
         Finished messages are kept, to recognise repeated submissions, until their room is needed.
         """
-        limit = self._disk_bytes - RESERVED_SEGMENTS * self._segment_size - entry.reserved_bytes
-        if self._reserved_bytes > limit:
+        if not self._has_room(entry):
             self.drop_expired(now)
-        while self._reserved_bytes > limit and self._finished:
+        while not self._has_room(entry) and self._finished:
             self._drop_earliest()
-        return self._reserved_bytes <= limit
+        return self._has_room(entry)
+
+    def limit_memory(self, further_bytes: int) -> None:
+        """Let messages take up so much memory beyond that of the recovered ones; more do not fit."""
+        self._max_memory_bytes = self._memory_bytes + further_bytes
+
+    def _has_room(self, entry: Entry) -> bool:
+        """Whether one more message stays within the limits of disk and memory."""
+        disk_limit = self._disk_bytes - RESERVED_SEGMENTS * self._segment_size
+        return (
+            self._reserved_bytes + entry.reserved_bytes <= disk_limit
+            and self._memory_bytes + entry.memory_bytes <= self._max_memory_bytes
+        )
+
+    def _reserve(self, entry: Entry) -> None:
+        """Count an entry in its present state."""
+        self._reserved_bytes += entry.reserved_bytes
+        self._memory_bytes += entry.memory_bytes
+
+    def _release(self, entry: Entry) -> None:
+        """Stop counting an entry, before its state changes or it is removed."""
+        self._reserved_bytes -= entry.reserved_bytes
+        self._memory_bytes -= entry.memory_bytes
 
     def add(self, entry: Entry) -> None:
         """Add a new message; it is recorded once the result of `accepted_record` is written."""
         self.entries[entry.number] = entry
         self.by_id[entry.id] = entry.number
-        self._reserved_bytes += entry.reserved_bytes
+        self._reserve(entry)
 
     def accepted_record(self, number: int) -> Record:
         """The `taken` record of an accepted message in its current state."""
@@ -358,4 +388,4 @@
         del self.entries[entry.number]
         if self.by_id.get(entry.id) == entry.number:
             del self.by_id[entry.id]
-        self._reserved_bytes -= entry.reserved_bytes
+        self._release(entry)
--- a/tests/node/test_memory_limit.py
+++ b/tests/node/test_memory_limit.py
@@ -2,12 +2,13 @@
 
 import threading
 import time
+from collections import Counter
 from pathlib import Path
 
 import pytest
 
 from tests.node.hostile_clients import INCOMPLETE_REQUESTS, WRITE_SIZE, crowd, peak_memory_bytes
-from tests.node_support import Node, ScriptedEndpoint, node_and_platform
+from tests.node_support import SETTINGS, Node, ScriptedEndpoint, message_request, node_and_platform
 
 SOCKETS = 1024
 MEMORY_MB = 64
@@ -79,3 +80,24 @@
                 clients.run(1.0)
         assert node.submit("m1").status == 202
         assert peak_memory_bytes(node.process.pid) <= memory_mb * 1_000_000
+
+
+def test_accepted_messages_do_not_exhaust_memory(tmp_path: Path) -> None:
+    endpoint = ScriptedEndpoint(None)
+    with node_and_platform(tmp_path, endpoint, sockets=SOCKETS, memory_mb=MEMORY_MB, disk_mb=200) as (
+        node,
+        _,
+    ):
+        node.kill()
+        node.config_data["settings"] = {**SETTINGS, "allowed": {**SETTINGS["allowed"], "mostHeld": 10_000}}
+        node.start()
+        client = node.connect()
+        statuses: Counter[int] = Counter()
+        for number in range(800):
+            client.send(message_request(f"m{number}", body=bytes(60_000)))
+            statuses[client.read_response().status] += 1
+        client.close()
+        assert node.process.poll() is None
+        assert peak_memory_bytes(node.process.pid) <= MEMORY_MB * 1_000_000, statuses
+        assert statuses.keys() == {202, 503}
+        assert statuses[202] > 50
--- a/tests/node/test_store_segments.py
+++ b/tests/node/test_store_segments.py
@@ -115,3 +115,20 @@
     assert directory_size.most <= DISK_BYTES
     reopened = Store(tmp_path, DISK_BYTES, now).entries
     assert [number for number, entry in reopened.items() if entry.pending] == pending
+
+
+def test_messages_beyond_the_memory_limit_do_not_fit_until_others_have_finished(tmp_path: Path) -> None:
+    store = Store(tmp_path, 100 * DISK_BYTES, 1000.0)
+    store.limit_memory(500_000)
+    entries = [make_entry(number, FAR_DEADLINE, bytes(9_000)) for number in range(1, 100)]
+    added = []
+    for entry in entries:
+        if not store.fits(entry, 1000.0):
+            break
+        store.add(entry)
+        added.append(entry.number)
+    assert 30 <= len(added) <= 35
+    assert store.record_accepted(added, 1000.0)
+    store.write([store.finish(number, "delivered") for number in added[:10]], 1000.0)
+    assert store.fits(entries[50], 1000.0)
+    store.close()
