One client's very small chunks no longer take the time of the others

What callers saw: while one client sent small or unsound requests on one connection at full speed, other clients got their answers late.

Cause: chunks were parsed line by line in Python.

Change: as with heads, the parser gets everything up to an empty line, which alone can end the body.

--- a/irisstack/node/http.py
+++ b/irisstack/node/http.py
@@ -128,10 +128,10 @@
         """How many bytes of the buffer can be fed to the parser without passing the end of the message."""
         if self.headers_complete and not self._chunked:
             return len(buffer) if self._body_remaining is None else min(len(buffer), self._body_remaining)
-        # Only an empty line can end the head, and only a line feed a chunked body. The first line goes by
-        # itself: the status that it holds counts, whatever is behind it.
-        in_fields = self._first_line_read and not self.headers_complete
-        return (buffer.paragraph_length() if in_fields else buffer.line_length()) or len(buffer)
+        # Only an empty line can end the head or a chunked body. The first line goes by itself: its status
+        # counts, whatever is behind it.
+        size = buffer.paragraph_length() if self._first_line_read else buffer.line_length()
+        return size or len(buffer)
 
     def _count_framing(self, size: int, data_size: int) -> None:
         """Count bytes of a chunked body that are not data, which no limit on the body bounds."""
--- a/tests/node/test_http.py
+++ b/tests/node/test_http.py
@@ -80,6 +80,25 @@
         parse(http.RequestReader(KEPT), pieces)
 
 
+@pytest.mark.parametrize(
+    "data",
+    [short_fields(4_000), HEAD + b"Transfer-Encoding: chunked\r\n\r\n" + b"1\r\na\r\n" * 600],
+    ids=["short fields", "small chunks"],
+)
+def test_many_short_lines_are_parsed_together(monkeypatch: pytest.MonkeyPatch, data: bytes) -> None:
+    """Parsed one by one, those of one client take the time of all others."""
+    sizes: list[int] = []
+    take = Buffer.take
+
+    def record_take(buffer: Buffer, size: int) -> bytes:
+        sizes.append(size)
+        return take(buffer, size)
+
+    monkeypatch.setattr(Buffer, "take", record_take)
+    assert parse(http.RequestReader(KEPT), Pieces(data)) == []
+    assert len(sizes) <= 3
+
+
 def test_a_status_line_in_a_header_that_is_not_kept_is_noticed() -> None:
     reader, buffer = http.ResponseReader(kept_headers=KEPT), Buffer()
     buffer.receive(Pieces(b"HTTP/1.1 200 OK\r\nX-Cut: aHTTP/1.1 503 Busy\r\nContent-Length: 0\r\n\r\n"))
