The soak has crowds of clients that leave requests incomplete, and holds a node to its memory

One seed in four plays 350 clients at a time that send heads of very many short fields, or stop within a body, a chunk or a trailer, at full speed or slowly, beside the signals, clock steps and failing system calls; the node has 1,024 descriptors and 64 MB there, and a process that passes its memory is a violation in every seed.

--- a/tests/node/fault_soak.py
+++ b/tests/node/fault_soak.py
@@ -24,6 +24,7 @@
 
 from irisstack.lab.faults.rig import DescriptorKind, Rig, Rule, SystemCall
 from tests.node.fault_support import node_with_faults
+from tests.node.hostile_clients import INCOMPLETE_REQUESTS, WRITE_SIZE, crowd, peak_memory_bytes
 from tests.node.soak_audit import (
     DEDUP_WINDOW_S,
     HARNESS_SLACK_S,
@@ -39,6 +40,12 @@
 SUBMIT_DURATION_S = 12.0
 """Seconds in which messages are submitted."""
 CLIENT_COUNT, IDLE_CLIENT_COUNT = 5, 60
+CROWD_SEEDS, CROWD_REMAINDER = 4, 3
+"""Seeds with this remainder have crowds of clients that leave their requests incomplete."""
+CROWD_SIZE, CROWD_S = 350, (0.3, 2.0)
+"""Clients in a crowd, and the seconds for which it may stay."""
+SOCKETS, CROWD_SOCKETS = 128, 1024
+MEMORY_MB = 64
 FLAVORS = ("plain", "shared")
 """Kinds of the destination: its calls carry one message, or several."""
 FLEET_SIZES = (2, 24)
@@ -296,12 +303,47 @@
             each.close()
 
 
+class _HostileClients(threading.Thread):
+    """Crowds of clients, one after another, that leave their requests incomplete."""
+
+    def __init__(self, soak_run: SoakRun, node: Node) -> None:
+        super().__init__(daemon=True)
+        self._soak_run, self._node = soak_run, node
+        self._random = Random(soak_run.seed + 1)
+        self.stop_requested = threading.Event()
+
+    def run(self) -> None:
+        while not self.stop_requested.wait(self._random.uniform(0.1, 1.0)):
+            kind = self._random.choice(sorted(INCOMPLETE_REQUESTS))
+            write_size = self._random.choice((8 * WRITE_SIZE, 1 << 20))
+            self._soak_run.faults.append(f"{time.monotonic():.3f} crowd: {kind}, {write_size} bytes a write")
+            with crowd(self._node.port, CROWD_SIZE, INCOMPLETE_REQUESTS[kind](), write_size) as clients:
+                clients.run(self._random.uniform(*CROWD_S))
+
+
+class _MemoryRecorder(threading.Thread):
+    """Reports a violation if a process of the node passes its memory limit."""
+
+    def __init__(self, soak_run: SoakRun, node: Node) -> None:
+        super().__init__(daemon=True)
+        self._soak_run, self._node = soak_run, node
+        self.stop_requested = threading.Event()
+
+    def run(self) -> None:
+        while not self.stop_requested.wait(0.05):
+            assert self._node.process is not None
+            with contextlib.suppress(OSError, StopIteration):  # the process has ended
+                peak = peak_memory_bytes(self._node.process.pid)
+                self._soak_run.peak_memory_bytes = max(self._soak_run.peak_memory_bytes, peak)
+
+
 def run_seed(seed: int, directory: Path) -> SoakRun:
     """Run one seed and audit it."""
     soak_run = SoakRun(seed)
     discovery = SoakDiscovery(soak_run)
     endpoints = [SoakEndpoint(soak_run, number) for number in (1, 2)]
     fleet_size = FLEET_SIZES[seed % len(FLEET_SIZES)]
+    crowded = seed % CROWD_SEEDS == CROWD_REMAINDER
     with node_with_faults(
         directory,
         *endpoints,
@@ -309,7 +351,8 @@
         dedup_window=DEDUP_WINDOW_S,
         fleet_size=fleet_size,
         flavor=FLAVORS[seed // 2 % len(FLAVORS)],
-        sockets=128,
+        sockets=CROWD_SOCKETS if crowded else SOCKETS,
+        memory_mb=MEMORY_MB,
     ) as (
         node,
         _,
@@ -319,6 +362,11 @@
         notice_recorder.start()
         drain_injector = DrainInjector(soak_run, discovery, 2, discovery.members[1])
         drain_injector.start()
+        memory_recorder = _MemoryRecorder(soak_run, node)
+        memory_recorder.start()
+        hostile_clients = _HostileClients(soak_run, node)
+        if crowded:
+            hostile_clients.start()
         end = time.monotonic() + SUBMIT_DURATION_S
         clients = [_Client(soak_run, node, number, end) for number in range(CLIENT_COUNT)]
         with _idle_clients(node, IDLE_CLIENT_COUNT if seed % 3 == 0 else 0):
@@ -328,16 +376,21 @@
             read_failure_recorder = _ReadFailureRecorder(soak_run, rig, fault_injector)
             read_failure_recorder.start()
             fault_injector.run()
+            hostile_clients.stop_requested.set()
             for client in clients:
                 client.join()
+        if crowded:
+            hostile_clients.join()
         last_deadline = max((message.deadline for message in soak_run.submitted), default=time.monotonic())
         time.sleep(max(0.0, last_deadline - time.monotonic()) + RESULT_SLACK_S + HARNESS_SLACK_S)
-        for thread in (drain_injector, notice_recorder, read_failure_recorder):
+        for thread in (drain_injector, notice_recorder, read_failure_recorder, memory_recorder):
             thread.stop_requested.set()
             thread.join()
         assert node.process is not None
         if node.process.poll() is not None:
             soak_run.violations.append(f"crash: the node exited with {node.process.returncode}")
+        if soak_run.peak_memory_bytes > MEMORY_MB * 1_000_000:
+            soak_run.violations.append(f"memory: {soak_run.peak_memory_bytes} bytes, {MEMORY_MB} MB allowed")
         log = node.log.read_text()
         soak_run.violations += [
             f"error: {line[:300]}"
@@ -354,7 +407,8 @@
         f"seed {soak_run.seed}: {'FAILED' if soak_run.violations else 'passed'}, "
         f"{len(soak_run.submitted)} submitted, "
     )
-    summary += f"{accepted} accepted, {len(soak_run.calls)} calls, {len(soak_run.faults)} faults"
+    summary += f"{accepted} accepted, {len(soak_run.calls)} calls, {len(soak_run.faults)} faults, "
+    summary += f"{soak_run.peak_memory_bytes / 1e6:.0f} MB"
     return "\n".join([summary, *soak_run.violations, *(soak_run.faults if soak_run.violations else ())])
 
 
--- a/tests/node/soak_audit.py
+++ b/tests/node/soak_audit.py
@@ -75,6 +75,8 @@
 
     seed: int
     faults: list[str] = field(default_factory=list)
+    peak_memory_bytes: int = 0
+    """The largest resident memory of any of the node's processes."""
     submitted: list[SubmittedMessage] = field(default_factory=list)
     calls: list[ReceivedCall] = field(default_factory=list)
     notified_at: dict[str, float] = field(default_factory=dict)
