The listening socket for clients has a module of its own

intake.py had grown to 514 lines with three jobs. node/listener.py accepts connections, outlives failed accepts and empties the backlog at shutdown; nothing but places and the name Listener (was _Listener) changed. The tests of shutdown and clients pass.

--- a/irisstack/node/intake.py
+++ b/irisstack/node/intake.py
@@ -1,6 +1,5 @@
 """The HTTP server for clients: connections, submitted messages, and the node's health and counters."""
 
-import errno
 import json
 import math
 import time
@@ -14,7 +13,6 @@
 import structlog
 from gevent import socket
 from gevent.event import Event
-from gevent.server import StreamServer
 
 from irisstack import interface as api
 from irisstack.node import http, sockets
@@ -22,23 +20,9 @@
 from irisstack.node.config import HostPort
 from irisstack.node.counters import Counters
 from irisstack.node.decider import Submission, rejection_retry_after
-from irisstack.node.listen_filter import drop_new_connections
+from irisstack.node.listener import BACKLOG, Listener
 from irisstack.node.submission_parser import SUBMISSION_HEADERS, MalformedRequest, SubmissionParser
 
-BACKLOG = 512
-"""Length of the listening socket's accept queue."""
-ACCEPTS_PER_TURN = 16
-"""Connections accepted before other greenlets run."""
-MAX_ACCEPT_PAUSE = 0.04
-"""Longest pause in seconds after a failed accept; kept short because clients wait for their answers."""
-ABORTED_ACCEPT_ERRORS = frozenset((errno.ECONNABORTED, errno.EPROTO, errno.EINTR))
-"""Errors of an accept that concern only one connection, or none; the next accept may succeed at once."""
-MAX_ABORTED_ACCEPTS = 64
-"""Such errors in a row before other greenlets run."""
-BACKLOG_TIMEOUT = 0.5
-"""Seconds at shutdown for accepting the connections in the backlog."""
-HANDSHAKE_TIMEOUT = 0.05
-"""Seconds allowed at shutdown for TCP handshakes already under way to complete."""
 WHOLE_BY = 2.5
 """Seconds in which a request must be complete: the first from connecting, a later one from its first byte."""
 ANSWER_WRITE_TIMEOUT = 1.0
@@ -337,39 +321,6 @@
             self._socket.shutdown(socket.SHUT_RD)
 
 
-class _Listener(StreamServer):
-    """Accepts connections and retries after temporary failures."""
-
-    max_accept = ACCEPTS_PER_TURN
-    min_delay, max_delay = 0.005, MAX_ACCEPT_PAUSE
-
-    def do_read(self) -> Any:
-        """The next connection, or `None` if none is queued; clients that left the backlog are skipped."""
-        for _ in range(MAX_ABORTED_ACCEPTS):
-            try:
-                return super().do_read()
-            except OSError as error:
-                if error.errno not in ABORTED_ACCEPT_ERRORS:
-                    raise
-        return None
-
-    def accept_backlog(self) -> None:
-        """Block new connections and accept those in the backlog; gives up after `BACKLOG_TIMEOUT`."""
-        # A connection that arrived between the last accept and the close would be reset and lose its request.
-        drop_new_connections(self.socket)
-        gevent.sleep(HANDSHAKE_TIMEOUT)
-        end = time.monotonic() + BACKLOG_TIMEOUT
-        while time.monotonic() < end:
-            try:
-                client = self.do_read()
-            except OSError:
-                gevent.sleep(self.min_delay)
-                continue
-            if client is None:
-                return
-            self.do_handle(*client)
-
-
 class Intake:
     """The listening socket and the connections of clients."""
 
@@ -394,7 +345,7 @@
         self._connections: dict[int, _Connection] = {}
         self._max_input_bytes = max_input_bytes
         self._input_bytes = 0
-        self._server = _Listener(listen, self._serve, backlog=BACKLOG)
+        self._server = Listener(listen, self._serve, backlog=BACKLOG)
         self.counters = counters
         self.stage = Stage.ACCEPTING
 
--- a/tests/node/test_shutdown.py
+++ b/tests/node/test_shutdown.py
@@ -20,7 +20,8 @@
 from irisstack.node.config import load
 from irisstack.node.counters import Counters
 from irisstack.node.decider import Submission
-from irisstack.node.intake import Intake, Stage, _Listener
+from irisstack.node.intake import Intake, Stage
+from irisstack.node.listener import Listener
 from irisstack.node.service import Service
 from irisstack.settings import Reader, read
 from tests.node.support import read_to_end, wait_until
@@ -171,14 +172,14 @@
 ) -> None:
     """The close would reset such a connection and its request; a connect that fails is retried elsewhere."""
     accepted: list[socket.socket] = []
-    accept_backlog = _Listener.accept_backlog
+    accept_backlog = Listener.accept_backlog
 
-    def accept_backlog_then_connect(listener: _Listener) -> None:
+    def accept_backlog_then_connect(listener: Listener) -> None:
         accept_backlog(listener)
         with suppress(OSError):
             accepted.append(socket.create_connection(listening_intake.address, timeout=0.2))
 
-    monkeypatch.setattr(_Listener, "accept_backlog", accept_backlog_then_connect)
+    monkeypatch.setattr(Listener, "accept_backlog", accept_backlog_then_connect)
     with intake_answering([HTTPStatus.SERVICE_UNAVAILABLE]) as (listening_intake, _):
         listening_intake.drain()
         listening_intake.close()
