limits.memory_mb, too, waits for a restart: the test of what a running node follows names it

test_every_other_key_waits_for_a_restart has been red since the node reads limits.memory_mb: it lists every field of the configuration that a reload does not change, and memory_bytes is one. As strict as before: the lists must be equal.

--- a/tests/lab/capacity/test_sighup.py
+++ b/tests/lab/capacity/test_sighup.py
@@ -37,6 +37,7 @@
         "dynamic_settings",
         "sockets",
         "disk_bytes",
+        "memory_bytes",
         "peers",
         "trial",
         "listen",
