A client's connection has a module of its own

The connection names what it needs of the intake as a protocol. Nothing else changed; the tests of shutdown, clients, settings and capacity pass.

--- a/irisstack/lab/capacity/registry.py
+++ b/irisstack/lab/capacity/registry.py
@@ -75,7 +75,7 @@
 REQUEST_PATIENCE = Budget(
     targets.REQUEST_WHOLE_BY_S,
     Source.CODE,
-    "WHOLE_BY of node/intake.py: a longer standstill times clients out",
+    "WHOLE_BY of node/client_connection.py: a longer standstill times clients out",
 )
 CHANGE_EACH_SECOND = Budget(
     targets.CONTROL_CORE_SHARE / targets.ASSUMED_LIST_CHANGES_PER_S,
--- a/irisstack/lab/capacity/targets.py
+++ b/irisstack/lab/capacity/targets.py
@@ -43,7 +43,7 @@
 LIST_NEWS_WITHIN_S = 6.0
 """News of the list is due at a node by then (docs/design.md, 12)."""
 REQUEST_WHOLE_BY_S = 2.5
-"""`WHOLE_BY` of `irisstack/node/intake.py`."""
+"""`WHOLE_BY` of `irisstack/node/client_connection.py`."""
 SETTINGS_DOCUMENT_BYTES = 128 * 1024
 """The most that a whole document of dynamic settings may hold."""
 
--- a/tests/lab/capacity/test_fit.py
+++ b/tests/lab/capacity/test_fit.py
@@ -7,7 +7,7 @@
 from irisstack.lab.capacity import targets
 from irisstack.lab.capacity.fit import Fit, FitError, Form, fit
 from irisstack.lab.capacity.result import Point
-from irisstack.node import http, intake, list_call
+from irisstack.node import client_connection, http, list_call
 
 SIZES = (100.0, 1_000.0, 10_000.0, 100_000.0)
 
@@ -75,7 +75,7 @@
 def test_copies_of_the_nodes_constants_agree_with_them() -> None:
     assert targets.LIST_BYTES_LIMIT == http.MAX_LIST
     assert targets.LIST_SILENCE_S == list_call.SILENCE_TIMEOUT_S
-    assert targets.REQUEST_WHOLE_BY_S == intake.WHOLE_BY
+    assert targets.REQUEST_WHOLE_BY_S == client_connection.WHOLE_BY
 
 
 def test_what_follows_from_the_targets() -> None:
--- a/tests/node/test_shutdown.py
+++ b/tests/node/test_shutdown.py
@@ -16,7 +16,8 @@
 from gevent.event import Event
 
 from irisstack.lab.ports import PortReservation
-from irisstack.node import http, intake, service
+from irisstack.node import client_connection, http, service
+from irisstack.node.client_connection import Phase
 from irisstack.node.config import load
 from irisstack.node.counters import Counters
 from irisstack.node.decider import Submission
@@ -56,12 +57,12 @@
     listening_intake.close()
 
 
-def client_in_phase(listening_intake: Intake, data: bytes, phase: intake._Phase) -> gevent_socket.socket:
+def client_in_phase(listening_intake: Intake, data: bytes, phase: Phase) -> gevent_socket.socket:
     """A client whose connection has reached a phase, with its answers so far read."""
     client = gevent_socket.create_connection(listening_intake.address)
     client.sendall(data)
     wait_until(lambda: any(c.phase is phase for c in listening_intake._connections.values()), phase.name)
-    if phase is intake._Phase.IDLE:
+    if phase is Phase.IDLE:
         assert b" 202 " in client.recv(65536)
     return client
 
@@ -87,13 +88,13 @@
 @pytest.mark.parametrize(
     ("initial", "phase", "immediate", "later", "expected"),
     [
-        (b"", intake._Phase.FRESH, b"", REQUEST, [REJECTED]),
-        (b"", intake._Phase.FRESH, REQUEST, b"", [REJECTED]),
-        (REQUEST[:30], intake._Phase.READING, b"", REQUEST[30:], [REJECTED]),
-        (REQUEST[:-1], intake._Phase.READING, REQUEST[-1:], b"", [REJECTED]),
-        (message_request("m1"), intake._Phase.IDLE, b"", b"", []),
-        (message_request("m1"), intake._Phase.IDLE, REQUEST, b"", [REJECTED]),
-        (message_request("m1"), intake._Phase.IDLE, REQUEST[:30], REQUEST[30:], [REJECTED]),
+        (b"", Phase.FRESH, b"", REQUEST, [REJECTED]),
+        (b"", Phase.FRESH, REQUEST, b"", [REJECTED]),
+        (REQUEST[:30], Phase.READING, b"", REQUEST[30:], [REJECTED]),
+        (REQUEST[:-1], Phase.READING, REQUEST[-1:], b"", [REJECTED]),
+        (message_request("m1"), Phase.IDLE, b"", b"", []),
+        (message_request("m1"), Phase.IDLE, REQUEST, b"", [REJECTED]),
+        (message_request("m1"), Phase.IDLE, REQUEST[:30], REQUEST[30:], [REJECTED]),
     ],
     ids=[
         "connected",
@@ -106,7 +107,11 @@
     ],
 )
 def test_drain_answers_each_request_once_and_closes_connection(
-    initial: bytes, phase: intake._Phase, immediate: bytes, later: bytes, expected: list[tuple[int, str]]
+    initial: bytes,
+    phase: Phase,
+    immediate: bytes,
+    later: bytes,
+    expected: list[tuple[int, str]],
 ) -> None:
     """Data sent just before the drain is in the kernel's buffer; the node has not read it yet."""
     answers: list[HTTPStatus | None] = [HTTPStatus.ACCEPTED]
@@ -120,12 +125,12 @@
             client.sendall(later)
         assert parse_answers(read_to_end(client)) == expected
         wait_until(lambda: listening_intake.no_clients)
-        assert len(submissions) <= 1 + (phase is not intake._Phase.IDLE)
+        assert len(submissions) <= 1 + (phase is not Phase.IDLE)
 
 
 def test_request_in_progress_at_drain_gets_answer_with_connection_close() -> None:
     with intake_answering([None]) as (listening_intake, submissions):
-        client = client_in_phase(listening_intake, message_request("m1"), intake._Phase.WAITING)
+        client = client_in_phase(listening_intake, message_request("m1"), Phase.WAITING)
         listening_intake.drain()
         gevent.sleep(0)
         assert not listening_intake.no_clients
@@ -133,15 +138,15 @@
         assert parse_answers(read_to_end(client)) == [(202, "close")]
 
 
-@pytest.mark.parametrize("phase", [intake._Phase.IDLE, intake._Phase.FRESH])
+@pytest.mark.parametrize("phase", [Phase.IDLE, Phase.FRESH])
 def test_request_arriving_while_idle_connection_is_evicted_is_rejected(
-    monkeypatch: pytest.MonkeyPatch, phase: intake._Phase
+    monkeypatch: pytest.MonkeyPatch, phase: Phase
 ) -> None:
     """The client retries on a new connection; if the node also accepted this request, it would run twice."""
-    monkeypatch.setattr(intake._Phase.FRESH, "_value_", 0.0)
+    monkeypatch.setattr(Phase.FRESH, "_value_", 0.0)
     with intake_answering([HTTPStatus.ACCEPTED]) as (listening_intake, submissions):
         client = client_in_phase(
-            listening_intake, message_request("m1") if phase is intake._Phase.IDLE else b"", phase
+            listening_intake, message_request("m1") if phase is Phase.IDLE else b"", phase
         )
         client.sendall(REQUEST)
         assert listening_intake._make_room()
@@ -223,7 +228,7 @@
 ) -> None:
     monkeypatch.setattr(service, "SHUTDOWN_ACCEPT_PERIOD", 0.0)
     monkeypatch.setattr(service, "SHUTDOWN_DEADLINE", 1e6)
-    monkeypatch.setattr(intake, "WHOLE_BY", 1e6)
+    monkeypatch.setattr(client_connection, "WHOLE_BY", 1e6)
     with node_in_process(tmp_path, ScriptedPlatform()) as (node, stop, _, address):
         run = gevent.spawn(node.run)
         wait_until(lambda: node._intake._server.started)
@@ -246,7 +251,7 @@
 ) -> None:
     monkeypatch.setattr(service, "SHUTDOWN_ACCEPT_PERIOD", 0.0)
     monkeypatch.setattr(service, "SHUTDOWN_DEADLINE", 0.3)
-    monkeypatch.setattr(intake, "WHOLE_BY", 1e6)
+    monkeypatch.setattr(client_connection, "WHOLE_BY", 1e6)
     with node_in_process(tmp_path, ScriptedPlatform()) as (node, stop, _, address):
         run = gevent.spawn(node.run)
         wait_until(lambda: node._intake._server.started)
--- a/tests/test_node_clients.py
+++ b/tests/test_node_clients.py
@@ -11,8 +11,9 @@
 import pytest
 from gevent import socket as gevent_socket
 
-from irisstack.node import http, intake
+from irisstack.node import client_connection, http
 from irisstack.node.buffer import Buffer
+from irisstack.node.client_connection import Phase
 from irisstack.node.counters import Counters
 from irisstack.node.decider import Submission
 from irisstack.node.intake import Intake
@@ -157,10 +158,10 @@
 
 
 def test_silent_clients_are_evicted_for_requesting_client(monkeypatch: pytest.MonkeyPatch) -> None:
-    monkeypatch.setattr(intake, "WHOLE_BY", 1e6)
+    monkeypatch.setattr(client_connection, "WHOLE_BY", 1e6)
     with small_intake(4) as (listening_intake, submissions):
         silent = [connect(listening_intake) for _ in range(4)]
-        gevent.sleep(intake._Phase.FRESH.value)
+        gevent.sleep(Phase.FRESH.value)
         requesting = connect(listening_intake, message_request("m1"))
         assert [submission.id for submission in submissions] == ["m1"]
         assert silent[0].recv(1) == b""
