--- a/irisstack/node/client_connection.py
+++ b/irisstack/node/client_connection.py
@@ -12,7 +12,6 @@
 import structlog
 from gevent import socket
 from gevent.event import Event
-from gevent.lock import BoundedSemaphore
 
 from irisstack.node import http, sockets
 from irisstack.node.buffer import Buffer
@@ -28,8 +27,6 @@
 """Seconds after a malformed request in which its connection is not read from."""
 SMALL_REQUEST_BYTES = 4096
 """Incomplete requests up to this size are not ended to free memory."""
-COSTLY_TURN = 0.001
-"""Seconds from one piece of a long head, or of a body in many chunks, to the next."""
 LINGER_TIMEOUT = 3.0
 """Seconds for which a closing connection is still read."""
 LINGER_BYTES = 64 * 1024 * 1024
@@ -74,9 +71,6 @@
     retry_after: float | None
     """Seconds for the Retry-After of a refusal; `None` if the settings allow none."""
 
-    costly_turns: BoundedSemaphore
-    """Limits the connections that read long heads, or bodies in many chunks, at the same time."""
-
     @property
     def accepting(self) -> bool:
         """Whether connections may carry another request after an answer."""
@@ -174,14 +168,16 @@
         """The next request; `None` if the connection ends or times out before the request begins."""
         first = self.phase is Phase.FRESH
         deadline = self.phase_since + WHOLE_BY if first else None
-        while (request := self._advance()) is None:
+        while (request := self._reader.advance(self._buffer)) is None:
             started = self._reader.started or len(self._buffer) > 0
             if started:
                 self._enter_phase(Phase.READING)
                 deadline = deadline or self.phase_since + WHOLE_BY
                 self._intake.count_input(self, len(self._buffer) + len(self._reader.message.body))
                 self._send_continue()
-                self._let_others_run()
+                gevent.sleep(0)
+                if self._out_of_memory:
+                    raise http.BadMessage(HTTPStatus.SERVICE_UNAVAILABLE, "no memory for the request")
             elif not first:
                 self._enter_phase(Phase.IDLE)
             try:
@@ -206,20 +202,6 @@
                 raise http.BadMessage(HTTPStatus.REQUEST_TIMEOUT, "the request took too long")
         return request
 
-    def _advance(self) -> http.Message | None:
-        """Parse what the buffer holds; returns the request once it is complete."""
-        if self._out_of_memory:
-            raise http.BadMessage(HTTPStatus.SERVICE_UNAVAILABLE, "no memory for the request")
-        return self._reader.advance(self._buffer)
-
-    def _let_others_run(self) -> None:
-        """Let other greenlets run; few connections with framing that is costly to parse go on at once."""
-        if not self._reader.has_long_framing:
-            gevent.sleep(0)
-            return
-        with self._intake.costly_turns:
-            gevent.sleep(COSTLY_TURN)
-
     def _send_continue(self) -> None:
         """Send `100 Continue` if the client waits for it before it sends the body."""
         if self._reader.headers_complete and self._reader.message.headers.pop("expect", "") == "100-continue":
@@ -335,9 +317,8 @@
             gevent.sleep(0)
 
     def end_for_memory(self) -> None:
-        """Reject the request that is arriving; its memory is freed now, the connection may run only later."""
+        """Reject the request that is arriving, to free its memory."""
         self._out_of_memory = True
-        self._reader.reset()
         self.stop()
 
     def stop(self) -> None:
--- a/irisstack/node/http.py
+++ b/irisstack/node/http.py
@@ -11,8 +11,6 @@
 
 MAX_HEAD = 16 * 1024
 """Maximum bytes of a message's first line and headers."""
-USUAL_HEAD = 2 * 1024
-"""Bytes of a first line and headers that are longer than those of usual messages."""
 MAX_BODY = 64 * 1024
 """Maximum bytes of a message body, in requests and responses."""
 MAX_INTERIM = 16
@@ -93,12 +91,6 @@
         """Whether part of a message has been read."""
         return self._head_size > 0
 
-    @property
-    def has_long_framing(self) -> bool:
-        """Whether more of the message than a usual head was read, and its next bytes are costly to parse."""
-        in_plain_body = self.headers_complete and not self._chunked
-        return not in_plain_body and self._head_size + len(self.message.body) > USUAL_HEAD
-
     def advance(self, buffer: Buffer) -> Message | None:
         """Consume what the buffer holds of the current message; returns the message once it is complete.
 
--- a/irisstack/node/intake.py
+++ b/irisstack/node/intake.py
@@ -6,7 +6,6 @@
 from typing import Any
 
 from gevent import socket
-from gevent.lock import BoundedSemaphore
 
 from irisstack import interface as api
 from irisstack.node.client_connection import SMALL_REQUEST_BYTES, ClientConnection, Phase
@@ -16,9 +15,6 @@
 from irisstack.node.listener import BACKLOG, Listener
 from irisstack.node.submission_parser import SubmissionParser
 
-MAX_COSTLY_TURNS = 4
-"""Connections that parse a piece of a long head, or of a body in many chunks, between others' turns."""
-
 
 class Stage(Enum):
     """The intake's stages; it goes through each once, in this order."""
@@ -50,7 +46,6 @@
         )
         self._max_connections = max_connections
         self._connections: dict[int, ClientConnection] = {}
-        self.costly_turns = BoundedSemaphore(MAX_COSTLY_TURNS)
         self._max_input_bytes = max_input_bytes
         self._input_bytes = 0
         self._server = Listener(listen, self._serve, backlog=BACKLOG)
--- a/tests/node/test_http.py
+++ b/tests/node/test_http.py
@@ -99,23 +99,6 @@
     assert len(sizes) <= 3
 
 
-@pytest.mark.parametrize(
-    ("data", "long"),
-    [
-        (HEAD, False),
-        (short_fields(4_000), True),
-        (HEAD + b"Content-Length: 9000\r\n\r\n" + bytes(3_000), False),
-        (HEAD + b"Transfer-Encoding: chunked\r\n\r\n" + b"1\r\na\r\n" * 100, False),
-        (HEAD + b"Transfer-Encoding: chunked\r\n\r\n" + b"fff\r\n" + bytes(3_000), True),
-    ],
-    ids=["usual head", "long head", "plain body", "short chunked body", "long chunked body"],
-)
-def test_what_is_costly_to_parse_is_told_from_what_is_not(data: bytes, long: bool) -> None:
-    reader = http.RequestReader(KEPT)
-    assert parse(reader, Pieces(data)) == []
-    assert reader.has_long_framing is long
-
-
 def test_a_status_line_in_a_header_that_is_not_kept_is_noticed() -> None:
     reader, buffer = http.ResponseReader(kept_headers=KEPT), Buffer()
     buffer.receive(Pieces(b"HTTP/1.1 200 OK\r\nX-Cut: aHTTP/1.1 503 Busy\r\nContent-Length: 0\r\n\r\n"))
