--- a/irisstack/node/client_connection.py
+++ b/irisstack/node/client_connection.py
@@ -168,7 +168,7 @@
         """The next request; `None` if the connection ends or times out before the request begins."""
         first = self.phase is Phase.FRESH
         deadline = self.phase_since + WHOLE_BY if first else None
-        while (request := self._reader.advance(self._buffer)) is None:
+        while (request := self._advance()) is None:
             started = self._reader.started or len(self._buffer) > 0
             if started:
                 self._enter_phase(Phase.READING)
@@ -176,8 +176,6 @@
                 self._intake.count_input(self, len(self._buffer) + len(self._reader.message.body))
                 self._send_continue()
                 gevent.sleep(0)
-                if self._out_of_memory:
-                    raise http.BadMessage(HTTPStatus.SERVICE_UNAVAILABLE, "no memory for the request")
             elif not first:
                 self._enter_phase(Phase.IDLE)
             try:
@@ -202,6 +200,12 @@
                 raise http.BadMessage(HTTPStatus.REQUEST_TIMEOUT, "the request took too long")
         return request
 
+    def _advance(self) -> http.Message | None:
+        """Parse what the buffer holds; returns the request once it is complete."""
+        if self._out_of_memory:
+            raise http.BadMessage(HTTPStatus.SERVICE_UNAVAILABLE, "no memory for the request")
+        return self._reader.advance(self._buffer)
+
     def _send_continue(self) -> None:
         """Send `100 Continue` if the client waits for it before it sends the body."""
         if self._reader.headers_complete and self._reader.message.headers.pop("expect", "") == "100-continue":
@@ -317,8 +321,9 @@
             gevent.sleep(0)
 
     def end_for_memory(self) -> None:
-        """Reject the request that is arriving, to free its memory."""
+        """Reject the request that is arriving; its memory is freed now, the connection may run only later."""
         self._out_of_memory = True
+        self._reader.reset()
         self.stop()
 
     def stop(self) -> None:
