--- a/irisstack/configuration/node_file.py
+++ b/irisstack/configuration/node_file.py
@@ -18,6 +18,7 @@
 
     cores: float = Field(1.0, gt=0.0)
     memory_mb: float = Field(192.0, gt=0.0)
+    """Limit of the resident memory; clients' connections, their requests and messages are bounded by it."""
     sockets: int = Field(1024, ge=64)
     """Number of file descriptors."""
     disk_mb: float = Field(64.0, ge=1.0)
--- a/irisstack/lab/capacity/measurements/measured_node.py
+++ b/irisstack/lab/capacity/measurements/measured_node.py
@@ -17,6 +17,8 @@
 from irisstack.lab.ports import HOST, PortReservation
 from irisstack.lab.sockets import http
 
+MEMORY_MB = 4096.0
+"""Limit of the node's memory, which bounds the messages that it accepts."""
 READY_WITHIN_S = 600.0
 END_WITHIN_S = 10.0
 LOOK_S = 0.01
@@ -56,7 +58,7 @@
             "discovery": discovery,
             "state": str(self.state),
             "seed": "5eed",
-            "limits": {"sockets": 1024, "disk_mb": disk_mb},
+            "limits": {"sockets": 1024, "disk_mb": disk_mb, "memory_mb": MEMORY_MB},
             "known": dict(known),
             "settings": dict(settings),
         }
