--- a/review/7/case.py
+++ b/review/7/case.py
@@ -1,4 +1,4 @@
-"""A delivery node is held up for 0.15 s while requests come on connections that rest: each needs an answer."""
+"""A node is held up for 0.15 s while requests come on connections that rest: each needs an answer."""
 
 import socket
 import sys
