Where lists are pushed, no call goes by an old list while the first one is on its way

Cause: the first turn waited 0.3 s for discovery's list, and a wait that ran out was taken for a discovery that cannot be reached.

Related: no final 404 by the old list for a destination that it lacks.

--- a/irisstack/choice.py
+++ b/irisstack/choice.py
@@ -24,6 +24,7 @@
     Message,
     Route,
 )
+from irisstack.initial_list import InitialList
 from irisstack.interface import Effect, GiveUpReason, Outcome
 from irisstack.list_refresh import ListRefresh
 
@@ -135,6 +136,9 @@
         self._messages_by_key: dict[int, deque[Message]] = {}  # by ordering key, in order of arrival
         self._order_pauses: list[tuple[float, int]] = []  # heap: end of the pause, ordering key
         self._list_refresh = ListRefresh(settings, self._random)
+        self._initial_list = InitialList()
+        self.awaits_initial_list = False
+        """Whether calls wait for discovery's list, as of the last turn: the one at hand may be outdated."""
         self._timer_at = NEVER
 
     def turn(self, now: float, events: Collection[api.Event]) -> list[api.Action]:
@@ -169,7 +173,12 @@
         if now >= self._list_refresh.next_call_at:
             self._list_refresh.next_call_at = NEVER
             self._actions.append(api.Subscribe(True))
-        self._set_timer(min(self._list_refresh.next_call_at, self._dispatch()))
+        self._update_initial_list_wait()
+        if self._initial_list.take_fetch(now):
+            self._actions.append(api.FetchEndpoints())
+        self._set_timer(
+            min(self._list_refresh.next_call_at, self._initial_list.next_event_at(now), self._dispatch())
+        )
         return self._actions
 
     def _apply_settings(self, settings: api.Settings) -> None:
@@ -791,10 +800,15 @@
     def _on_endpoints_updated(self, event: api.EndpointsUpdated) -> None:
         if event.scope is api.UpdateScope.FAILED:
             self._list_refresh.failed(self._now, event)
+            self._initial_list.failed(self._now, event)
             return
         self._list_refresh.succeeded()
         if event.scope is api.UpdateScope.CACHED:
             self._list_refresh.started(self._now)
+        if event.update_expected:
+            self._initial_list.started(self._now, self._settings)
+        else:
+            self._initial_list.received()
         if event.scope is not api.UpdateScope.DELTA:
             for address in set(self._destination_by_address) - {
                 endpoint.address for endpoint in event.endpoints
@@ -822,6 +836,15 @@
                 endpoint.rate * self._settings.listed_rates
             )
 
+    def _update_initial_list_wait(self) -> None:
+        """Find out whether calls wait for discovery's list, and log when that changes."""
+        awaited = self._initial_list.awaited(self._now)
+        if awaited is not self.awaits_initial_list:
+            self.awaits_initial_list = awaited
+            self._actions.append(
+                api.Log("calls wait for discovery's list" if awaited else "calls no longer wait for the list")
+            )
+
     def _remove_endpoint(self, address: api.Address) -> None:
         """Send no more calls to an endpoint that is draining or gone, from this turn on."""
         if address in self._destination_by_address:
@@ -831,6 +854,8 @@
 
     def _dispatch(self) -> float:
         """Make the calls that may go, in the order of their ranks; returns when to dispatch again."""
+        if self.awaits_initial_list:
+            return NEVER
         ranked: list[tuple[bool, float, int, DestinationQueue]] = []
         next_at = min((self._rank_queue(ranked, queue) for queue in list(self._active_queues)), default=NEVER)
         while ranked and self._calls_in_flight < self._settings.max_calls:
--- a/irisstack/interface.py
+++ b/irisstack/interface.py
@@ -226,6 +226,8 @@
     """FAILED only: seconds since any call last confirmed the list as current. The default means unknown."""
     call_ended: bool = False
     """FAILED only: whether the call is over, so that discovery no longer works on it."""
+    update_expected: bool = False
+    """CACHED only: whether discovery sends its own list unasked, which counts as notified already."""
 
 
 @dataclass(slots=True, frozen=True)
--- a/irisstack/node/decider.py
+++ b/irisstack/node/decider.py
@@ -241,7 +241,8 @@
     # ---- main loop ----
 
     def run(self) -> None:
-        """Run turns, at least the settings' clock resolution apart."""
+        """Run a turn for what was recovered, then further ones, at least the clock resolution apart."""
+        self._turn([])
         while True:
             items = [] if self._next_events else self._wait_for_item()
             pause = self._last_turn_at + self._settings.clock_resolution - time.monotonic()
@@ -329,7 +330,7 @@
     ) -> None:
         store = self._store
         self._counters.add("received")
-        if self._destinations and submission.destination not in self._destinations:
+        if self._is_unknown(submission.destination):
             self._counters.add("destination_unknown")
             turn.answers.append((submission, HTTPStatus.NOT_FOUND, None))
             return
@@ -363,6 +364,12 @@
         )
         events.append(self._received_event(entry))
 
+    def _is_unknown(self, destination: int) -> bool:
+        """Whether no endpoint of a destination was listed lately; false while the list may be outdated."""
+        if not self._destinations or self._sender.awaits_initial_list:
+            return False
+        return destination not in self._destinations
+
     def _reject_reason(self, entry: Entry, now: float) -> "RejectReason | None":
         """Why a new message is rejected before the `Sender` sees it; None if it is not."""
         if self.rejecting:
--- a/irisstack/node/discovery.py
+++ b/irisstack/node/discovery.py
@@ -67,6 +67,7 @@
         self._confirmed_at = time.monotonic()  # when the held list was last known to be the newest
         self._watches: list[ListCall] = []
         self._fetch: ListCall | None = None
+        self._heard = False  # whether discovery has sent or confirmed a list in this process
         self._subscribed = False  # whether the decision module wants a watch
         self.mailbox: Queue[api.Action | AddressChanged] = Queue(64)
 
@@ -187,15 +188,23 @@
                 format_host_port(to_host_port(address)) for address in not_offered[:MAX_LOGGED_ENDPOINTS]
             ],
         )
+        self._heard = True
         self._post(update)
         self._revision = update.version
         return True
 
     def on_confirmed(self, call: ListCall) -> None:
-        """The list is known to be the newest; the other watch calls are no longer needed."""
+        """The list is known to be the newest; the other watch calls are no longer needed.
+
+        If the first word of discovery is a heartbeat, nothing has changed since the list of the start: an
+        empty update says so.
+        """
         self._counters.record_max("list_age_longest_ms", round(self._list_age * 1000.0))
         self._confirmed_at = time.monotonic()
         self._failures = 0
+        if self._pushed and not self._heard:
+            self._heard = True
+            self._post(api.EndpointsUpdated(api.UpdateScope.DELTA, self._revision, ()))
         if call not in self._watches:
             return
         for other in self._watches:
--- a/irisstack/node/service.py
+++ b/irisstack/node/service.py
@@ -51,8 +51,6 @@
 """Seconds for reading the state directory at startup, and between attempts."""
 LISTEN_TIMEOUT = 10.0
 """Seconds for opening the node's own sockets at startup while the machine is out of resources."""
-FIRST_UPDATE_TIMEOUT = 0.3
-"""Seconds at startup for the first update of the endpoint list, where lists are pushed."""
 SHUTDOWN_POLL_INTERVAL = 0.05
 """Seconds between checks whether the shutdown is complete."""
 NO_RESTART_NEEDED = ("discovery", "known", "seed")
@@ -84,7 +82,6 @@
         max_waiting = 0 if self._live_settings is None else MAX_WAITING_LINES
         self._list_reader = ListReader(settings, max_waiting, self._store.clock)
         cached_list = self._read_cached_list(self._list_reader)
-        self._first_update_received = Event()
         self._discovery = Discovery(
             config.discovery,
             self._list_reader,
@@ -134,14 +131,15 @@
     def _read_cached_list(self, reader: ListReader) -> api.EndpointsUpdated:
         empty = {"revision": 0, "members": []}
         try:
-            return reader.parse_update({**empty, **self._config.known}, api.UpdateScope.CACHED)
+            cached_list = reader.parse_update({**empty, **self._config.known}, api.UpdateScope.CACHED)
         except (ValueError, KeyError, TypeError):
             raise ConfigError("known: expected an endpoint list with revision and members") from None
+        return replace(cached_list, update_expected=not self._settings.discovery_on_request)
 
     def run(self) -> int:
         """Serve until the stop event; returns the exit code."""
         worker_functions = [
-            self._run_decider,
+            self._decider.run,
             self._discovery.run,
             self._notices.run,
             self._reload_configuration,
@@ -174,16 +172,6 @@
         self._shut_down(time.monotonic())
         return 0
 
-    def _run_decider(self) -> None:
-        """Run the decider; where lists are pushed, once discovery was heard or has failed.
-
-        A pushed list counts as notified from the start of the process, so no call may be sent by an older one
-        while it is on its way. A discovery service that stays silent must not hold up messages for long.
-        """
-        if not self._settings.discovery_on_request:
-            self._first_update_received.wait(FIRST_UPDATE_TIMEOUT)
-        self._decider.run()
-
     def _reload_configuration(self) -> None:
         """Reload the configuration file at each SIGHUP; an invalid file changes nothing."""
         while True:
@@ -265,7 +253,6 @@
     def _handle_list_update(self, update: api.EndpointsUpdated) -> None:
         self._retire_unlisted(update)
         self._decider.mailbox.put(update)
-        self._first_update_received.set()
 
     def _retire_unlisted(self, update: api.EndpointsUpdated) -> None:
         """Retire endpoints that are no longer listed, or whose address now belongs to another endpoint."""
--- a/tests/node/list_support.py
+++ b/tests/node/list_support.py
@@ -122,6 +122,37 @@
                 super().reply(connection, request)
 
 
+class SlowDiscovery(ScriptedPlatform):
+    """Answers each list call after `delay_s` seconds; the calls do not wait for each other."""
+
+    def __init__(self, delay_s: float = 0.0) -> None:
+        self.delay_s = delay_s
+        super().__init__()
+
+    def reply(self, connection: socket.socket, request: http.Message) -> None:
+        if request.method == "GET":
+            time.sleep(self.delay_s)
+        super().reply(connection, request)
+
+
+class SilentDiscovery(ScriptedPlatform):
+    """Accepts list calls and never answers them; takes notices."""
+
+    def reply(self, connection: socket.socket, request: http.Message) -> None:
+        if request.method != "GET":
+            super().reply(connection, request)
+
+
+class HeartbeatDiscovery(SilentDiscovery):
+    """Has nothing to tell a watch: sends a heartbeat (an empty line) at once; never answers a fetch."""
+
+    def reply(self, connection: socket.socket, request: http.Message) -> None:
+        if "watch=1" in request.path:
+            connection.sendall(RESPONSE_HEAD + b"1\r\n\n\r\n")
+        else:
+            super().reply(connection, request)
+
+
 class TimedEndpoint(ScriptedEndpoint):
     """An endpoint that records when each call arrived."""
 
--- a/tests/test_module_limits.py
+++ b/tests/test_module_limits.py
@@ -7,7 +7,7 @@
 
 PACKAGE = Path(__file__).resolve().parent.parent / "irisstack"
 DECISIONS, LIST_REFRESH = PACKAGE / "choice.py", PACKAGE / "list_refresh.py"
-MODULES = (DECISIONS, PACKAGE / "delivery_state.py", LIST_REFRESH)
+MODULES = (DECISIONS, PACKAGE / "delivery_state.py", LIST_REFRESH, PACKAGE / "initial_list.py")
 MAX_COLUMNS = 110
 ALLOWED_IMPORTS = {
     "collections",
@@ -16,6 +16,7 @@
     "heapq",
     "irisstack",
     "irisstack.delivery_state",
+    "irisstack.initial_list",
     "irisstack.interface",
     "irisstack.list_refresh",
     "itertools",
