A planned end succeeds although clients have left before their answers

Cause: the last log line got clients_left by name and once more among the counters, which is a TypeError. Change: the counters are one field of the lines serving and stopped, so that no counter's name can meet that of another field.

Result: test_a_planned_end_succeeds_after_clients_have_left gets exit code 1 on the text before and 0 now.

--- a/irisstack/node/service.py
+++ b/irisstack/node/service.py
@@ -164,7 +164,7 @@
             discovery=format_host_port(self._config.discovery),
             memory_limit_kb=self._config.memory_bytes // 1024,
             max_clients=self._max_clients,
-            **self.counters.snapshot(),
+            counters=self.counters.snapshot(),
         )
         self._stop.wait()
         if any(worker.dead for worker in workers):
@@ -233,7 +233,7 @@
         if self._gossip is not None:
             self._gossip.close()
         self._store.close()
-        log.info("stopped", clients_left=not self._intake.no_clients, **self.counters.snapshot())
+        log.info("stopped", clients_left=not self._intake.no_clients, counters=self.counters.snapshot())
 
     def _memory_usage(self) -> dict[str, int]:
         """What the parts hold, for the log."""
--- a/tests/node/test_departed_clients.py
+++ b/tests/node/test_departed_clients.py
@@ -88,3 +88,12 @@
             assert node.submit(f"m{number}", "unsafe").status == 202
         eventually(lambda: all(endpoint.calls_with(f"m{number}") for number in range(50)))
         assert node.counters().get("clients_left", 0) == 0
+
+
+def test_a_planned_end_succeeds_after_clients_have_left(tmp_path: Path) -> None:
+    """Guards against an exit code of 1 since a counter had the name of a field of the last log line."""
+    with node_and_platform(tmp_path, ScriptedEndpoint()) as (node, _):
+        leave_unread(node, message_request("left", "unsafe", bytes(BODY_BYTES)) * PIPELINED)
+        eventually(lambda: node.counters().get("clients_left"), "the node to see that the client has left")
+        assert node.terminate() == 0
+        assert '"event": "stopped"' in node.log.read_text()
