While a connection ends, each whole request that has arrived on it is answered

Cause: whether an answer is the last was asked as it was written and once more behind it; the node may begin to stop in between. And an answer was the last although more requests had arrived behind it.

Change: one decision as the answer is written: it is the last if the connection is to end and nothing has arrived behind the request. A connection that comes to rest while the node stops ends at once.

--- a/irisstack/node/client_connection.py
+++ b/irisstack/node/client_connection.py
@@ -99,8 +99,10 @@
         self._reader = http.RequestReader(REQUEST_HEADERS)
         self._answered = Event()
         self._close_after_answer = False
+        self._last_answer_written = False  # whether the answer last written said that the connection ends
         self.phase = Phase.FRESH
         self.stopped = False
+        self._stopped_at = math.inf
         self._stop_wakeup = False  # `stop` has shut down reading; the next read error may stem from that
         self.phase_since = time.monotonic()
         self.counted_bytes = 0  # bytes of its request that count against the intake's limit
@@ -111,8 +113,23 @@
 
     @property
     def _is_last_answer(self) -> bool:
-        """Whether the current answer, or the one before it, is the last on this connection."""
-        return self._close_after_answer or not self._intake.accepting
+        """Whether the current answer is the last on this connection.
+
+        While the connection is to end, that is the answer behind which no further request has begun: of what
+        a client has sent, each whole request gets its answer.
+        """
+        ends = self.stopped or not self._intake.accepting
+        return self._close_after_answer or (ends and not self._has_more_input)
+
+    @property
+    def _has_more_input(self) -> bool:
+        """Whether anything has arrived behind the current request.
+
+        A client that goes on sending does not keep its connection for long after `stop`.
+        """
+        if time.monotonic() > self._stopped_at + LINGER_TIMEOUT:
+            return False
+        return len(self._buffer) > 0 or sockets.pending_input(self._socket) is sockets.PendingInput.DATA
 
     def _enter_phase(self, phase: Phase) -> None:
         if phase is not self.phase:
@@ -144,7 +161,7 @@
             while (request := self._read_request()) is not None:
                 self._enter_phase(Phase.WAITING)
                 self._intake.count_input(self, len(request.body))
-                self._close_after_answer = not request.keep_alive or self.stopped
+                self._close_after_answer = not request.keep_alive
                 large = len(request.body) > SMALL_REQUEST_BYTES
                 # Either it arrived while `stop` closed the connection, or there is no memory for it.
                 if self.stopped or (large and self._intake.input_exceeds_limit):
@@ -154,7 +171,8 @@
                     self._handle(request)
                 self._intake.count_input(self, 0)
                 self._send_unsent()
-                if self._is_last_answer:
+                # An answer that did not say so is not the last, even if the node has begun to stop since.
+                if self._last_answer_written or self._close_after_answer:
                     self._reason = CloseReason.STOPPED if self.stopped else CloseReason.LAST_ANSWER
                     return True
                 gevent.sleep(0)  # let other greenlets run between pipelined requests
@@ -190,6 +208,8 @@
                 gevent.sleep(0)
             elif not first:
                 self._enter_phase(Phase.IDLE)
+                if not self._intake.accepting and not self.stopped:  # it was not idle when the drain began
+                    self.stop()
             try:
                 received = self._receive(deadline)
             except TimeoutError:
@@ -268,7 +288,7 @@
         """Answer a malformed request, then pause so that a flood of them does not starve other clients."""
         self._intake.counters.add("malformed")
         self._write(status, reason)
-        if not self._is_last_answer:
+        if not self._last_answer_written:
             gevent.sleep(MALFORMED_PAUSE)
 
     def answer(self, status: HTTPStatus, retry_after: float | None = None) -> bool:
@@ -291,7 +311,8 @@
 
     def _write(self, status: HTTPStatus, body: bytes = b"", retry_after: float | None = None) -> None:
         headers = [("Retry-After", f"{retry_after:.3f}")] if retry_after else []
-        data = http.response(status, headers, body, self._is_last_answer)
+        self._last_answer_written = self._is_last_answer
+        data = http.response(status, headers, body, self._last_answer_written)
         # The socket may take an answer in parts. Answers are far smaller than its send buffer, so if it takes
         # nothing at all, the client does not read. The connection's own greenlet sends the rest of a partly
         # sent answer, so that the caller does not wait.
@@ -353,11 +374,12 @@
         self.stop()
 
     def stop(self) -> None:
-        """End the connection without accepting another request, not even one that has arrived in part.
+        """End the connection without accepting another message; what has arrived of requests is rejected.
 
         Shutting down reading wakes the connection's greenlet with an error, even if there is unread data. A
         plain close over unread data would reset the connection and leave a request without an answer.
         """
         self.stopped = self._stop_wakeup = True
+        self._stopped_at = time.monotonic()
         with suppress(OSError):
             self._socket.shutdown(socket.SHUT_RD)
