The soak's audit ends a wait with the next start of a process, not with the kill

The audit took a wait to be ended only by a kill that came after it.

Change: a wait ends with the launch of the next process.

Result: test_a_restart_ends_a_wait_that_was_written_before_it, three cases.

--- a/tests/node/fault_soak.py
+++ b/tests/node/fault_soak.py
@@ -318,6 +318,7 @@
         self._node.kill()
         self._soak_run.kills.append((killed_at, time.monotonic()))
         time.sleep(RESTART_AFTER_S)
+        self._soak_run.launches.append(time.monotonic())
         self._node.start()
         self._soak_run.downtimes.append((signalled_at, time.monotonic()))
 
--- a/tests/node/test_soak_audit.py
+++ b/tests/node/test_soak_audit.py
@@ -77,3 +77,10 @@
         submitted=[replace(ACCEPTED)],
     )
     assert ("lost" in violated_rules(run)) is lost
+
+
+@pytest.mark.parametrize(("launched_at", "applies"), [(9.9, True), (10.5, False), (11.2, True)])
+def test_a_restart_ends_a_wait_that_was_written_before_it(launched_at: float, applies: bool) -> None:
+    """The endpoint may have written it to the process that had just been killed."""
+    run = compliant_run(retry_after_waits=[(10.0, 12.0)], launches=[launched_at])
+    assert ("wait" in violated_rules(run)) is applies
