A SIGHUP that comes while the node starts is a reload once it has started

Cause: the signal was ignored until the node's handler was there, and at the start RELAY_DISCOVERY overrides the file that is read behind it.

Change: a handler from the program's first line on keeps the signal and hands it to the node's handler as a reload, also one that comes between the two.

The first 0.03 s, before Python runs, stay as they were.

--- a/irisstack/node/service.py
+++ b/irisstack/node/service.py
@@ -4,7 +4,7 @@
 import sys
 import time
 import zlib
-from collections.abc import Mapping
+from collections.abc import Callable, Mapping
 from dataclasses import fields, replace
 from functools import partial
 from typing import TYPE_CHECKING, Any
@@ -415,12 +415,21 @@
         return update
 
 
-def main(log_format: str = "json", log_level: str = "info") -> int:
-    """Run a node configured by the environment; an invalid configuration gives one line and exit code 2."""
+def main(
+    log_format: str = "json",
+    log_level: str = "info",
+    forward_early_reload: Callable[[Callable[[], None]], None] | None = None,
+) -> int:
+    """Run a node configured by the environment; an invalid configuration gives one line and exit code 2.
+
+    `forward_early_reload` calls back for each SIGHUP that came before the handler here was installed.
+    """
     logs.configure("console" if log_format == "console" else "json", log_level)
     stop, reload = Event(), Event()
     for signal_number, event in ((signal.SIGTERM, stop), (signal.SIGINT, stop), (signal.SIGHUP, reload)):
         gevent.signal_handler(signal_number, event.set)
+    if forward_early_reload is not None:
+        forward_early_reload(reload.set)
     try:
         return Service(load(), stop, reload).run()
     except ConfigError as error:
