--- a/irisstack/node/decider.py
+++ b/irisstack/node/decider.py
@@ -22,6 +22,7 @@
 from irisstack.node.config import format_host_port, to_host_port
 from irisstack.node.counters import Counters
 from irisstack.node.endpoint import AttemptResult, CancelAttempt, CloseIdle, Command, WithholdCalls
+from irisstack.node.known_endpoints import KnownEndpoints
 from irisstack.node.mailbox import enlarge
 from irisstack.node.record_clock import StepDetector
 from irisstack.node.store import Entry, Record, Store
@@ -38,6 +39,10 @@
 log = structlog.get_logger()
 
 
+def _longest_deadline(settings: api.Settings) -> float:
+    return max(message_class.deadline for message_class in settings.classes)
+
+
 def rejection_retry_after(settings: api.Settings) -> float | None:
     """Seconds for the Retry-After of a rejected message or client; None if the settings allow none."""
     return min(REJECTION_RETRY_AFTER, settings.max_retry_after) if settings.advises_retry_after else None
@@ -154,11 +159,8 @@
         self._next_events: list[api.Event] = []  # events that the next turn begins with
         self._timers: list[tuple[float, int]] = []  # heap of time and token
         self._in_flight: dict[int, Attempt] = {}  # by message
-        self._endpoints: dict[api.Address, api.Endpoint] = {}  # listed now or until recently
+        self._endpoints = KnownEndpoints(_longest_deadline(settings))
         self._deferred_notices: list[Entry] = []  # finished messages whose result is not written yet
-        self._unlisted_since: dict[api.Address, float] = {}  # keys of `_endpoints` that are no longer listed
-        self._destinations: set[int] = set()  # listed now or until recently
-        self._destinations_listed_at: dict[int, float] = {}  # when each was last listed
         self._last_turn_at = -1.0
         self._set_settings(settings)
         self.rejecting = False  # new messages are rejected
@@ -167,7 +169,7 @@
     def _set_settings(self, settings: api.Settings) -> None:
         self._settings = settings
         self._classes = {message_class.name: i for i, message_class in enumerate(settings.classes)}
-        self._endpoint_retention = max(message_class.deadline for message_class in settings.classes)
+        self._endpoints.retention = _longest_deadline(settings)
         self._rejection_retry_after = rejection_retry_after(settings)
 
     def set_mailbox_capacity(self, capacity: int) -> None:
@@ -366,9 +368,9 @@
 
     def _is_unknown(self, destination: int) -> bool:
         """Whether no endpoint of a destination was listed lately; false while the list may be outdated."""
-        if not self._destinations or self._sender.awaits_initial_list:
+        if not self._endpoints.destinations or self._sender.awaits_initial_list:
             return False
-        return destination not in self._destinations
+        return destination not in self._endpoints.destinations
 
     def _reject_reason(self, entry: Entry, now: float) -> "RejectReason | None":
         """Why a new message is rejected before the `Sender` sees it; None if it is not."""
@@ -465,50 +467,9 @@
                 self._send_command(address, WithholdCalls(until, endpoint.destination))
 
     def _apply_update(self, update: api.EndpointsUpdated, now: float) -> None:
-        """Update the known endpoints and destinations.
-
-        An endpoint that has left the list is kept for the longest deadline of any class: its calls may still
-        end, and its destination may be about to get its next endpoint.
-        """
-        if update.scope is api.UpdateScope.FAILED:
-            return
-        listed_before = self._listed_destinations
-        self._endpoints.update((endpoint.address, endpoint) for endpoint in update.endpoints)
-        available = {e.address for e in update.endpoints if e.state is not api.EndpointState.GONE}
-        covered = (
-            self._endpoints
-            if update.scope is not api.UpdateScope.DELTA
-            else {e.address for e in update.endpoints}
-        )
-        for address in set(covered) - available:
-            self._unlisted_since.setdefault(address, now)
-        for address in available & self._unlisted_since.keys():
-            del self._unlisted_since[address]
+        """Update the known endpoints and destinations."""
         in_use = {attempt.endpoint.address for attempt in self._in_flight.values()}
-        expired = [
-            address
-            for address, since in self._unlisted_since.items()
-            if since + self._endpoint_retention < now and address not in in_use
-        ]
-        for address in expired:
-            del self._unlisted_since[address], self._endpoints[address]
-        self._destinations_listed_at.update(dict.fromkeys(listed_before | self._listed_destinations, now))
-        self._destinations = {
-            destination
-            for destination, listed_at in self._destinations_listed_at.items()
-            if listed_at + self._endpoint_retention >= now
-        }
-        for destination in self._destinations_listed_at.keys() - self._destinations:
-            del self._destinations_listed_at[destination]
-
-    @property
-    def _listed_destinations(self) -> set[int]:
-        """The destinations of the endpoints that are listed now."""
-        return {
-            endpoint.destination
-            for address, endpoint in self._endpoints.items()
-            if address not in self._unlisted_since
-        }
+        self._endpoints.update(update, now, in_use)
 
     def _destination_kind(self, address: api.Address) -> api.DestinationKind:
         return self._settings.kinds[self._endpoints[address].kind]
