A call with several messages is bounded in bytes as it is in their number

Cause: calls were bounded by the number of messages alone, both in the decisions, which knew no sizes, and where the node forms calls.

Change: MessageReceived.size tells what a message takes up in a shared call, with its framing; the decisions end a call before MAX_CALL_BYTES would be passed, and the node splits by the same bound. Where no size is told, as on the simulator's wire, nothing changes.

Result: eight messages of 30 kB behind a refusal are not delivered on the text before (test_long_messages_to_a_shared_endpoint_are_all_delivered), and are now; no call is longer than 64 KiB.

--- a/irisstack/choice.py
+++ b/irisstack/choice.py
@@ -428,6 +428,7 @@
         message.attempts = event.attempts
         message.may_have_run_at = event.may_have_run_at
         message.may_have_run_zone = event.may_have_run_zone
+        message.size = event.size
         if event.from_dead_sender and message.may_have_run_at is None:
             self._assume_sent_before(message)
         self._messages[event.message] = message
@@ -969,9 +970,13 @@
         if route.calls_in_flight > (route.connections - 1) * calls_per_connection:
             route.all_in_use_at = now
         while call.open_attempts < max_messages and self._head_rank(queue) is not None:
-            message = self._take_message(queue, unproven)
+            message = self._next_message(queue, unproven)
+            if call.messages and call.size + message.size > api.MAX_CALL_BYTES:
+                break
+            self._take_message(queue, message, unproven)
             message.call = call
             call.messages.append(message)
+            call.size += message.size
             message.attempts += 1
             call.open_attempts += 1
             message_overdue_after = OVERDUE_LATENCY_MULTIPLE * self._expected_latency(message) + OVERDUE_SLACK
@@ -1013,15 +1018,21 @@
             route.connections = -(-route.calls_in_flight // self._settings.calls_per_connection)
         return route.calls_in_flight < route.connections * self._settings.calls_per_connection
 
-    def _take_message(self, queue: DestinationQueue, unproven: bool) -> Message:
-        """Remove and return the next message; repeatable ones first until a call succeeds after an outage."""
+    def _next_message(self, queue: DestinationQueue, unproven: bool) -> Message:
+        """The message to send next; repeatable ones first until a call succeeds after an outage."""
         for message in queue.queued_messages() if unproven else ():
             if message.message_class.effect is not Effect.UNSAFE:
-                # Its entry is removed now, because the message may move to the queue of a zone next.
-                for entries in (queue.on_time, queue.late):
-                    entries[:] = sorted(entry for entry in entries if entry[-1] is not message)
                 return message
-        return heappop(queue.on_time or queue.late)[-1]
+        return (queue.on_time or queue.late)[0][-1]
+
+    def _take_message(self, queue: DestinationQueue, message: Message, unproven: bool) -> None:
+        """Remove the message that `_next_message` returned."""
+        if not unproven or message.message_class.effect is Effect.UNSAFE:
+            heappop(queue.on_time or queue.late)
+            return
+        # Its entry is removed now, because the message may move to the queue of a zone next.
+        for entries in (queue.on_time, queue.late):
+            entries[:] = sorted(entry for entry in entries if entry[-1] is not message)
 
     def _set_timer(self, wake_at: float) -> None:
         for heap, delay in (
--- a/irisstack/delivery_state.py
+++ b/irisstack/delivery_state.py
@@ -129,6 +129,8 @@
     open_attempts: int = 0
     """Messages whose attempt has not ended."""
     messages: "list[Message]" = field(default_factory=list)
+    size: int = 0
+    """Bytes of its messages."""
     outcome_counted: bool = False
     """Whether its outcome, or its silence, has been counted."""
 
@@ -153,6 +155,8 @@
     """When the last attempt, which may go on running at the endpoint, has surely ended."""
     call: "Call | None" = None
     finished: bool = False
+    size: int = 0
+    """Bytes that it takes up in a call with others."""
 
     @property
     def zone_scoped_dedup(self) -> bool:
--- a/irisstack/interface.py
+++ b/irisstack/interface.py
@@ -7,6 +7,8 @@
 from dataclasses import dataclass, field
 from enum import Enum, IntEnum, auto
 
+MAX_CALL_BYTES = 64 * 1024
+"""Most bytes of the messages in one call; one that carries a single message may have more."""
 Address = tuple[bytes, int]
 """An endpoint's address and port; opaque to the decision module."""
 
@@ -257,6 +259,8 @@
     """Time at which the first attempt that may have run was sent."""
     may_have_run_zone: int | None = None
     """Zone of the endpoint that this attempt was sent to, if still known."""
+    size: int = 0
+    """Bytes that it takes up in a call with others; 0 if such calls are not bounded."""
 
 
 @dataclass(slots=True, frozen=True)
--- a/irisstack/node/call.py
+++ b/irisstack/node/call.py
@@ -1,11 +1,27 @@
 """One request to an endpoint, with the messages that it carries."""
 
 import math
-from collections.abc import Sequence
+from collections.abc import Iterator, Sequence
 from dataclasses import dataclass
 
 import gevent
 
+from irisstack import interface as api
+
+
+def batch_line(id_: str, key: str, body_size: int) -> bytes:
+    """The line before a message's body in a call with several messages."""
+    return f"{id_} {key or '-'} {body_size}\r\n".encode("latin-1")
+
+
+BATCH_LINE_END = b"\r\n"
+"""What follows a message's body there."""
+
+
+def batch_size(id_: str, key: str, body_size: int) -> int:
+    """Bytes that a message takes up in a call with several messages."""
+    return len(batch_line(id_, key, body_size)) + body_size + len(BATCH_LINE_END)
+
 
 @dataclass(slots=True, frozen=True)
 class OutgoingMessage:
@@ -20,6 +36,27 @@
     deadline: float
     write_deadline: float = math.inf  # when the last byte must have been sent
 
+    @property
+    def size(self) -> int:
+        """Bytes that it takes up in a call with several messages."""
+        return batch_size(self.id, self.key, len(self.body))
+
+
+def split_into_calls(
+    messages: Sequence[OutgoingMessage], max_batch: int
+) -> Iterator[Sequence[OutgoingMessage]]:
+    """The messages of each call to one endpoint, within the bounds on their number and their bytes."""
+    call: list[OutgoingMessage] = []
+    call_size = 0
+    for message in messages:
+        if call and (len(call) == max_batch or call_size + message.size > api.MAX_CALL_BYTES):
+            yield call
+            call, call_size = [], 0
+        call.append(message)
+        call_size += message.size
+    if call:
+        yield call
+
 
 @dataclass(slots=True, eq=False)
 class Call:
--- a/irisstack/node/connection.py
+++ b/irisstack/node/connection.py
@@ -13,7 +13,7 @@
 
 from irisstack.node import http, sockets
 from irisstack.node.buffer import Buffer
-from irisstack.node.call import Call, OutgoingMessage
+from irisstack.node.call import BATCH_LINE_END, Call, OutgoingMessage, batch_line
 from irisstack.node.config import HostPort, format_host_port
 from irisstack.node.counters import Counters
 from irisstack.node.response_match import BodyVariety, Match, ResponseMatcher
@@ -293,8 +293,8 @@
         else:
             path = "/v1/messages:batch"
             body = b"".join(
-                f"{m.id} {m.key or '-'} {len(m.body)}\r\n".encode("latin-1") + m.body + b"\r\n"
-                for m in call.messages
+                batch_line(message.id, message.key, len(message.body)) + message.body + BATCH_LINE_END
+                for message in call.messages
             )
         self._socket.settimeout(min(remaining, max(0.001, call.write_deadline - time.monotonic())))
         self._socket.sendall(http.request("POST", path, format_host_port(self._host_port), headers, body))
--- a/irisstack/node/decider.py
+++ b/irisstack/node/decider.py
@@ -18,7 +18,7 @@
 
 from irisstack import interface as api
 from irisstack.choice import NOT_RUN_OUTCOMES, Sender
-from irisstack.node.call import Call, OutgoingMessage
+from irisstack.node.call import Call, OutgoingMessage, batch_size, split_into_calls
 from irisstack.node.config import format_host_port, to_host_port
 from irisstack.node.counters import Counters
 from irisstack.node.endpoint import AttemptResult, CancelAttempt, CloseIdle, Command, WithholdCalls
@@ -238,6 +238,7 @@
             attempts=entry.attempts,
             may_have_run_at=may_have_run_at,
             may_have_run_zone=zones.index(entry.ran_in) if entry.ran_in in zones else None,
+            size=batch_size(entry.id, entry.key, len(entry.body)),
         )
 
     # ---- main loop ----
@@ -632,9 +633,9 @@
             )
         for address, messages in by_endpoint.items():
             max_batch = self._destination_kind(address).max_batch
-            for start in range(0, len(messages), max_batch):
+            for call_messages in split_into_calls(messages, max_batch):
                 call = Call(
-                    messages[start : start + max_batch],
+                    call_messages,
                     self._clock.to_record_time(now),
                     self._zone_name(address),
                     self._endpoints[address].destination,
