The test of an early reload launches its node with SIGHUP at its default action

Cause: that run was started under nohup. An ignored SIGHUP is inherited, so that the node seemed to take the signal before its first line had run, and the signal was sent too early and lost.

Change: SIGHUP has its default action while the node is launched. The check is the same.

--- a/tests/node/test_early_reload.py
+++ b/tests/node/test_early_reload.py
@@ -2,12 +2,26 @@
 
 import json
 import signal
+from collections.abc import Iterator
 from pathlib import Path
 
+import pytest
+
 from irisstack.start import EarlyReload
 from tests.node_support import Node, ScriptedEndpoint, ScriptedPlatform, eventually, running_node
 
 
+@pytest.fixture
+def sighup_by_default() -> Iterator[None]:
+    """SIGHUP has its default action in a process that is launched, also if the tests run under `nohup`.
+
+    An ignored signal is inherited: the node would seem to take it before its first line has run.
+    """
+    before = signal.signal(signal.SIGHUP, signal.SIG_DFL)
+    yield
+    signal.signal(signal.SIGHUP, before)
+
+
 def takes_sighup(pid: int) -> bool:
     """Whether SIGHUP no longer has its default action: the program's first lines have run."""
     lines = Path(f"/proc/{pid}/status").read_text().splitlines()
@@ -16,6 +30,7 @@
     return bool(handled >> (signal.SIGHUP - 1) & 1)
 
 
+@pytest.mark.usefixtures("sighup_by_default")
 def test_a_reload_while_the_node_starts_moves_discovery(tmp_path: Path) -> None:
     """Guards against a node that stays with the old address, so that nobody hears its notices."""
     old, new, endpoint = ScriptedPlatform(), ScriptedPlatform(), ScriptedEndpoint()
