--- a/irisstack/choice.py
+++ b/irisstack/choice.py
@@ -971,7 +971,7 @@
             route.all_in_use_at = now
         while call.open_attempts < max_messages and self._head_rank(queue) is not None:
             message = self._next_message(queue, unproven)
-            if call.messages and call.size + message.size > api.MAX_CALL_BYTES:
+            if call.messages and call.size + message.size > api.MAX_BODY_BYTES:
                 break
             self._take_message(queue, message, unproven)
             message.call = call
--- a/irisstack/interface.py
+++ b/irisstack/interface.py
@@ -7,8 +7,9 @@
 from dataclasses import dataclass, field
 from enum import Enum, IntEnum, auto
 
-MAX_CALL_BYTES = 64 * 1024
-"""Most bytes of the messages in one call; one that carries a single message may have more."""
+MAX_BODY_BYTES = 64 * 1024
+"""Most bytes of a request's or response's body, and so of the messages that share a call."""
+
 Address = tuple[bytes, int]
 """An endpoint's address and port; opaque to the decision module."""
 
--- a/irisstack/node/call.py
+++ b/irisstack/node/call.py
@@ -49,7 +49,7 @@
     call: list[OutgoingMessage] = []
     call_size = 0
     for message in messages:
-        if call and (len(call) == max_batch or call_size + message.size > api.MAX_CALL_BYTES):
+        if call and (len(call) == max_batch or call_size + message.size > api.MAX_BODY_BYTES):
             yield call
             call, call_size = [], 0
         call.append(message)
--- a/irisstack/node/http.py
+++ b/irisstack/node/http.py
@@ -7,11 +7,12 @@
 
 import httptools
 
+from irisstack.interface import MAX_BODY_BYTES
 from irisstack.node.buffer import Buffer
 
 MAX_HEAD = 16 * 1024
 """Maximum bytes of a message's first line and headers."""
-MAX_BODY = 64 * 1024
+MAX_BODY = MAX_BODY_BYTES
 """Maximum bytes of a message body, in requests and responses."""
 MAX_INTERIM = 16
 """Maximum number of interim (1xx) responses before the final one."""
--- a/tests/node/test_call_size.py
+++ b/tests/node/test_call_size.py
@@ -22,7 +22,7 @@
 SHARED_KIND, MAX_BATCH = 1, 5
 FRAMING_BYTES = len("a - 30000\r\n") + len("\r\n")
 BODY_BYTES = 30_000
-HALF = api.MAX_CALL_BYTES // 2 - FRAMING_BYTES
+HALF = api.MAX_BODY_BYTES // 2 - FRAMING_BYTES
 """Body bytes of which two messages fill a call exactly."""
 
 
@@ -35,8 +35,8 @@
     [
         ([HALF, HALF], [2]),
         ([HALF, HALF + 1], [1, 1]),
-        ([api.MAX_CALL_BYTES] * 2, [1, 1]),
-        ([1, api.MAX_CALL_BYTES, 1], [1, 1, 1]),
+        ([api.MAX_BODY_BYTES] * 2, [1, 1]),
+        ([1, api.MAX_BODY_BYTES, 1], [1, 1, 1]),
         ([1] * 7, [5, 2]),
     ],
     ids=["exactly full", "one byte too many", "each too long for company", "a long one between", "by number"],
@@ -53,7 +53,7 @@
     """Guards against calls beyond those that the decisions know of."""
     sender = Sender(read(Reader(SETTINGS)), 1)
     endpoint = api.Endpoint((b"\x7f\0\0\x01", 1), api.EndpointState.READY, SHARED_KIND, 1, 0, 50.0, None)
-    size = api.MAX_CALL_BYTES // 2
+    size = api.MAX_BODY_BYTES // 2
     received = [api.MessageReceived(n, 0, 1, 20.0, size=size) for n in range(1, 6)]
     sender.turn(0.0, [api.EndpointsUpdated(api.UpdateScope.FULL, 1, (endpoint,)), *received])
     assert sender._calls_in_flight == 3
@@ -69,7 +69,7 @@
         if not blocked.is_set():
             blocked.set()
             return http_response(429, "Retry-After: 1.0")
-        return accepted(request) if bodies[-1] <= api.MAX_CALL_BYTES else http_response(413)
+        return accepted(request) if bodies[-1] <= api.MAX_BODY_BYTES else http_response(413)
 
     endpoint = ScriptedEndpoint(limited)
     with node_and_platform(tmp_path, endpoint, flavor="shared") as (node, platform):
@@ -80,5 +80,5 @@
             assert node.submit(id_, "unsafe", bytes(BODY_BYTES)).status == 202
         eventually(lambda: all(endpoint.calls_with(id_) for id_ in ids), "all calls")
         eventually(lambda: node.counters().get("delivered") == len(ids) + 1, "all deliveries")
-        assert max(bodies) <= api.MAX_CALL_BYTES
+        assert max(bodies) <= api.MAX_BODY_BYTES
         assert platform.notices == []
