Tests: a check that could not fail, one that had become weaker, and a blind soak

Cause, on reading the change again: - test_connection_ends ended with `accepted <= 1`, which no fault could break. The soak counts their answered requests and the hold-ups.

--- a/tests/node/fault_soak.py
+++ b/tests/node/fault_soak.py
@@ -187,7 +187,9 @@
                 continue
             message, data = self._new_message()
             self._exchange(message, data)
-            crossed = self._reset or time.monotonic() < self._written_at + CROSSING_S
+            self._soak_run.resting_requests += message.status is not None
+            unread_s = MAX_STALL_MS / 1000.0 + HARNESS_SLACK_S if self._reset else CROSSING_S
+            crossed = time.monotonic() < self._written_at + unread_s
             if message.status is None and crossed:  # its end crossed the request, which was not read
                 if not self._connect():
                     continue  # the process has ended: it was handed in to nobody
@@ -345,7 +347,7 @@
 
     def __init__(self, soak_run: SoakRun, node: Node) -> None:
         super().__init__(daemon=True)
-        self._node = node
+        self._soak_run, self._node = soak_run, node
         self._random = Random(soak_run.seed + 2)
         self.stop_requested = threading.Event()
 
@@ -356,6 +358,7 @@
             process.send_signal(signal.SIGSTOP)
             time.sleep(self._random.uniform(*HOLD_UP_S))
             process.send_signal(signal.SIGCONT)
+            self._soak_run.hold_ups += 1
 
 
 @contextlib.contextmanager
--- a/tests/node/soak_audit.py
+++ b/tests/node/soak_audit.py
@@ -94,6 +94,10 @@
     """From when to when no connect of the node could succeed."""
     failed_reads: list[float] = field(default_factory=list)
     """When the rig was seen to fail a read of the node."""
+    resting_requests: int = 0
+    """Requests that were answered on connections that the node was about to end."""
+    hold_ups: int = 0
+    """How often the node's process was stopped and continued."""
     repetitions_with_calls: int = 0
     """Responses, or parts of them, that an endpoint sent a second time as the next call arrived."""
     violations: list[str] = field(default_factory=list)
--- a/tests/node/test_connection_ends.py
+++ b/tests/node/test_connection_ends.py
@@ -104,7 +104,8 @@
         rejections = [(503, "")] * (due - 1) + [(503, "close")] * (due > 0)
         assert found == first + rejections
         wait_until(lambda: intake.no_clients)
-        assert accepted <= 1
+        if ending.phase is Phase.IDLE:  # its end comes before the decider is asked
+            assert len(submissions) == accepted
 
 
 def test_a_client_that_goes_on_sending_does_not_keep_an_evicted_connection(
--- a/tests/node/test_fault_soak.py
+++ b/tests/node/test_fault_soak.py
@@ -17,6 +17,8 @@
     assert sum(message.status == 202 for run in runs for message in run.submitted) > 500
     assert sum(call.delivered for run in runs for call in run.calls) > 200
     assert sum(run.repetitions_with_calls for run in runs) > len(runs)
+    assert sum(run.resting_requests for run in runs) > len(runs)
+    assert sum(run.hold_ups for run in runs) > len(runs)
     drains = [(run, drain) for run in runs for drain in run.drains]
     calls_after_drain = [
         call for run, drain in drains for call in run.calls if call.received_at > drain.ended_at
--- a/tests/node/test_pushed_list.py
+++ b/tests/node/test_pushed_list.py
@@ -36,6 +36,14 @@
     return node
 
 
+def assert_sent_at_once(node: Node, endpoint: ScriptedEndpoint) -> None:
+    """A message that is submitted now is accepted, and sent to the endpoint within `SETTLED_S`."""
+    submitted_at = time.monotonic()
+    assert node.submit("m1").status == 202
+    eventually(lambda: endpoint.calls_with("m1"), "the call")
+    assert time.monotonic() < submitted_at + SETTLED_S
+
+
 @pytest.mark.parametrize("phase", ["DRAINING", "DELETED"])
 def test_a_message_on_record_is_not_sent_by_the_list_of_the_configuration(tmp_path: Path, phase: str) -> None:
     draining, platform = ScriptedEndpoint(), ScriptedPlatform()
@@ -75,10 +83,7 @@
     platform.add_member(serving, 1, cell=1)
     node.config_data["known"] = platform.document()
     with running_node(node, platform, serving):
-        submitted_at = time.monotonic()
-        assert node.submit("m1").status == 202
-        eventually(lambda: serving.calls_with("m1"), "the call")
-        assert time.monotonic() < submitted_at + SETTLED_S
+        assert_sent_at_once(node, serving)
 
 
 @pytest.mark.parametrize("delay_s", [0.5, 0.9, 3.0])
@@ -136,10 +141,7 @@
     platform.add_member(serving, 1, cell=1)
     node.config_data["known"] = platform.document()
     with running_node(node, platform, serving):
-        submitted_at = time.monotonic()
-        assert node.submit("m1").status == 202
-        eventually(lambda: serving.calls_with("m1"), "the call")
-        assert time.monotonic() < submitted_at + SETTLED_S
+        assert_sent_at_once(node, serving)
 
 
 def test_a_destination_that_only_the_new_list_has_is_not_rejected_by_the_old_one(tmp_path: Path) -> None:
--- a/tests/test_node_parts.py
+++ b/tests/test_node_parts.py
@@ -25,7 +25,6 @@
 from irisstack.node.discovery import Discovery
 from irisstack.node.endpoint import AttemptResult, CancelAttempt, Command, Endpoint, Retire, WithholdCalls
 from irisstack.node.intake import Intake
-from irisstack.node.known_endpoints import KnownEndpoints
 from irisstack.node.list_reader import ListReader
 from irisstack.node.record_clock import wall_clock
 from irisstack.node.results import (
@@ -741,22 +740,32 @@
     assert states({**member, **change, "phase": "DRAINING"}) == [api.EndpointState.DRAINING]
 
 
-def test_a_destination_stays_known_for_a_while_after_its_last_endpoint_is_gone() -> None:
+def test_a_destination_stays_known_for_a_while_after_its_last_endpoint_is_gone(tmp_path: Path) -> None:
     settings = read(Reader(SETTINGS))
-    endpoints = KnownEndpoints(max(message_class.deadline for message_class in settings.classes))
+    decider = Decider(
+        settings,
+        1,
+        Store(tmp_path, 3_000_000, 1000.0),
+        Counters(),
+        send_command=lambda *_: None,
+        request_endpoints=lambda _: None,
+        post_notice=lambda _: None,
+        mailbox_capacity=10,
+    )
     reader = ListReader(settings)
 
     def apply_update(now: float, complete: bool, *members: dict[str, Any]) -> set[int]:
-        raw = {"revision": 1, "complete": complete, "members": list(members)}
-        endpoints.update(reader.parse_update(raw), now, in_use=())
-        return endpoints.destinations
+        decider._apply_update(
+            reader.parse_update({"revision": 1, "complete": complete, "members": list(members)}), now
+        )
+        return decider._endpoints.destinations
 
     assert apply_update(0.0, True, make_member(1), make_member(2), make_member(3)) == {1, 2, 3}
     assert apply_update(1.0, False, make_member(1, phase="DELETED")) == {1, 2, 3}
     assert apply_update(2.0, True, make_member(3)) == {1, 2, 3}
     assert apply_update(20.5, False, make_member(2)) == {1, 2, 3}
     assert apply_update(21.5, False) == {2, 3}
-    assert len(endpoints) == 2
+    assert len(decider._endpoints) == 2
 
 
 class RecordingClient:
